loop, server: drive libcurl by sockets, serve on a loop, see callers leave

Cause: the platform's machines have a quarter of a core, so each event of a stream must not cost a scan of all transfers and a change of threads; and a caller's close has to end the work at the replica within half a second, which libmicrohttpd does not see on a suspended connection. Change: curl_multi_socket_action over the loop's epoll; a server may run on a loop; close of a caller is watched beside libmicrohttpd; a request can be told to leave once at most, whatever libcurl would resend; a body whose length is not clear is refused. Ruled out: curl_multi_poll (looks at every transfer at every turn).

--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -34,7 +34,8 @@
 void gs_loop_set_tick (gs_loop_t *loop, gs_time_t interval,
                        gs_loop_cb_t callback, void *context);
 
-/** Watch @p fd for poll(2) @p events; replaces an earlier watch of it. */
+/** Watch @p fd for poll(2) @p events, POLLRDHUP among them; replaces an
+    earlier watch of it. */
 void gs_loop_watch (gs_loop_t *loop, int fd, short events,
                     gs_loop_fd_cb_t callback, void *context);
 
@@ -59,6 +60,7 @@
   size_t body_length;
   const char *version;      /**< value of the X-Version header, "" if none */
   const char *content_type; /**< "" if none */
+  const char *reason;       /**< why there is no whole answer; "" if none */
 } gs_http_result_t;
 
 /** @return true to go on, false to end the transfer. */
@@ -66,19 +68,36 @@
                                    size_t length);
 typedef void (*gs_http_done_cb_t) (void *context,
                                    const gs_http_result_t *result);
+/** Receives each line of the head of an answer, its end of line included: the
+    status line, the headers and the empty line.  A head may be followed by
+    another (status 1xx).  @return false to end the transfer. */
+typedef bool (*gs_http_line_cb_t) (void *context, const char *line,
+                                   size_t length);
 
 /** One outgoing HTTP request.  Strings are copied. */
 typedef struct
 {
   const char *method;
   const char *url;
-  const char *const *headers; /**< "Name: value", NULL-ended; may be NULL */
+  const char *const *headers; /**< "Name: value", "Name;" for an empty value,
+                                   "Name:" to leave one out that libcurl adds;
+                                   NULL-ended; may be NULL */
+  const char *target; /**< path and query to send as they are; NULL takes them
+                           from the URL */
   const char *body;
   size_t body_length;
   gs_time_t deadline;
   gs_time_t progress_deadline; /**< longest silence, 0 for none */
+  gs_time_t connect_deadline;  /**< of a new connection, 0 for none */
   bool fresh;                  /**< use a new connection and do not keep it */
+  bool once; /**< never leaves a second time, also when a kept connection turns
+                  out to be dead; libcurl would resend */
+  bool probe_silence; /**< let the kernel probe the connection each second, so
+                           that one that fell silent ends */
+  unsigned idle_seconds_max; /**< a connection that was idle for longer is not
+                                  used again; 0 for libcurl's default */
   size_t body_bytes_max;       /**< longest answer kept, 0 for the default */
+  gs_http_line_cb_t on_line; /**< may be NULL */
   gs_http_data_cb_t on_data;
   gs_http_done_cb_t on_done; /**< called exactly once */
   void *context;
--- a/include/garnetstack/server.h
+++ b/include/garnetstack/server.h
@@ -6,6 +6,7 @@
 #ifndef GARNETSTACK_SERVER_H
 #define GARNETSTACK_SERVER_H
 
+#include "garnetstack/loop.h"
 #include "garnetstack/status.h"
 
 #include <stdbool.h>
@@ -24,7 +25,10 @@
   const char *address; /**< IP number to listen on */
   uint16_t port;       /**< 0 lets the system choose */
   unsigned threads;
+  gs_loop_t *loop; /**< serves on this loop's thread instead of threads of its
+                        own; the loop must not run yet, or be the caller's */
   unsigned connections_max;
+  size_t connection_bytes; /**< memory of a connection; bounds its head */
   size_t body_bytes_max;
   size_t bodies_bytes_max;     /**< bodies of all open exchanges together */
   size_t pending_bytes_max;    /**< an exchange is cut when its reader lags
@@ -40,6 +44,7 @@
 #define GS_SERVER_OPTIONS_INIT                                                \
   {                                                                           \
     .address = "127.0.0.1", .threads = 1, .connections_max = 1024,            \
+    .connection_bytes = (size_t)32 << 10,                                     \
     .body_bytes_max = (size_t)1 << 20, .bodies_bytes_max = (size_t)256 << 20, \
     .pending_bytes_max = (size_t)4 << 20, .idle_seconds = 30,                 \
     .receive_seconds = 60                                                     \
@@ -49,6 +54,13 @@
 gs_status_t gs_server_create (gs_server_t **out,
                               const gs_server_options_t *options);
 
+/** Close what has been idle or slow for too long; called about each second
+    for a server on a loop. */
+void gs_server_tick (gs_server_t *server);
+
+/** Change how long a connection may be silent, from its next request on. */
+void gs_server_set_idle (gs_server_t *server, unsigned seconds);
+
 /** Stop listening; open exchanges go on. */
 void gs_server_quiesce (gs_server_t *server);
 
@@ -74,6 +86,28 @@
 const char *gs_exchange_header (const gs_exchange_t *exchange,
                                 const char *name);
 
+/** Receives a header as it was sent. */
+typedef void (*gs_exchange_header_cb_t) (void *context, const char *name,
+                                         const char *value);
+
+/** Call @p callback for each header, in the order they came in; valid while
+    the handler runs. */
+void gs_exchange_each_header (const gs_exchange_t *exchange,
+                              gs_exchange_header_cb_t callback, void *context);
+
+/** @return when the first line of the request was read. */
+gs_time_t gs_exchange_received_at (const gs_exchange_t *exchange);
+
+typedef void (*gs_exchange_gone_cb_t) (void *context);
+
+/**
+ * Be told when the other side closes before it has the whole answer.  Called
+ * at most once, on the loop's thread; only for a server on a loop.
+ * @param callback NULL to be told no longer
+ */
+void gs_exchange_on_gone (gs_exchange_t *exchange,
+                          gs_exchange_gone_cb_t callback, void *context);
+
 /** @return value of a query argument, or NULL; as for a header. */
 const char *gs_exchange_query (const gs_exchange_t *exchange,
                                const char *name);
@@ -86,6 +120,7 @@
 
 /**
  * Answer whole.
+ * @param content_type NULL for none
  * @param headers pairs of name and value, NULL-ended; may be NULL
  */
 void gs_exchange_reply (gs_exchange_t *exchange, unsigned status,
--- a/src/util/exchange.c
+++ b/src/util/exchange.c
@@ -57,6 +57,47 @@
                                       name);
 }
 
+typedef struct
+{
+  gs_exchange_header_cb_t callback;
+  void *context;
+} each_t;
+
+static enum MHD_Result
+on_each (void *context, enum MHD_ValueKind kind, const char *name,
+         const char *value)
+{
+  each_t *each = context;
+
+  (void)kind;
+  each->callback (each->context, name, value != NULL ? value : "");
+  return MHD_YES;
+}
+
+void
+gs_exchange_each_header (const gs_exchange_t *exchange,
+                         gs_exchange_header_cb_t callback, void *context)
+{
+  each_t each = { callback, context };
+
+  MHD_get_connection_values (exchange->connection, MHD_HEADER_KIND, on_each,
+                             &each);
+}
+
+gs_time_t
+gs_exchange_received_at (const gs_exchange_t *exchange)
+{
+  return exchange->received_at;
+}
+
+void
+gs_exchange_on_gone (gs_exchange_t *exchange, gs_exchange_gone_cb_t callback,
+                     void *context)
+{
+  exchange->on_gone = callback;
+  exchange->gone_context = context;
+}
+
 const char *
 gs_exchange_query (const gs_exchange_t *exchange, const char *name)
 {
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -7,9 +7,12 @@
 #include <glib.h>
 #include <poll.h>
 #include <stdatomic.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <unistd.h>
 
 #define QUEUE_SLOTS 65536
@@ -17,6 +20,12 @@
 #define IDLE_WAIT_MS 1000
 #define BODY_BYTES_DEFAULT ((size_t)4 << 20)
 #define VERSION_BYTES 32
+/* Probes of a connection that is to be watched for silence: the first after
+   a second, lost after two more.  */
+#define PROBE_SECONDS 1
+#define PROBE_COUNT 2
+/* What was sent and not acknowledged for so long ends the connection.  */
+#define UNACKNOWLEDGED_MS 2500
 
 typedef struct
 {
@@ -36,8 +45,10 @@
   CURLM *multi;
   ck_ring_t ring;
   ck_ring_buffer_t *slots;
-  int epoll;       /* of all watched descriptors */
+  int epoll;       /* of all watched descriptors and libcurl's sockets */
+  int wake;        /* eventfd; written when a task is posted */
   GArray *watches; /* fd -> watch_t */
+  gs_time_t curl_due; /* libcurl's timer */
   gs_time_t tick_interval;
   gs_time_t tick_due;
   gs_loop_cb_t tick;
@@ -55,28 +66,15 @@
   GString *body;
   size_t body_bytes_max;
   char version[VERSION_BYTES];
+  bool once;
+  bool left; /* the request was about to be written once already */
+  gs_http_line_cb_t on_line;
   gs_http_data_cb_t on_data;
   gs_http_done_cb_t on_done;
   void *context;
   void (*context_free) (void *context);
 };
 
-gs_status_t
-gs_loop_create (gs_loop_t **out)
-{
-  gs_loop_t *loop = g_new0 (gs_loop_t, 1);
-
-  loop->multi = curl_multi_init ();
-  loop->calls = g_hash_table_new (NULL, NULL);
-  loop->slots = g_new0 (ck_ring_buffer_t, QUEUE_SLOTS);
-  loop->watches = g_array_new (FALSE, TRUE, sizeof (watch_t));
-  loop->epoll = epoll_create1 (EPOLL_CLOEXEC);
-  ck_ring_init (&loop->ring, QUEUE_SLOTS);
-  curl_multi_setopt (loop->multi, CURLMOPT_MAX_HOST_CONNECTIONS, 0L);
-  *out = loop;
-  return GS_OK;
-}
-
 static void
 call_free (gpointer data)
 {
@@ -117,11 +115,22 @@
     g_free (task);
   curl_multi_cleanup (loop->multi);
   g_array_unref (loop->watches);
+  close (loop->wake);
   close (loop->epoll);
   g_free (loop->slots);
   g_free (loop);
 }
 
+static void
+wake (gs_loop_t *loop)
+{
+  uint64_t one = 1;
+  ssize_t written = write (loop->wake, &one, sizeof one);
+
+  /* A full counter wakes the loop as well.  */
+  (void)written;
+}
+
 gs_status_t
 gs_loop_post (gs_loop_t *loop, gs_loop_cb_t callback, void *context)
 {
@@ -134,7 +143,7 @@
       g_free (task);
       return gs_error_set (GS_ELIMIT, "the queue of the loop is full");
     }
-  curl_multi_wakeup (loop->multi);
+  wake (loop);
   return GS_OK;
 }
 
@@ -177,6 +186,8 @@
     out |= EPOLLIN;
   if (events & POLLOUT)
     out |= EPOLLOUT;
+  if (events & POLLRDHUP)
+    out |= EPOLLRDHUP;
   return out;
 }
 
@@ -190,6 +201,8 @@
     out |= POLLIN;
   if (events & EPOLLOUT)
     out |= POLLOUT;
+  if (events & (EPOLLRDHUP | EPOLLERR | EPOLLHUP))
+    out |= POLLRDHUP;
   return out;
 }
 
@@ -221,15 +234,13 @@
     }
 }
 
-/* Callbacks may change the set of watches, so what is ready is copied
-   first and looked up again before each call.  */
 /* A callback may end other watches, so each is looked up when its turn has
    come.  What does not fit now is told by the next wait.  */
 static void
-run_watches (gs_loop_t *loop)
+run_watches (gs_loop_t *loop, int timeout_ms)
 {
   struct epoll_event ready[READY_MAX];
-  int count = epoll_wait (loop->epoll, ready, READY_MAX, 0);
+  int count = epoll_wait (loop->epoll, ready, READY_MAX, timeout_ms);
 
   for (int i = 0; i < count; i++)
     {
@@ -264,7 +275,10 @@
                               .body = call->body->str,
                               .body_length = call->body->len,
                               .version = call->version,
-                              .content_type = "" };
+                              .content_type = "",
+                              .reason = code == CURLE_OK
+                                            ? ""
+                                            : curl_easy_strerror (code) };
   char *content_type = NULL;
 
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
@@ -275,24 +289,115 @@
   call_free (call);
 }
 
+/* Ends the transfers that are done.  A callback may start or end others.  */
 static void
-run_transfers (gs_loop_t *loop)
+finish_calls (gs_loop_t *loop)
 {
-  int running;
   int left;
   CURLMsg *message;
 
-  curl_multi_perform (loop->multi, &running);
   while ((message = curl_multi_info_read (loop->multi, &left)) != NULL)
     if (message->msg == CURLMSG_DONE)
       {
         gs_http_call_t *call;
+        CURLcode code = message->data.result;
 
         curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
-        finish_call (call, message->data.result);
+        finish_call (call, code);
       }
 }
 
+static void
+on_socket_ready (void *context, int fd, short events)
+{
+  gs_loop_t *loop = context;
+  int flags = 0;
+  int running;
+
+  if (events & (POLLIN | POLLRDHUP))
+    flags |= CURL_CSELECT_IN;
+  if (events & POLLOUT)
+    flags |= CURL_CSELECT_OUT;
+  curl_multi_socket_action (loop->multi, fd, flags, &running);
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *context, void *socket)
+{
+  gs_loop_t *loop = context;
+  short events = 0;
+
+  (void)easy;
+  (void)socket;
+  if (what == CURL_POLL_REMOVE)
+    {
+      gs_loop_unwatch (loop, fd);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    events |= POLLIN;
+  if (what & CURL_POLL_OUT)
+    events |= POLLOUT;
+  gs_loop_watch (loop, fd, events, on_socket_ready, loop);
+  return 0;
+}
+
+static int
+on_timer (CURLM *multi, long timeout_ms, void *context)
+{
+  gs_loop_t *loop = context;
+
+  (void)multi;
+  loop->curl_due = timeout_ms < 0 ? GS_TIME_NEVER
+                                  : gs_clock_now () + timeout_ms * GS_MSEC;
+  return 0;
+}
+
+static void
+on_wake (void *context, int fd, short events)
+{
+  uint64_t count;
+  ssize_t taken = read (fd, &count, sizeof count);
+
+  (void)context;
+  (void)events;
+  (void)taken;
+}
+
+gs_status_t
+gs_loop_create (gs_loop_t **out)
+{
+  gs_loop_t *loop = g_new0 (gs_loop_t, 1);
+
+  loop->multi = curl_multi_init ();
+  loop->calls = g_hash_table_new (NULL, NULL);
+  loop->slots = g_new0 (ck_ring_buffer_t, QUEUE_SLOTS);
+  loop->watches = g_array_new (FALSE, TRUE, sizeof (watch_t));
+  loop->epoll = epoll_create1 (EPOLL_CLOEXEC);
+  loop->wake = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
+  loop->curl_due = GS_TIME_NEVER;
+  ck_ring_init (&loop->ring, QUEUE_SLOTS);
+  gs_loop_watch (loop, loop->wake, POLLIN, on_wake, loop);
+  curl_multi_setopt (loop->multi, CURLMOPT_MAX_HOST_CONNECTIONS, 0L);
+  curl_multi_setopt (loop->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (loop->multi, CURLMOPT_SOCKETDATA, loop);
+  curl_multi_setopt (loop->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (loop->multi, CURLMOPT_TIMERDATA, loop);
+  *out = loop;
+  return GS_OK;
+}
+
+static void
+run_timer (gs_loop_t *loop)
+{
+  int running;
+
+  if (gs_clock_now () < loop->curl_due)
+    return;
+  loop->curl_due = GS_TIME_NEVER;
+  curl_multi_socket_action (loop->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+}
+
 static void
 run_tick (gs_loop_t *loop)
 {
@@ -310,30 +415,28 @@
 static int
 wait_ms (const gs_loop_t *loop)
 {
+  gs_time_t due = loop->curl_due;
   gs_time_t left;
 
   if (ck_ring_size (&loop->ring) > 0)
     return 0;
-  if (loop->tick == NULL)
+  if (loop->tick != NULL)
+    due = MIN (due, loop->tick_due);
+  if (due == GS_TIME_NEVER)
     return IDLE_WAIT_MS;
-  left = loop->tick_due - gs_clock_now ();
+  left = due - gs_clock_now ();
   return left <= 0 ? 0 : (int)MIN ((left + 999) / 1000, IDLE_WAIT_MS);
 }
 
 void
 gs_loop_run (gs_loop_t *loop)
 {
-  struct curl_waitfd watched
-      = { .fd = loop->epoll, .events = CURL_WAIT_POLLIN };
-
   while (!atomic_load (&loop->stopping))
     {
-      watched.revents = 0;
-      curl_multi_poll (loop->multi, &watched, 1, wait_ms (loop), NULL);
-      if (watched.revents != 0)
-        run_watches (loop);
+      run_watches (loop, wait_ms (loop));
       run_tasks (loop);
-      run_transfers (loop);
+      run_timer (loop);
+      finish_calls (loop);
       run_tick (loop);
     }
   atomic_store (&loop->stopping, false);
@@ -343,7 +446,7 @@
 gs_loop_stop (gs_loop_t *loop)
 {
   atomic_store (&loop->stopping, true);
-  curl_multi_wakeup (loop->multi);
+  wake (loop);
 }
 
 static size_t
@@ -367,6 +470,8 @@
   gs_http_call_t *call = context;
   size_t length = size * count;
 
+  if (call->on_line != NULL && !call->on_line (call->context, data, length))
+    return 0;
   if (length > sizeof header_name - 1
       && length - sizeof header_name < VERSION_BYTES
       && strncasecmp (data, header_name, sizeof header_name - 1) == 0)
@@ -381,6 +486,43 @@
   return length;
 }
 
+/* Called each time a connection is about to carry the request, the first
+   time and when libcurl resends.  */
+static int
+before_request (void *context, char *remote, char *local, int remote_port,
+                int local_port)
+{
+  gs_http_call_t *call = context;
+
+  (void)remote;
+  (void)local;
+  (void)remote_port;
+  (void)local_port;
+  if (call->once && call->left)
+    return CURL_PREREQFUNC_ABORT;
+  call->left = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+static int
+probe_socket (void *context, curl_socket_t fd, curlsocktype purpose)
+{
+  int on = 1;
+  int seconds = PROBE_SECONDS;
+  int count = PROBE_COUNT;
+  unsigned unacknowledged_ms = UNACKNOWLEDGED_MS;
+
+  (void)context;
+  (void)purpose;
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+              sizeof unacknowledged_ms);
+  return CURL_SOCKOPT_OK;
+}
+
 static void
 set_times (CURL *easy, const gs_http_request_t *request)
 {
@@ -397,6 +539,37 @@
       curl_easy_setopt (easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
       curl_easy_setopt (easy, CURLOPT_LOW_SPEED_TIME, MAX (seconds, 1L));
     }
+  if (request->connect_deadline > 0)
+    {
+      left = request->connect_deadline - gs_clock_now ();
+      curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                        MAX ((long)(left / GS_MSEC), 1L));
+    }
+}
+
+/* How connections are taken and kept.  */
+static void
+set_connection (gs_http_call_t *call, const gs_http_request_t *request)
+{
+  CURL *easy = call->easy;
+
+  if (request->fresh)
+    {
+      /* libcurl resends on a pooled connection that died early; a call that
+         may have run must not be sent twice.  */
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  if (request->once)
+    {
+      curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, before_request);
+      curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+    }
+  if (request->probe_silence)
+    curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, probe_socket);
+  if (request->idle_seconds_max > 0)
+    curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
+                      (long)request->idle_seconds_max);
 }
 
 gs_status_t
@@ -414,6 +587,8 @@
   call->body = g_string_new (NULL);
   call->body_bytes_max = request->body_bytes_max != 0 ? request->body_bytes_max
                                                       : BODY_BYTES_DEFAULT;
+  call->once = request->once;
+  call->on_line = request->on_line;
   call->on_data = request->on_data;
   call->on_done = request->on_done;
   call->context = request->context;
@@ -425,6 +600,10 @@
     call->headers = curl_slist_append (call->headers, request->headers[i]);
   call->headers = curl_slist_append (call->headers, "Expect:");
   curl_easy_setopt (easy, CURLOPT_URL, request->url);
+  if (strcmp (request->method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  if (request->target != NULL)
+    curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->target);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
@@ -441,13 +620,7 @@
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE,
                         (long)call->request_body->len);
     }
-  if (request->fresh)
-    {
-      /* libcurl resends on a pooled connection that died early; a call that
-         may have run must not be sent twice.  */
-      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
-    }
+  set_connection (call, request);
   set_times (easy, request);
   curl_multi_add_handle (loop->multi, easy);
   if (out != NULL)
--- a/src/util/server.c
+++ b/src/util/server.c
@@ -3,6 +3,7 @@
 #include "garnetstack/clock.h"
 #include "util/listen_address.h"
 
+#include <poll.h>
 #include <string.h>
 
 /* How much of a body that is too long is read, as a multiple of the limit. */
@@ -10,13 +11,47 @@
 #define TOO_LARGE 413
 #define BUSY 503
 #define STREAM_BLOCK_BYTES 16384
-#define CONNECTION_MEMORY_BYTES 32768
+#define BAD_REQUEST 400
+/* A daemon on a loop that still has work is run again at most so often.  */
+#define RUNS_MAX 16
+
+/* The other side has closed, perhaps only for sending; nobody closes half of
+   a connection while it waits for an answer.  */
+static void
+on_hangup (void *context, int fd, short events)
+{
+  gs_exchange_t *exchange = context;
+  gs_exchange_gone_cb_t on_gone = exchange->on_gone;
+
+  (void)events;
+  gs_loop_unwatch (exchange->server->loop, fd);
+  exchange->watched_fd = -1;
+  exchange->on_gone = NULL;
+  if (on_gone != NULL)
+    on_gone (exchange->gone_context);
+}
+
+/* libmicrohttpd does not look at a connection while it is suspended.  */
+static void
+watch_hangup (gs_exchange_t *exchange)
+{
+  gs_loop_t *loop = exchange->server->loop;
+
+  if (loop == NULL || exchange->watched_fd >= 0 || exchange->on_gone == NULL)
+    return;
+  exchange->watched_fd
+      = MHD_get_connection_info (exchange->connection,
+                                 MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+  gs_loop_watch (loop, exchange->watched_fd, POLLRDHUP, on_hangup, exchange);
+}
 
 /* Both halves of the suspension run under the lock, so a resume can't be
    lost between the check for data and the suspension.  */
 static void
 suspend_locked (gs_exchange_t *exchange)
 {
+  watch_hangup (exchange);
   MHD_suspend_connection (exchange->connection);
   exchange->suspended = true;
 }
@@ -74,7 +109,8 @@
   else
     response = MHD_create_response_from_buffer (
         exchange->out->len, exchange->out->str, MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header (response, "Content-Type", exchange->content_type);
+  if (exchange->content_type != NULL)
+    MHD_add_response_header (response, "Content-Type", exchange->content_type);
   for (char **header = exchange->headers;
        header != NULL && header[0] != NULL && header[1] != NULL; header += 2)
     MHD_add_response_header (response, header[0], header[1]);
@@ -108,6 +144,8 @@
   exchange->server = server;
   exchange->connection = connection;
   exchange->target = g_strdup (target);
+  exchange->received_at = gs_clock_now ();
+  exchange->watched_fd = -1;
   exchange->body = g_string_new (NULL);
   exchange->out = g_string_new (NULL);
   atomic_fetch_add (&server->open, 1);
@@ -167,19 +205,69 @@
 reply_refusal (gs_exchange_t *exchange)
 {
   static const char *const retry[] = { "Retry-After", "1", NULL };
-  bool busy = exchange->refusal == BUSY;
-  char *text = g_strdup_printf (
-      "{\"error\":{\"type\":\"%s\",\"message\":\"%s\","
-      "\"request_id\":\"\",\"outcome\":\"not_run\"}}",
-      busy ? "busy" : "too_large",
-      busy ? "too many bodies at once" : "the body is above the limit");
+  static const char *const close[] = { "Connection", "close", NULL };
+  const char *type = "too_large";
+  const char *message = "the body is above the limit";
+  const char *const *headers = NULL;
+  char *text;
 
+  if (exchange->refusal == BUSY)
+    {
+      type = "busy";
+      message = "too many bodies at once";
+      headers = retry;
+    }
+  else if (exchange->refusal == BAD_REQUEST)
+    {
+      type = "bad_request";
+      message = "the length of the body is not clear";
+      headers = close;
+    }
+  text = g_strdup_printf ("{\"error\":{\"type\":\"%s\",\"message\":\"%s\","
+                          "\"request_id\":\"\",\"outcome\":\"not_run\"}}",
+                          type, message);
   exchange->handled = true;
-  gs_exchange_reply (exchange, exchange->refusal, "application/json",
-                     busy ? retry : NULL, text, strlen (text));
+  gs_exchange_reply (exchange, exchange->refusal, "application/json", headers,
+                     text, strlen (text));
   g_free (text);
 }
 
+typedef struct
+{
+  unsigned lengths;
+  unsigned codings;
+  bool unclear;
+} framing_t;
+
+static void
+note_framing (void *context, const char *name, const char *value)
+{
+  framing_t *framing = context;
+
+  if (g_ascii_strcasecmp (name, "Content-Length") == 0)
+    {
+      framing->lengths++;
+      framing->unclear |= *value == '\0'
+                          || strspn (value, "0123456789") != strlen (value);
+    }
+  else if (g_ascii_strcasecmp (name, "Transfer-Encoding") == 0)
+    {
+      framing->codings++;
+      framing->unclear |= g_ascii_strcasecmp (value, "chunked") != 0;
+    }
+}
+
+/* Two parties that take a body's end to be at different places take part of
+   one request for another, so such a request is refused.  */
+static bool
+is_framing_clear (const gs_exchange_t *exchange)
+{
+  framing_t framing = { 0 };
+
+  gs_exchange_each_header (exchange, note_framing, &framing);
+  return !framing.unclear && framing.lengths + framing.codings <= 1;
+}
+
 /* A body that is announced as too long is refused before it is sent.  */
 static enum MHD_Result
 begin_request (gs_exchange_t *exchange, const char *url, const char *method)
@@ -190,11 +278,14 @@
   exchange->begun = true;
   exchange->method = g_strdup (method);
   exchange->path = g_strdup (url);
-  if (length == NULL
-      || g_ascii_strtoull (length, NULL, 10)
-             <= exchange->server->body_bytes_max)
+  if (!is_framing_clear (exchange))
+    exchange->refusal = BAD_REQUEST;
+  else if (length != NULL
+           && g_ascii_strtoull (length, NULL, 10)
+                  > exchange->server->body_bytes_max)
+    exchange->refusal = TOO_LARGE;
+  else
     return MHD_YES;
-  exchange->refusal = TOO_LARGE;
   reply_refusal (exchange);
   pthread_mutex_lock (&exchange->lock);
   result = queue_answer (exchange);
@@ -234,6 +325,9 @@
   gs_exchange_t *exchange = *state;
   enum MHD_Result result = MHD_YES;
 
+  if (!exchange->begun)
+    MHD_set_connection_option (connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                               atomic_load (&server->idle_seconds));
   if (!exchange->begun)
     return begin_request (exchange, url, method);
   if (*upload_size > 0)
@@ -271,10 +365,16 @@
 
   if (exchange == NULL)
     return;
+  if (exchange->watched_fd >= 0)
+    gs_loop_unwatch (server->loop, exchange->watched_fd);
+  exchange->watched_fd = -1;
   gs_sweep_answered (swept_of (connection));
   pthread_mutex_lock (&exchange->lock);
   exchange->connection = NULL;
   pthread_mutex_unlock (&exchange->lock);
+  if (exchange->on_gone != NULL && code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+    exchange->on_gone (exchange->gone_context);
+  exchange->on_gone = NULL;
   pthread_mutex_lock (&server->lock);
   g_hash_table_remove (server->exchanges, exchange);
   pthread_mutex_unlock (&server->lock);
@@ -296,6 +396,37 @@
   g_free (server);
 }
 
+/* Work that is ready at once is not told by the descriptor.  */
+static void
+run_daemon (void *context, int fd, short events)
+{
+  gs_server_t *server = context;
+  MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+  (void)fd;
+  (void)events;
+  for (unsigned runs = 0; runs < RUNS_MAX; runs++)
+    {
+      MHD_run (server->daemon);
+      if (MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES
+          || timeout_ms > 0)
+        break;
+    }
+}
+
+void
+gs_server_tick (gs_server_t *server)
+{
+  gs_sweep_look (server->sweep);
+  run_daemon (server, -1, 0);
+}
+
+void
+gs_server_set_idle (gs_server_t *server, unsigned seconds)
+{
+  atomic_store (&server->idle_seconds, seconds);
+}
+
 gs_status_t
 gs_server_create (gs_server_t **out, const gs_server_options_t *options)
 {
@@ -305,14 +436,15 @@
       = { { MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)options->tls_certificate },
           { MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)options->tls_key },
           { MHD_OPTION_END, 0, NULL } };
-  unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL
-                   | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+  unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
   gs_status_t status
       = gs_listen_address (&address, options->address, options->port);
 
   *out = NULL;
   if (status != GS_OK)
     goto cleanup;
+  if (options->loop == NULL)
+    flags |= MHD_USE_INTERNAL_POLLING_THREAD;
   if (options->tls_certificate != NULL)
     flags |= MHD_USE_TLS;
   else
@@ -326,8 +458,11 @@
   server->held_max = options->bodies_bytes_max;
   pthread_mutex_init (&server->lock, NULL);
   server->exchanges = g_hash_table_new (NULL, NULL);
+  server->loop = options->loop;
+  atomic_init (&server->idle_seconds, options->idle_seconds);
   server->sweep
-      = gs_sweep_create ((gs_time_t)options->receive_seconds * GS_SEC);
+      = gs_sweep_create ((gs_time_t)options->receive_seconds * GS_SEC,
+                         options->loop == NULL);
   /* A pool of one is refused by libmicrohttpd; it means no pool.  */
   server->daemon = MHD_start_daemon (
       flags, options->port, NULL, NULL, on_request, server,
@@ -335,13 +470,21 @@
       MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, server, MHD_OPTION_SOCK_ADDR,
       &address, MHD_OPTION_CONNECTION_LIMIT, options->connections_max,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, options->connection_bytes,
       MHD_OPTION_CONNECTION_TIMEOUT, options->idle_seconds,
       MHD_OPTION_THREAD_POOL_SIZE, options->threads > 1 ? options->threads : 0,
       MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
   if (server->daemon == NULL)
     status = gs_error_set (GS_EIO, "cannot listen on %s port %u",
                            options->address, options->port);
+  else if (options->loop != NULL)
+    {
+      server->ready_fd
+          = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD)
+                ->epoll_fd;
+      gs_loop_watch (options->loop, server->ready_fd, POLLIN, run_daemon,
+                     server);
+    }
 
 cleanup:
   if (status != GS_OK)
@@ -394,6 +537,11 @@
   if (server == NULL)
     return;
   abort_open (server);
+  if (server->loop != NULL)
+    {
+      gs_loop_unwatch (server->loop, server->ready_fd);
+      run_daemon (server, -1, 0);
+    }
   MHD_stop_daemon (server->daemon);
   server_free (server);
 }
--- a/src/util/server_private.h
+++ b/src/util/server_private.h
@@ -24,6 +24,9 @@
   atomic_size_t held;
   atomic_uint open;
   gs_sweep_t *sweep;
+  gs_loop_t *loop; /* NULL when the daemon has threads of its own */
+  int ready_fd;    /* readable when the daemon of a loop has work */
+  atomic_uint idle_seconds;
   pthread_mutex_t lock;
   GHashTable *exchanges; /* set of those not completed */
   bool stopping;
@@ -45,6 +48,10 @@
   unsigned refusal; /* status of HTTP, 0 for none */
   bool handled;
   bool suspended;
+  gs_time_t received_at;
+  int watched_fd; /* watched for the other side's close, -1 for none */
+  gs_exchange_gone_cb_t on_gone;
+  void *gone_context;
   /* The answer. */
   bool started;
   bool streaming;
--- a/src/util/sweep.c
+++ b/src/util/sweep.c
@@ -64,8 +64,16 @@
   return NULL;
 }
 
+void
+gs_sweep_look (gs_sweep_t *sweep)
+{
+  pthread_mutex_lock (&sweep->lock);
+  cut_late (sweep, gs_clock_now ());
+  pthread_mutex_unlock (&sweep->lock);
+}
+
 gs_sweep_t *
-gs_sweep_create (gs_time_t wait)
+gs_sweep_create (gs_time_t wait, bool threaded)
 {
   gs_sweep_t *sweep = g_new0 (gs_sweep_t, 1);
 
@@ -73,7 +81,8 @@
   sweep->connections = g_hash_table_new (NULL, NULL);
   pthread_mutex_init (&sweep->lock, NULL);
   pthread_cond_init (&sweep->wake, NULL);
-  gs_thread_start (&sweep->thread, "sweep", run, sweep);
+  if (threaded)
+    gs_thread_start (&sweep->thread, "sweep", run, sweep);
   return sweep;
 }
 
--- a/src/util/sweep.h
+++ b/src/util/sweep.h
@@ -8,12 +8,18 @@
 
 #include "garnetstack/clock.h"
 
+#include <stdbool.h>
+
 typedef struct gs_sweep gs_sweep_t;
 typedef struct gs_swept gs_swept_t;
 
-/** Start a thread that looks at the connections about every second.
-    @param wait longest time for a whole request */
-gs_sweep_t *gs_sweep_create (gs_time_t wait);
+/** @param wait longest time for a whole request
+    @param threaded start a thread that looks at the connections about every
+    second; without it the owner calls gs_sweep_look() */
+gs_sweep_t *gs_sweep_create (gs_time_t wait, bool threaded);
+
+/** Cut what is late. */
+void gs_sweep_look (gs_sweep_t *sweep);
 
 /** Stop; no connection may be left. */
 void gs_sweep_destroy (gs_sweep_t *sweep);
