--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -25,6 +25,7 @@
 } gs_command_t;
 
 int gs_cmd_node (int argc, char **argv);
+int gs_cmd_gateway (int argc, char **argv);
 int gs_cmd_check (int argc, char **argv);
 int gs_cmd_catalogue (int argc, char **argv);
 int gs_cmd_state (int argc, char **argv);
--- /dev/null
+++ b/src/cmd/cmd_gateway.c
@@ -0,0 +1,117 @@
+#include "cmd/cmd.h"
+#include "cmd/options.h"
+
+#include "garnetstack/log.h"
+#include "gateway/gateway.h"
+#include "platform/platform.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+
+/* Left of the time before the kill for the end of the process itself.  */
+#define END_TIME (400 * GS_MSEC)
+
+static void
+print_fault (void *context, const char *file, const char *section,
+             const char *key, const char *reason)
+{
+  fprintf (stderr, "%s: [%s] %s: %s\n", file, section, key, reason);
+}
+
+/* @return when the process was told to end  */
+static gs_time_t
+wait_for_end (const sigset_t *signals)
+{
+  int number;
+
+  do
+    {
+      if (sigwait (signals, &number) != 0)
+        continue;
+      if (number == SIGHUP)
+        gs_log (GS_LOG_INFO, "reload",
+                "signal=hup effect=none reason=\"addresses and bounds hold"
+                " for a process\"");
+    }
+  while (number == SIGHUP);
+  gs_log (GS_LOG_INFO, "stop", "signal=%d", number);
+  return gs_clock_now ();
+}
+
+static int
+run_until_signal (const gs_deployment_t *settings)
+{
+  gateway_t *gateway;
+  sigset_t signals;
+  gs_time_t told;
+
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  sigaddset (&signals, SIGHUP);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  if (gateway_create (&gateway, settings) != GS_OK)
+    {
+      fprintf (stderr, "garnetstack gateway: %s\n", gs_error_last ());
+      return GS_EXIT_FAILURE;
+    }
+  gs_log (GS_LOG_INFO, "start", "version=%s data_centre=%s callers=%s:%u",
+          GS_VERSION, settings->data_centre, settings->callers.host,
+          settings->callers.port);
+  told = wait_for_end (&signals);
+  gateway_leave (gateway, told + settings->grace - END_TIME);
+  gateway_destroy (gateway);
+  return GS_EXIT_OK;
+}
+
+static int
+run_gateway (const char *path)
+{
+  gs_deployment_t settings;
+  int result = GS_EXIT_FAILURE;
+
+  if (gs_platform_settings_read (&settings, path, print_fault, NULL) != GS_OK)
+    return GS_EXIT_REFUSED;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  if (gs_log_open (GS_LOG_INFO, settings.node) == GS_OK)
+    {
+      result = run_until_signal (&settings);
+      gs_log_close ();
+    }
+  else
+    fprintf (stderr, "garnetstack gateway: %s\n", gs_error_last ());
+  curl_global_cleanup ();
+  return result;
+}
+
+int
+gs_cmd_gateway (int argc, char **argv)
+{
+  char *path = NULL;
+  const GOptionEntry entries[]
+      = { { "config", 'c', 0, G_OPTION_ARG_FILENAME, &path,
+            "settings as the platform writes them", "FILE" },
+          { 0 } };
+  const gs_options_spec_t spec
+      = { "gateway", "- run a node that passes callers' requests on", entries,
+          NULL };
+  int result;
+
+  if (gs_options_parse (&spec, &argc, &argv, &result))
+    {
+      if (path == NULL)
+        path = g_strdup (gs_platform_settings_path ());
+      if (path != NULL)
+        result = run_gateway (path);
+      else
+        {
+          fprintf (stderr, "garnetstack gateway: --config is missing\n");
+          result = GS_EXIT_USAGE;
+        }
+    }
+  g_free (path);
+  return result;
+}
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -5,6 +5,7 @@
 
 static const gs_command_t commands[] = {
   { "node", "run the daemon of an entry VM", gs_cmd_node },
+  { "gateway", "run a node that passes callers' requests on", gs_cmd_gateway },
   { "check", "check settings or catalogue files", gs_cmd_check },
   { "catalogue", "read and edit the catalogue", gs_cmd_catalogue },
   { "state", "show what is, and why", gs_cmd_state },
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -4,19 +4,33 @@
 #include <jansson.h>
 #include <string.h>
 
-/* A store that fails is asked again after this, doubled for each failure in
-   a row, plus a part that depends on the process so that not all ask at
-   once.  */
-#define RETRY_PAUSE GS_SEC
+/* A store that fails is asked again after a pause, doubled for each failure
+   in a row so often, plus a part that depends on the process so that not all
+   ask at once.  */
 #define RETRY_SHIFT_MAX 3
+/* Difference of two nodes' clocks over a term, as a part of it.  */
+#define DRIFT_PART 1000
 
 void
 gs_lease_init (gs_lease_t *lease, const char *self, uint64_t incarnation)
 {
-  *lease = (gs_lease_t){ .incarnation = incarnation };
+  *lease = (gs_lease_t){ .incarnation = incarnation,
+                         .times = GS_LEASE_TIMES_INIT };
   g_strlcpy (lease->self, self, sizeof lease->self);
 }
 
+void
+gs_lease_set_times (gs_lease_t *lease, const gs_lease_times_t *times)
+{
+  lease->times = *times;
+}
+
+static gs_time_t
+drift (const gs_lease_t *lease)
+{
+  return lease->times.term / DRIFT_PART;
+}
+
 static bool
 is_mine (const gs_lease_t *lease, const gs_lease_record_t *record)
 {
@@ -30,7 +44,7 @@
 is_free (const gs_lease_t *lease, gs_time_t now)
 {
   return lease->record.holder[0] == '\0'
-         || now >= lease->seen_at + GS_LEASE_TERM + GS_LEASE_DRIFT;
+         || now >= lease->seen_at + lease->times.term + drift (lease);
 }
 
 static gs_lease_action_t
@@ -56,7 +70,7 @@
   lease->tried_at = now;
   lease->busy = true;
   lease->writing = true;
-  lease->due = now + GS_LEASE_RENEW;
+  lease->due = now + lease->times.renew;
   if (!wanted)
     lease->act_deadline = 0;
   return action;
@@ -78,7 +92,7 @@
     return start_write (lease, now, wanted);
   lease->busy = true;
   lease->writing = false;
-  lease->due = now + GS_LEASE_RENEW;
+  lease->due = now + lease->times.renew;
   action.kind = GS_LEASE_READ;
   return action;
 }
@@ -86,7 +100,7 @@
 static void
 retry_later (gs_lease_t *lease, gs_time_t now)
 {
-  gs_time_t pause = RETRY_PAUSE << MIN (lease->failures, RETRY_SHIFT_MAX);
+  gs_time_t pause = lease->times.retry << MIN (lease->failures, RETRY_SHIFT_MAX);
 
   lease->failures++;
   lease->due = now + pause + (gs_time_t)(lease->incarnation % pause);
@@ -98,7 +112,8 @@
 hold (gs_lease_t *lease)
 {
   lease->act_deadline
-      = lease->tried_at + GS_LEASE_TERM - GS_LEASE_DRIFT - GS_LEASE_PAUSE;
+      = lease->tried_at + lease->times.term - drift (lease)
+        - lease->times.pause;
 }
 
 void
--- a/src/control/lease.h
+++ b/src/control/lease.h
@@ -49,10 +49,26 @@
   gs_lease_record_t record;
 } gs_lease_action_t;
 
+/** How long a lease lasts; GS_LEASE_TIMES_INIT are the times above. */
+typedef struct
+{
+  gs_time_t term;  /**< a renewal lasts so long for those who read it */
+  gs_time_t renew; /**< the holder renews this often */
+  gs_time_t pause; /**< longest time from a check to the end of sending */
+  gs_time_t retry; /**< first pause after the store failed */
+} gs_lease_times_t;
+
+#define GS_LEASE_TIMES_INIT                                                   \
+  {                                                                           \
+    .term = GS_LEASE_TERM, .renew = GS_LEASE_RENEW, .pause = GS_LEASE_PAUSE,  \
+    .retry = GS_SEC                                                           \
+  }
+
 typedef struct
 {
   char self[GS_NAME_BYTES];
   uint64_t incarnation;
+  gs_lease_times_t times;
   gs_lease_record_t record; /**< as last read or written */
   uint64_t version;         /**< of the object; 0 for none */
   uint64_t fencing_floor;   /**< numbers up to this are known to be used */
@@ -71,6 +87,10 @@
 
 void gs_lease_init (gs_lease_t *lease, const char *self, uint64_t incarnation);
 
+/** Use other times, the same for all who want the lease; right after
+    gs_lease_init(). */
+void gs_lease_set_times (gs_lease_t *lease, const gs_lease_times_t *times);
+
 /**
  * Time has passed.
  * @param wanted this node is to hold the lease if it can
--- /dev/null
+++ b/src/gateway/duties.c
@@ -0,0 +1,327 @@
+#include "gateway/duties.h"
+
+#include "control/lease.h"
+#include "garnetstack/log.h"
+#include "gateway/usage_ledger.h"
+
+#include <string.h>
+
+#define LEASE_NAME "lease"
+#define USAGE_NAME "usage"
+/* The store answers within milliseconds, and fifty times as slowly on a bad
+   day.  */
+#define STORE_TIME (800 * GS_MSEC)
+#define PROVIDER_TIME (1500 * GS_MSEC)
+/* Terms of the lease, in shortest times between two holders: long enough for
+   three tries at a renewal, short enough that a report of usage is not late
+   when its holder is lost.  */
+#define LEASE_TERM_PART 1.4
+#define LEASE_RENEW_PART 0.45
+#define LEASE_PAUSE_PART 0.15
+#define LEASE_RETRY (150 * GS_MSEC)
+
+struct duties
+{
+  duties_options_t options;
+  gs_lease_t lease;
+  uint64_t fencing;    /* under which this node acts; 0 for none */
+  gs_time_t acts_from; /* a new holder waits until the one before is past */
+  usage_ledger_t ledger;
+  int64_t writing_window;
+  traffic_report_t *report;
+  gs_route_table_t *table;
+  gs_replica_list_t *list;
+};
+
+void
+duties_create (duties_t **out, const duties_options_t *options)
+{
+  duties_t *duties = g_new0 (duties_t, 1);
+  double shortest = (double)options->deployment->lease;
+  gs_lease_times_t times
+      = { .term = (gs_time_t)(shortest * LEASE_TERM_PART),
+          .renew = (gs_time_t)(shortest * LEASE_RENEW_PART),
+          .pause = (gs_time_t)(shortest * LEASE_PAUSE_PART),
+          .retry = LEASE_RETRY };
+
+  duties->options = *options;
+  gs_lease_init (&duties->lease, options->deployment->node,
+                 options->incarnation);
+  gs_lease_set_times (&duties->lease, &times);
+  usage_ledger_init (&duties->ledger, options->deployment->usage_window,
+                     options->deployment->usage_late);
+  *out = duties;
+}
+
+void
+duties_destroy (duties_t *duties)
+{
+  if (duties == NULL)
+    return;
+  usage_ledger_clear (&duties->ledger);
+  traffic_report_free (duties->report);
+  gs_route_table_unref (duties->table);
+  gs_replica_list_unref (duties->list);
+  g_free (duties);
+}
+
+void
+duties_set_report (duties_t *duties, traffic_report_t *report)
+{
+  traffic_report_free (duties->report);
+  duties->report = report;
+}
+
+const traffic_report_t *
+duties_report (const duties_t *duties)
+{
+  return duties->report;
+}
+
+void
+duties_set_routes (duties_t *duties, gs_route_table_t *table)
+{
+  gs_route_table_unref (duties->table);
+  duties->table = gs_route_table_ref (table);
+}
+
+void
+duties_set_replicas (duties_t *duties, gs_replica_list_t *list)
+{
+  gs_replica_list_unref (duties->list);
+  duties->list = gs_replica_list_ref (list);
+}
+
+static void
+on_lease_read (void *argument, const gs_object_result_t *result)
+{
+  duties_t *duties = argument;
+  gs_lease_record_t record;
+  gs_time_t now = gs_clock_now ();
+  char *text = NULL;
+  bool readable = false;
+
+  if (result->status == GS_OK && result->count == 1)
+    {
+      text = json_dumps (result->objects[0].value, JSON_COMPACT);
+      readable = text != NULL
+                 && gs_lease_record_read (&record, text, strlen (text))
+                        == GS_OK;
+    }
+  gs_lease_read_done (&duties->lease, now,
+                      result->status == GS_OK && !readable ? GS_EINVAL
+                                                           : result->status,
+                      result->count == 1 ? result->objects[0].revision : 0,
+                      readable ? &record : NULL);
+  free (text);
+}
+
+static void
+on_lease_written (void *argument, const gs_object_result_t *result)
+{
+  duties_t *duties = argument;
+
+  gs_lease_write_done (&duties->lease, gs_clock_now (), result->status,
+                       result->count == 1 ? result->objects[0].revision : 0);
+}
+
+static void
+tick_lease (duties_t *duties, gs_time_t now, bool wanted)
+{
+  const gs_object_store_t *store = duties->options.store;
+  gs_lease_action_t action = gs_lease_tick (&duties->lease, now, wanted);
+  char *text;
+
+  if (action.kind == GS_LEASE_READ)
+    store->get (store->context, DUTIES_KIND, LEASE_NAME, now + STORE_TIME,
+                on_lease_read, duties);
+  else if (action.kind == GS_LEASE_WRITE)
+    {
+      text = gs_lease_record_text (&action.record);
+      store->put (store->context, DUTIES_KIND, LEASE_NAME, action.version,
+                  json_loads (text, 0, NULL), now + STORE_TIME,
+                  on_lease_written, duties);
+      g_free (text);
+    }
+}
+
+/* A new holder acts only once the holder before may act no more by anybody's
+   clock, so that two never act in turns.  */
+static void
+note_holder (duties_t *duties, gs_time_t now)
+{
+  uint64_t fencing = gs_lease_may_act (&duties->lease, now)
+                         ? duties->lease.record.fencing
+                         : 0;
+
+  if (fencing == duties->fencing)
+    return;
+  if (fencing != 0)
+    {
+      duties->acts_from = now + duties->options.deployment->lease;
+      usage_ledger_forget (&duties->ledger);
+    }
+  gs_log (GS_LOG_INFO, fencing != 0 ? "duty_taken" : "duty_lost",
+          "fencing=%llu store_answered_ms=%lld",
+          (unsigned long long)(fencing != 0 ? fencing : duties->fencing),
+          (long long)((now - duties->lease.read_at) / GS_MSEC));
+  duties->fencing = fencing;
+}
+
+bool
+duties_holds (const duties_t *duties, gs_time_t now)
+{
+  return duties->fencing != 0 && now >= duties->acts_from
+         && gs_lease_may_act (&duties->lease, now);
+}
+
+static gs_duty_t
+own_duty (const duties_t *duties)
+{
+  return (gs_duty_t){ duties->options.deployment->node, duties->fencing };
+}
+
+static void
+add_usage (json_t *counts, int64_t window, const GArray *usage)
+{
+  for (guint i = 0; i < usage->len; i++)
+    {
+      const traffic_usage_t *row = &g_array_index (usage, traffic_usage_t, i);
+      json_int_t sum
+          = json_integer_value (json_object_get (counts, row->account));
+
+      if (row->window == window)
+        json_object_set_new (
+            counts, row->account,
+            json_integer (sum + (json_int_t)row->requests));
+    }
+}
+
+typedef struct
+{
+  json_t *counts;
+  int64_t window;
+} sum_t;
+
+static void
+add_peer (void *context, const digest_t *digest, gs_time_t heard_at)
+{
+  sum_t *sum = context;
+
+  (void)heard_at;
+  add_usage (sum->counts, sum->window, digest->report->usage);
+}
+
+static json_t *
+count_window (const duties_t *duties, gs_time_t now, int64_t window)
+{
+  sum_t sum = { json_object (), window };
+
+  for (unsigned i = 0;
+       duties->table != NULL && i < gs_route_table_accounts (duties->table);
+       i++)
+    json_object_set_new (sum.counts,
+                         gs_route_table_account (duties->table, i)->name,
+                         json_integer (0));
+  if (duties->report != NULL)
+    add_usage (sum.counts, window, duties->report->usage);
+  peers_each (duties->options.peers, now, add_peer, &sum);
+  return sum.counts;
+}
+
+static void
+on_usage_read (void *argument, const gs_object_result_t *result)
+{
+  duties_t *duties = argument;
+  const gs_object_t *object = result->count == 1 ? result->objects : NULL;
+
+  usage_ledger_read_done (&duties->ledger, gs_clock_now (), result->status,
+                          object != NULL ? object->revision : 0,
+                          object != NULL ? object->value : NULL);
+}
+
+static void
+on_usage_written (void *argument, const gs_object_result_t *result)
+{
+  duties_t *duties = argument;
+
+  usage_ledger_write_done (&duties->ledger, gs_clock_now (), result->status,
+                           result->count == 1 ? result->objects[0].revision
+                                              : 0,
+                           duties->writing_window);
+}
+
+static void
+on_usage_sent (void *argument, gs_status_t status)
+{
+  duties_t *duties = argument;
+
+  gs_log (status == GS_OK ? GS_LOG_INFO : GS_LOG_WARN, "usage_reported",
+          "window=%lld status=%s fencing=%llu",
+          (long long)duties->ledger.window, gs_status_name (status),
+          (unsigned long long)duties->fencing);
+  usage_ledger_send_done (&duties->ledger, gs_clock_now (), status);
+}
+
+static void
+send_usage (duties_t *duties, gs_time_t now)
+{
+  const gs_provider_t *provider = duties->options.provider;
+  const json_t *counts = duties->ledger.counts;
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (gs_usage_count_t));
+  gs_duty_t duty = own_duty (duties);
+  const char *account;
+  json_t *requests;
+
+  json_object_foreach ((json_t *)counts, account, requests)
+    {
+      gs_usage_count_t row
+          = { account, (uint64_t)json_integer_value (requests) };
+
+      g_array_append_val (rows, row);
+    }
+  provider->report_usage (provider->context, &duty, duties->ledger.window,
+                          (const gs_usage_count_t *)(void *)rows->data,
+                          rows->len, now + PROVIDER_TIME, on_usage_sent,
+                          duties);
+  g_array_unref (rows);
+}
+
+static void
+tick_usage (duties_t *duties, gs_time_t now)
+{
+  const gs_object_store_t *store = duties->options.store;
+  usage_action_t action
+      = usage_ledger_next (&duties->ledger, now, gs_clock_wall ());
+  json_t *record;
+
+  switch (action.kind)
+    {
+    case USAGE_NOTHING:
+      break;
+    case USAGE_READ:
+      store->get (store->context, DUTIES_KIND, USAGE_NAME, now + STORE_TIME,
+                  on_usage_read, duties);
+      break;
+    case USAGE_WRITE:
+      duties->writing_window = action.window;
+      record = usage_ledger_start_write (
+          &duties->ledger, action.window,
+          count_window (duties, now, action.window));
+      store->put (store->context, DUTIES_KIND, USAGE_NAME, action.revision,
+                  record, now + STORE_TIME, on_usage_written, duties);
+      break;
+    case USAGE_SEND:
+      send_usage (duties, now);
+      break;
+    }
+}
+
+void
+duties_tick (duties_t *duties, gs_time_t now, bool wanted)
+{
+  tick_lease (duties, now, wanted);
+  note_holder (duties, now);
+  if (duties_holds (duties, now))
+    tick_usage (duties, now);
+}
--- /dev/null
+++ b/src/gateway/feed.c
@@ -0,0 +1,342 @@
+#include "gateway/feed.h"
+
+#include "garnetstack/log.h"
+#include "garnetstack/metrics.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* A watch is renewed so often: a connection that fell silent is noticed
+   within this time even if no probe of the system finds it, and what changed
+   meanwhile still takes effect within the two seconds after the three in
+   which the node counts as disturbed.  */
+#define WATCH_TIME (3500 * GS_MSEC)
+/* The store answers within some milliseconds, and fifty times as slowly on a
+   bad day.  */
+#define LIST_TIME (1500 * GS_MSEC)
+/* A store that fails is asked again after this, doubled up to the most; well
+   below the two seconds in which a change must take effect.  */
+#define RETRY_FIRST (100 * GS_MSEC)
+#define RETRY_MOST (400 * GS_MSEC)
+
+typedef struct
+{
+  char *name;
+  uint64_t revision;
+  json_t *value;
+} held_t;
+
+struct feed
+{
+  const gs_object_store_t *store;
+  char *kind;
+  feed_listener_t listener;
+  gs_rng_t rng;
+  GHashTable *held;  /* name -> held_t */
+  uint64_t revision; /* followed to */
+  uint64_t list_revision; /* of the list that is being read */
+  char *list_after;  /* name after which it goes on, NULL for its begin */
+  GHashTable *listed; /* names seen in it */
+  bool listing;      /* the next call is a list */
+  bool busy;         /* a call is open */
+  gs_time_t due;     /* of the next call */
+  gs_time_t retry;
+  gs_time_t lost_at;
+};
+
+static void
+held_free (gpointer data)
+{
+  held_t *held = data;
+
+  json_decref (held->value);
+  g_free (held->name);
+  g_free (held);
+}
+
+void
+feed_create (feed_t **out, const gs_object_store_t *store, const char *kind,
+             const feed_listener_t *listener, uint64_t seed)
+{
+  feed_t *feed = g_new0 (feed_t, 1);
+
+  feed->store = store;
+  feed->kind = g_strdup (kind);
+  feed->listener = *listener;
+  feed->listing = true;
+  feed->retry = RETRY_FIRST;
+  gs_rng_seed (&feed->rng, seed);
+  feed->held
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, held_free);
+  feed->listed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  *out = feed;
+}
+
+void
+feed_destroy (feed_t *feed)
+{
+  if (feed == NULL)
+    return;
+  g_hash_table_unref (feed->listed);
+  g_hash_table_unref (feed->held);
+  g_free (feed->list_after);
+  g_free (feed->kind);
+  g_free (feed);
+}
+
+static void
+note_lost (feed_t *feed, gs_time_t now, gs_status_t status)
+{
+  if (feed->lost_at == 0)
+    {
+      feed->lost_at = now;
+      gs_log (GS_LOG_WARN, "feed_lost",
+              "kind=%s status=%s revision=%llu objects=%u", feed->kind,
+              gs_status_name (status), (unsigned long long)feed->revision,
+              g_hash_table_size (feed->held));
+      feed->listener.on_lost (feed->listener.context, now);
+    }
+  feed->due = now + feed->retry / 2
+              + (gs_time_t)(gs_rng_unit (&feed->rng) * (double)feed->retry / 2);
+  feed->retry = MIN (2 * feed->retry, RETRY_MOST);
+}
+
+static void
+note_back (feed_t *feed, gs_time_t now)
+{
+  feed->retry = RETRY_FIRST;
+  feed->due = now;
+  if (feed->lost_at == 0)
+    return;
+  gs_log (GS_LOG_INFO, "feed_back", "kind=%s away_ms=%lld revision=%llu",
+          feed->kind, (long long)((now - feed->lost_at) / GS_MSEC),
+          (unsigned long long)feed->revision);
+  feed->lost_at = 0;
+  feed->listener.on_back (feed->listener.context, now);
+}
+
+static void
+keep (feed_t *feed, const gs_object_t *object)
+{
+  held_t *held;
+
+  if (object->removed)
+    {
+      g_hash_table_remove (feed->held, object->name);
+      return;
+    }
+  held = g_new0 (held_t, 1);
+  held->name = g_strdup (object->name);
+  held->revision = object->revision;
+  held->value = json_incref (object->value);
+  g_hash_table_replace (feed->held, held->name, held);
+}
+
+/* An object that is older than what is known of it says nothing new: two
+   sources may be read in any order.  */
+static void
+take_object (feed_t *feed, gs_time_t now, const gs_object_t *object)
+{
+  const held_t *held = g_hash_table_lookup (feed->held, object->name);
+
+  if (held != NULL && object->revision < held->revision)
+    return;
+  keep (feed, object);
+  feed->listener.on_object (feed->listener.context, now, object);
+}
+
+/* What a whole list does not name is gone.  */
+static void
+drop_unlisted (feed_t *feed, gs_time_t now)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init (&iter, feed->held);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      gs_object_t gone = { .name = name, .removed = true };
+
+      if (g_hash_table_contains (feed->listed, name))
+        continue;
+      feed->listener.on_object (feed->listener.context, now, &gone);
+      g_hash_table_iter_remove (&iter);
+    }
+  g_hash_table_remove_all (feed->listed);
+}
+
+static void
+end_list (feed_t *feed, gs_time_t now, uint64_t revision)
+{
+  feed->revision = MAX (feed->revision, revision);
+  drop_unlisted (feed, now);
+  feed->listener.on_listed (feed->listener.context, now);
+}
+
+static void
+on_list (void *argument, const gs_object_result_t *result)
+{
+  feed_t *feed = argument;
+  gs_time_t now = gs_clock_now ();
+
+  feed->busy = false;
+  if (result->status != GS_OK)
+    {
+      g_clear_pointer (&feed->list_after, g_free);
+      note_lost (feed, now, result->status);
+      return;
+    }
+  note_back (feed, now);
+  /* What changes while the pages are read is found by a watch from the first
+     page's revision.  */
+  if (feed->list_after == NULL)
+    {
+      g_hash_table_remove_all (feed->listed);
+      feed->list_revision = result->revision;
+    }
+  for (unsigned i = 0; i < result->count; i++)
+    {
+      g_hash_table_add (feed->listed, g_strdup (result->objects[i].name));
+      take_object (feed, now, &result->objects[i]);
+    }
+  if (result->more && result->count > 0)
+    {
+      g_free (feed->list_after);
+      feed->list_after
+          = g_strdup (result->objects[result->count - 1].name);
+      return;
+    }
+  g_clear_pointer (&feed->list_after, g_free);
+  feed->listing = false;
+  end_list (feed, now, feed->list_revision);
+}
+
+static void
+on_watch (void *argument, const gs_object_result_t *result)
+{
+  feed_t *feed = argument;
+  gs_time_t now = gs_clock_now ();
+
+  feed->busy = false;
+  if (result->status == GS_ELIMIT)
+    {
+      gs_log (GS_LOG_INFO, "feed_restarted",
+              "kind=%s reason=history_gone revision=%llu", feed->kind,
+              (unsigned long long)feed->revision);
+      feed->listing = true;
+      feed->due = now;
+      return;
+    }
+  if (result->status != GS_OK)
+    {
+      note_lost (feed, now, result->status);
+      return;
+    }
+  note_back (feed, now);
+  for (unsigned i = 0; i < result->count; i++)
+    take_object (feed, now, &result->objects[i]);
+  feed->revision = MAX (feed->revision, result->revision);
+}
+
+void
+feed_tick (feed_t *feed, gs_time_t now)
+{
+  if (feed->busy || now < feed->due)
+    return;
+  feed->busy = true;
+  gs_metric_add (GS_METRIC_STORE_READS, 1);
+  if (feed->listing)
+    feed->store->list (feed->store->context, feed->kind, feed->list_after,
+                       now + LIST_TIME, on_list, feed);
+  else
+    feed->store->watch (feed->store->context, feed->kind, feed->revision,
+                        now + WATCH_TIME, on_watch, feed);
+}
+
+uint64_t
+feed_revision (const feed_t *feed)
+{
+  return feed->revision;
+}
+
+gs_time_t
+feed_lost_at (const feed_t *feed)
+{
+  return feed->lost_at;
+}
+
+char *
+feed_export (const feed_t *feed)
+{
+  json_t *objects = json_array ();
+  json_t *root;
+  GHashTableIter iter;
+  gpointer value;
+  char *dumped;
+  char *text;
+
+  g_hash_table_iter_init (&iter, feed->held);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const held_t *held = value;
+
+      json_array_append_new (
+          objects, json_pack ("{s:s, s:I, s:O}", "name", held->name,
+                              "revision", (json_int_t)held->revision, "value",
+                              held->value));
+    }
+  root = json_pack ("{s:I, s:o}", "revision", (json_int_t)feed->revision,
+                    "objects", objects);
+  dumped = json_dumps (root, JSON_COMPACT);
+  text = g_strdup (dumped);
+  free (dumped);
+  json_decref (root);
+  return text;
+}
+
+gs_status_t
+feed_import (feed_t *feed, gs_time_t now, const char *text, size_t length)
+{
+  json_t *root = json_loadb (text, length, 0, NULL);
+  const json_t *objects = json_object_get (root, "objects");
+  uint64_t revision
+      = (uint64_t)json_integer_value (json_object_get (root, "revision"));
+  gs_status_t status = GS_OK;
+  size_t i;
+  json_t *from;
+
+  if (!json_is_array (objects) || revision == 0)
+    {
+      status = gs_error_set (GS_EINVAL, "a node's copy of %s is malformed",
+                             feed->kind);
+      goto cleanup;
+    }
+  if (revision <= feed->revision)
+    goto cleanup;
+  g_clear_pointer (&feed->list_after, g_free);
+  g_hash_table_remove_all (feed->listed);
+  json_array_foreach (objects, i, from)
+    {
+      gs_object_t object
+          = { .name = json_string_value (json_object_get (from, "name")),
+              .revision = (uint64_t)json_integer_value (
+                  json_object_get (from, "revision")),
+              .value = json_object_get (from, "value") };
+
+      if (object.name == NULL || object.value == NULL)
+        continue;
+      g_hash_table_add (feed->listed, g_strdup (object.name));
+      take_object (feed, now, &object);
+    }
+  end_list (feed, now, revision);
+  feed->listing = false;
+  gs_log (GS_LOG_INFO, "feed_taken_over",
+          "kind=%s revision=%llu objects=%u store_lost=%d", feed->kind,
+          (unsigned long long)revision, g_hash_table_size (feed->held),
+          feed->lost_at != 0);
+
+cleanup:
+  json_decref (root);
+  return status;
+}
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,548 @@
+#include "gateway/gateway.h"
+
+#include "garnetstack/log.h"
+#include "garnetstack/server.h"
+#include "garnetstack/thread.h"
+#include "gateway/duties.h"
+#include "gateway/feed.h"
+#include "gateway/membership.h"
+#include "gateway/peers.h"
+#include "gateway/roster.h"
+#include "gateway/traffic.h"
+#include "platform/platform.h"
+
+#include <stdatomic.h>
+#include <string.h>
+#include <time.h>
+
+#define TICK (20 * GS_MSEC)
+/* How often the traffic thread is told of the other nodes.  */
+#define VIEW_INTERVAL (150 * GS_MSEC)
+/* Callers keep a list of addresses for so long, unless the settings allow
+   less: a node that is lost is named for that long.  */
+#define ADDRESSES_KEPT (2 * GS_SEC)
+/* Most addresses that callers take.  */
+#define ADDRESSES_MAX 64
+/* A peer that is ahead is asked for what it has at most so often.  */
+#define COPY_INTERVAL (250 * GS_MSEC)
+#define COPY_TIME (800 * GS_MSEC)
+/* A node that ends waits for its callers to learn of it before it closes;
+   they keep lists of addresses up to three times as long as told.  */
+#define LEAVE_LEAST (4 * GS_SEC)
+#define LEAVE_POLL_NSEC 20000000
+#define CONTROL_CONNECTIONS 256
+#define PEER_BODY_BYTES ((size_t)4 << 20)
+
+struct gateway
+{
+  gs_deployment_t settings;
+  digest_member_t self;
+  uint64_t incarnation;
+  gs_loop_t *loop; /* of control */
+  gs_thread_t *thread;
+  traffic_t *traffic;
+  gs_object_store_t store;
+  gs_provider_t provider;
+  feed_t *config_feed;
+  feed_t *replica_feed;
+  membership_t *membership;
+  peers_t *peers;
+  roster_t *roster;
+  duties_t *duties;
+  gs_route_table_t *table;
+  bool has_replicas;
+  gs_time_t view_due;
+  gs_time_t second_due;
+  gs_time_t config_copy_due;
+  gs_time_t replica_copy_due;
+  bool leaving;
+  gs_server_t *servers[3]; /* readiness, addresses, peers */
+  atomic_uint open;        /* exchanges of callers, as last reported */
+};
+
+static bool
+is_ready (const gateway_t *gateway)
+{
+  return gateway->table != NULL && gateway->has_replicas && !gateway->leaving;
+}
+
+static void
+reply_status (gs_exchange_t *exchange, unsigned status)
+{
+  gs_exchange_reply (exchange, status, "text/plain", NULL, "", 0);
+}
+
+static void
+on_readiness (void *context, gs_exchange_t *exchange)
+{
+  const gateway_t *gateway = context;
+
+  if (!gs_platform_is_readiness (gs_exchange_path (exchange)))
+    reply_status (exchange, 404);
+  else
+    reply_status (exchange, is_ready (gateway) ? 200 : 503);
+}
+
+static void
+on_addresses (void *context, gs_exchange_t *exchange)
+{
+  const gateway_t *gateway = context;
+  gs_endpoint_t endpoints[ADDRESSES_MAX];
+  unsigned count = 0;
+  char *text;
+
+  if (!gs_platform_is_addresses (gs_exchange_path (exchange)))
+    {
+      reply_status (exchange, 404);
+      return;
+    }
+  if (is_ready (gateway))
+    endpoints[count++] = gateway->settings.callers;
+  count += peers_addresses (gateway->peers, gs_clock_now (),
+                            endpoints + count, ADDRESSES_MAX - count);
+  if (count == 0)
+    {
+      reply_status (exchange, 503);
+      return;
+    }
+  text = gs_platform_addresses_encode (
+      endpoints, count,
+      MIN (ADDRESSES_KEPT, gateway->settings.answer_kept_max));
+  gs_exchange_reply (exchange, 200, "application/json", NULL, text,
+                     strlen (text));
+  g_free (text);
+}
+
+static void
+reply_feed (gs_exchange_t *exchange, const feed_t *feed)
+{
+  char *text = feed_export (feed);
+
+  gs_exchange_reply (exchange, 200, "application/json", NULL, text,
+                     strlen (text));
+  g_free (text);
+}
+
+static void
+on_peer (void *context, gs_exchange_t *exchange)
+{
+  gateway_t *gateway = context;
+  const char *path = gs_exchange_path (exchange);
+  size_t length;
+  const char *body = gs_exchange_body (exchange, &length);
+  GByteArray *digest;
+
+  if (strcmp (path, "/config") == 0)
+    reply_feed (exchange, gateway->config_feed);
+  else if (strcmp (path, "/replicas") == 0)
+    reply_feed (exchange, gateway->replica_feed);
+  else if (strcmp (path, "/digest") != 0)
+    reply_status (exchange, 404);
+  else
+    {
+      digest = peers_receive (gateway->peers, gs_clock_now (), body, length);
+      if (digest == NULL)
+        {
+          reply_status (exchange, 400);
+          return;
+        }
+      gs_exchange_reply (exchange, 200, "application/octet-stream", NULL,
+                         (const char *)digest->data, digest->len);
+      g_byte_array_unref (digest);
+    }
+}
+
+static void
+ignore (void *context, gs_time_t now)
+{
+  (void)context;
+  (void)now;
+}
+
+/* A configuration never goes back: the feed passes on only what is newer than
+   what it knows.  */
+static void
+on_config (void *context, gs_time_t now, const gs_object_t *object)
+{
+  gateway_t *gateway = context;
+  gs_route_table_t *table;
+
+  (void)now;
+  if (object->removed || strcmp (object->name, GS_PLATFORM_CONFIG_NAME) != 0)
+    return;
+  if (gateway->table != NULL
+      && object->revision <= gs_route_table_revision (gateway->table))
+    return;
+  if (gs_platform_routes_decode (&table, object->value, object->revision)
+      != GS_OK)
+    {
+      gs_log (GS_LOG_ERROR, "config_refused", "revision=%llu reason=\"%s\"",
+              (unsigned long long)object->revision, gs_error_last ());
+      return;
+    }
+  gs_route_table_unref (gateway->table);
+  gateway->table = table;
+  duties_set_routes (gateway->duties, table);
+  traffic_set_routes (gateway->traffic, gs_route_table_ref (table));
+}
+
+static void
+publish_replicas (gateway_t *gateway)
+{
+  gs_replica_list_t *list = roster_export (gateway->roster);
+
+  if (list == NULL)
+    return;
+  duties_set_replicas (gateway->duties, list);
+  traffic_set_replicas (gateway->traffic, list);
+}
+
+static void
+on_replicas_listed (void *context, gs_time_t now)
+{
+  (void)now;
+  ((gateway_t *)context)->has_replicas = true;
+}
+
+static void
+on_replica (void *context, gs_time_t now, const gs_object_t *object)
+{
+  gateway_t *gateway = context;
+  gs_replica_t replica;
+
+  if (object->removed)
+    roster_remove (gateway->roster, now, object->name);
+  else if (gs_platform_replica_decode (&replica, object, now) == GS_OK)
+    roster_put (gateway->roster, now, &replica);
+  else
+    {
+      gs_log (GS_LOG_WARN, "replica_skipped",
+              "id=%s revision=%llu reason=\"%s\"", object->name,
+              (unsigned long long)object->revision, gs_error_last ());
+      roster_remove (gateway->roster, now, object->name);
+    }
+}
+
+static void
+on_replica_lost (void *context, gs_time_t now)
+{
+  roster_store_lost (((gateway_t *)context)->roster, now);
+}
+
+static void
+on_replica_back (void *context, gs_time_t now)
+{
+  roster_store_back (((gateway_t *)context)->roster, now);
+}
+
+static void
+fill_digest (void *context, digest_t *digest)
+{
+  gateway_t *gateway = context;
+  const traffic_report_t *report = duties_report (gateway->duties);
+
+  g_strlcpy (digest->data_centre, gateway->settings.data_centre,
+             sizeof digest->data_centre);
+  digest->ready = is_ready (gateway);
+  digest->leaving = gateway->leaving;
+  digest->config_revision
+      = gateway->table != NULL ? gs_route_table_revision (gateway->table) : 0;
+  digest->replicas_revision = feed_revision (gateway->replica_feed);
+  digest->store_lost = feed_lost_at (gateway->replica_feed) != 0;
+  if (report == NULL)
+    return;
+  digest->report->open = report->open;
+  g_array_append_vals (digest->report->loads, report->loads->data,
+                       report->loads->len);
+  g_array_append_vals (digest->report->usage, report->usage->data,
+                       report->usage->len);
+  g_array_append_vals (digest->report->demand, report->demand->data,
+                       report->demand->len);
+  g_array_append_vals (digest->report->limits, report->limits->data,
+                       report->limits->len);
+}
+
+typedef struct
+{
+  gateway_t *gateway;
+  feed_t *feed;
+} copy_t;
+
+static void
+on_copied (void *context, const gs_http_result_t *result)
+{
+  copy_t *copy = context;
+
+  if (result->status != GS_OK || result->http_status != 200
+      || feed_import (copy->feed, gs_clock_now (), result->body,
+                      result->body_length)
+             != GS_OK)
+    gs_log (GS_LOG_WARN, "copy_failed", "status=%s http=%ld reason=\"%s\"",
+            gs_status_name (result->status), result->http_status,
+            result->reason);
+  else
+    publish_replicas (copy->gateway);
+  g_free (copy);
+}
+
+static void
+copy_from (gateway_t *gateway, gs_time_t now, const digest_t *digest,
+           feed_t *feed, const char *path)
+{
+  gs_http_request_t request = GS_HTTP_REQUEST_INIT;
+  copy_t *copy = g_new (copy_t, 1);
+  char *url = g_strdup_printf ("http://%s:%u%s", digest->self.peers.host,
+                               digest->self.peers.port, path);
+
+  *copy = (copy_t){ gateway, feed };
+  request.url = url;
+  request.deadline = now + COPY_TIME;
+  request.on_done = on_copied;
+  request.context = copy;
+  request.context_free = g_free;
+  request.body_bytes_max = PEER_BODY_BYTES;
+  gs_loop_http (NULL, gateway->loop, &request);
+  g_free (url);
+}
+
+/* A peer that is ahead is copied from: the store may turn this node away, and
+   a watch may have fallen silent.  Replicas change all the time, and a watch
+   brings the news a moment later; they are copied only while the store does
+   not answer.  */
+static void
+on_digest (void *context, gs_time_t now, const digest_t *digest)
+{
+  gateway_t *gateway = context;
+  uint64_t own
+      = gateway->table != NULL ? gs_route_table_revision (gateway->table) : 0;
+
+  if (digest->config_revision > own && now >= gateway->config_copy_due)
+    {
+      gateway->config_copy_due = now + COPY_INTERVAL;
+      copy_from (gateway, now, digest, gateway->config_feed, "/config");
+    }
+  if ((feed_lost_at (gateway->replica_feed) != 0
+       || feed_revision (gateway->replica_feed) == 0)
+      && digest->replicas_revision > feed_revision (gateway->replica_feed)
+      && now >= gateway->replica_copy_due)
+    {
+      gateway->replica_copy_due = now + COPY_INTERVAL;
+      copy_from (gateway, now, digest, gateway->replica_feed, "/replicas");
+    }
+}
+
+typedef struct
+{
+  gateway_t *gateway;
+  traffic_report_t *report;
+} report_message_t;
+
+static void
+take_report (void *context)
+{
+  report_message_t *message = context;
+
+  atomic_store (&message->gateway->open, message->report->open);
+  duties_set_report (message->gateway->duties, message->report);
+  g_free (message);
+}
+
+/* On the traffic thread.  */
+static void
+on_report (void *context, traffic_report_t *report)
+{
+  gateway_t *gateway = context;
+  report_message_t *message = g_new (report_message_t, 1);
+
+  *message = (report_message_t){ gateway, report };
+  if (gs_loop_post (gateway->loop, take_report, message) != GS_OK)
+    {
+      gs_log (GS_LOG_ERROR, "message_dropped", "reason=queue_full");
+      traffic_report_free (report);
+      g_free (message);
+    }
+}
+
+static void
+on_tick (void *context)
+{
+  gateway_t *gateway = context;
+  gs_time_t now = gs_clock_now ();
+
+  feed_tick (gateway->config_feed, now);
+  feed_tick (gateway->replica_feed, now);
+  membership_tick (gateway->membership, now);
+  peers_tick (gateway->peers, now);
+  roster_tick (gateway->roster, now);
+  publish_replicas (gateway);
+  duties_tick (gateway->duties, now, is_ready (gateway));
+  if (now >= gateway->view_due)
+    {
+      gateway->view_due = now + VIEW_INTERVAL;
+      traffic_set_peers (gateway->traffic, peers_view (gateway->peers, now));
+    }
+  if (now >= gateway->second_due)
+    {
+      gateway->second_due = now + GS_SEC;
+      for (size_t i = 0; i < G_N_ELEMENTS (gateway->servers); i++)
+        if (gateway->servers[i] != NULL)
+          gs_server_tick (gateway->servers[i]);
+    }
+}
+
+static void *
+run (void *context)
+{
+  gs_loop_run (((gateway_t *)context)->loop);
+  return NULL;
+}
+
+static gs_status_t
+listen_on (gateway_t *gateway, gs_server_t **out,
+           const gs_endpoint_t *endpoint, gs_server_cb_t handler)
+{
+  gs_server_options_t options = GS_SERVER_OPTIONS_INIT;
+
+  if (endpoint->port == 0)
+    return GS_OK;
+  options.address = endpoint->host;
+  options.port = endpoint->port;
+  options.loop = gateway->loop;
+  options.connections_max = CONTROL_CONNECTIONS;
+  options.body_bytes_max = PEER_BODY_BYTES;
+  options.handler = handler;
+  options.context = gateway;
+  return gs_server_create (out, &options);
+}
+
+static gs_status_t
+listen_all (gateway_t *gateway)
+{
+  const gs_deployment_t *settings = &gateway->settings;
+  gs_status_t status = listen_on (gateway, &gateway->servers[0],
+                                  &settings->readiness, on_readiness);
+
+  if (status == GS_OK)
+    status = listen_on (gateway, &gateway->servers[1], &settings->addresses,
+                        on_addresses);
+  if (status == GS_OK)
+    status = listen_on (gateway, &gateway->servers[2], &settings->peers,
+                        on_peer);
+  return status;
+}
+
+static void
+create_controllers (gateway_t *gateway)
+{
+  uint64_t seed = gateway->incarnation;
+  feed_listener_t config = { gateway, on_config, ignore, ignore, ignore };
+  feed_listener_t replicas = { gateway, on_replica, on_replicas_listed,
+                               on_replica_lost, on_replica_back };
+  peers_listener_t heard = { gateway, fill_digest, on_digest };
+  duties_options_t duties = { &gateway->settings, &gateway->store,
+                              &gateway->provider, NULL, gateway->incarnation };
+
+  gs_platform_store_create (&gateway->store, gateway->loop,
+                            &gateway->settings.store);
+  gs_platform_provider_create (&gateway->provider, gateway->loop,
+                               &gateway->settings.provider);
+  roster_create (&gateway->roster, gateway->settings.drain);
+  feed_create (&gateway->config_feed, &gateway->store,
+               GS_PLATFORM_KIND_CONFIG, &config, seed);
+  feed_create (&gateway->replica_feed, &gateway->store,
+               GS_PLATFORM_KIND_REPLICAS, &replicas, seed + 1);
+  peers_create (&gateway->peers, gateway->loop, &gateway->self,
+                &gateway->settings, &heard, seed + 2);
+  membership_create (&gateway->membership, &gateway->store, gateway->peers,
+                     &gateway->self, seed + 3);
+  duties.peers = gateway->peers;
+  duties_create (&gateway->duties, &duties);
+}
+
+gs_status_t
+gateway_create (gateway_t **out, const gs_deployment_t *settings)
+{
+  gateway_t *gateway = g_new0 (gateway_t, 1);
+  traffic_options_t traffic = { &gateway->settings, &gs_platform_passing, 0,
+                                on_report, gateway };
+  gs_status_t status;
+
+  *out = NULL;
+  gateway->settings = *settings;
+  gateway->incarnation = gs_rng_entropy ();
+  gateway->self.incarnation = gateway->incarnation;
+  gateway->self.callers = settings->callers;
+  gateway->self.peers = settings->peers;
+  g_strlcpy (gateway->self.name, settings->node, sizeof gateway->self.name);
+  gs_loop_create (&gateway->loop);
+  gs_loop_set_tick (gateway->loop, TICK, on_tick, gateway);
+  create_controllers (gateway);
+  traffic.seed = gateway->incarnation + 4;
+  status = traffic_create (&gateway->traffic, &traffic);
+  if (status == GS_OK)
+    status = listen_all (gateway);
+  if (status == GS_OK)
+    status = gs_thread_start (&gateway->thread, "control", run, gateway);
+  if (status != GS_OK)
+    {
+      gateway_destroy (gateway);
+      return status;
+    }
+  *out = gateway;
+  return GS_OK;
+}
+
+static void
+start_leaving (void *context)
+{
+  gateway_t *gateway = context;
+  gs_time_t now = gs_clock_now ();
+
+  gateway->leaving = true;
+  membership_leave (gateway->membership, now);
+  peers_hurry (gateway->peers, now);
+}
+
+void
+gateway_leave (gateway_t *gateway, gs_time_t deadline)
+{
+  static const struct timespec pause = { 0, LEAVE_POLL_NSEC };
+  gs_time_t least = gs_clock_now () + LEAVE_LEAST;
+  gs_time_t now;
+
+  gs_loop_post (gateway->loop, start_leaving, gateway);
+  traffic_leave (gateway->traffic, deadline);
+  do
+    {
+      nanosleep (&pause, NULL);
+      now = gs_clock_now ();
+    }
+  while (now < deadline
+         && (now < least || atomic_load (&gateway->open) > 0));
+}
+
+void
+gateway_destroy (gateway_t *gateway)
+{
+  if (gateway == NULL)
+    return;
+  traffic_destroy (gateway->traffic);
+  if (gateway->thread != NULL)
+    {
+      gs_loop_stop (gateway->loop);
+      gs_thread_join (gateway->thread);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (gateway->servers); i++)
+    gs_server_destroy (gateway->servers[i]);
+  gs_loop_destroy (gateway->loop);
+  duties_destroy (gateway->duties);
+  membership_destroy (gateway->membership);
+  peers_destroy (gateway->peers);
+  feed_destroy (gateway->replica_feed);
+  feed_destroy (gateway->config_feed);
+  roster_destroy (gateway->roster);
+  gs_platform_provider_destroy (&gateway->provider);
+  gs_platform_store_destroy (&gateway->store);
+  gs_route_table_unref (gateway->table);
+  g_free (gateway);
+}
--- /dev/null
+++ b/src/gateway/membership.c
@@ -0,0 +1,150 @@
+#include "gateway/membership.h"
+
+#include "garnetstack/log.h"
+#include "gateway/feed.h"
+
+#include <string.h>
+
+#define STORE_TIME GS_SEC
+/* A write that failed is made again after this.  */
+#define RETRY (300 * GS_MSEC)
+
+typedef enum
+{
+  ENTRY_ABSENT,  /* to be written */
+  ENTRY_WRITTEN, /* stands in the store */
+  ENTRY_REMOVED
+} entry_t;
+
+struct membership
+{
+  const gs_object_store_t *store;
+  peers_t *peers;
+  digest_member_t self;
+  feed_t *feed;
+  entry_t entry;
+  uint64_t revision; /* of the entry; 0 when none is known */
+  bool busy;
+  bool leaving;
+  gs_time_t due;
+};
+
+static void
+ignore (void *context, gs_time_t now)
+{
+  (void)context;
+  (void)now;
+}
+
+static void
+on_entry (void *context, gs_time_t now, const gs_object_t *object)
+{
+  membership_t *membership = context;
+  digest_member_t member = { .incarnation = 0 };
+
+  (void)now;
+  if (strcmp (object->name, membership->self.name) == 0)
+    return;
+  if (object->removed)
+    g_strlcpy (member.name, object->name, sizeof member.name);
+  else if (peers_member_decode (&member, object->name, object->value)
+           != GS_OK)
+    {
+      gs_log (GS_LOG_WARN, "node_skipped", "name=%s reason=\"%s\"",
+              object->name, gs_error_last ());
+      return;
+    }
+  peers_set_listed (membership->peers, &member, !object->removed);
+}
+
+void
+membership_create (membership_t **out, const gs_object_store_t *store,
+                   peers_t *peers, const digest_member_t *self, uint64_t seed)
+{
+  membership_t *membership = g_new0 (membership_t, 1);
+  feed_listener_t listener = { membership, on_entry, ignore, ignore, ignore };
+
+  membership->store = store;
+  membership->peers = peers;
+  membership->self = *self;
+  feed_create (&membership->feed, store, MEMBERSHIP_KIND, &listener, seed);
+  *out = membership;
+}
+
+void
+membership_destroy (membership_t *membership)
+{
+  if (membership == NULL)
+    return;
+  feed_destroy (membership->feed);
+  g_free (membership);
+}
+
+static void
+on_written (void *argument, const gs_object_result_t *result)
+{
+  membership_t *membership = argument;
+
+  membership->busy = false;
+  if (result->status == GS_OK)
+    {
+      membership->entry = ENTRY_WRITTEN;
+      membership->revision
+          = result->count == 1 ? result->objects[0].revision : 0;
+      return;
+    }
+  /* An entry of an earlier process of this node, or of this write when its
+     answer was lost: the next write goes over it.  */
+  if (result->status == GS_ECONFLICT && result->count == 1)
+    membership->revision = result->objects[0].revision;
+  else if (result->status == GS_ENOTFOUND)
+    membership->revision = 0;
+  else
+    membership->due = gs_clock_now () + RETRY;
+}
+
+static void
+on_removed (void *argument, const gs_object_result_t *result)
+{
+  membership_t *membership = argument;
+
+  membership->busy = false;
+  if (result->status == GS_OK || result->status == GS_ENOTFOUND
+      || result->status == GS_ECONFLICT)
+    membership->entry = ENTRY_REMOVED;
+  else
+    membership->due = gs_clock_now () + RETRY;
+}
+
+void
+membership_tick (membership_t *membership, gs_time_t now)
+{
+  const gs_object_store_t *store = membership->store;
+
+  if (!membership->leaving)
+    feed_tick (membership->feed, now);
+  if (membership->busy || now < membership->due)
+    return;
+  if (!membership->leaving && membership->entry == ENTRY_ABSENT)
+    {
+      membership->busy = true;
+      store->put (store->context, MEMBERSHIP_KIND, membership->self.name,
+                  membership->revision,
+                  peers_member_encode (&membership->self), now + STORE_TIME,
+                  on_written, membership);
+    }
+  else if (membership->leaving && membership->entry == ENTRY_WRITTEN)
+    {
+      membership->busy = true;
+      store->remove (store->context, MEMBERSHIP_KIND, membership->self.name,
+                     membership->revision, now + STORE_TIME, on_removed,
+                     membership);
+    }
+}
+
+void
+membership_leave (membership_t *membership, gs_time_t now)
+{
+  membership->leaving = true;
+  membership_tick (membership, now);
+}
--- /dev/null
+++ b/src/gateway/placer.c
@@ -0,0 +1,607 @@
+#include "gateway/placer.h"
+
+#include "garnetstack/log.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Rows of replicas; far more than a deployment of the stated size starts in a
+   process' life at once.  Rows of replicas that are gone are used again.  */
+#define ROWS_MAX 8192
+/* An engine's reading speed until it has been observed, tokens per
+   millisecond; the slower of the engines in the deployments' sheets.  */
+#define READ_SPEED_FIRST 80.0
+/* Weight of a new observation of the reading speed.  */
+#define READ_SPEED_GAIN 0.05
+/* Observations of fewer tokens say more of other delays.  */
+#define READ_SPEED_TOKENS_LEAST 2000
+/* From a request's arrival at an idle engine to its first event.  */
+#define FIRST_EVENT_BASE (40 * GS_MSEC)
+/* What a taken slot adds to the score: it slows the events of all.  */
+#define SLOT_PENALTY (2 * GS_MSEC)
+/* A token that is read again costs, besides its time at this replica, time
+   that others would have had; so it counts again by this part.  */
+#define READ_AGAIN_WEIGHT 0.5
+/* How sure it is that the replica that all nodes prefer for a part holds it
+   when this node has not seen it there.  */
+#define PREFERRED_HOLDS 0.5
+/* A part is counted as held for so long after its last use here.  */
+#define PART_KEPT (30 * GS_SEC)
+#define PART_HOLDERS_MAX 4
+#define PARTS_MAX 65536
+/* Part of an engine's memory that is filled with running requests; the rest
+   keeps parts of prompts.  */
+#define MEMORY_PART 0.85
+/* A replica that could not be reached, or failed so often in a row, is left
+   out for a while, doubled each time.  */
+#define FAILURES_MAX 3
+#define EJECT_FIRST (500 * GS_MSEC)
+#define EJECT_SHIFT_MAX 3
+/* A replica that says it is full gets nothing more for so long.  */
+#define FULL_PAUSE (50 * GS_MSEC)
+/* Part of a replica's connections that the nodes use together.  */
+#define CONNECTIONS_PART 0.9
+
+typedef struct
+{
+  gs_replica_t replica;
+  bool listed;
+  uint32_t generation; /* rises when the row gets another replica */
+  uint64_t hash;       /* of the replica's id */
+  uint32_t in_flight;
+  uint64_t backlog_tokens;
+  uint64_t held_tokens;
+  uint32_t peer_in_flight;
+  uint64_t peer_backlog_tokens;
+  uint64_t peer_held_tokens;
+  unsigned failures; /* in a row */
+  unsigned ejections;
+  gs_time_t ejected_until;
+} row_t;
+
+typedef struct
+{
+  uint32_t row;
+  uint32_t generation;
+  gs_time_t used_at;
+} holder_t;
+
+typedef struct
+{
+  uint64_t id;
+  unsigned count;
+  holder_t holders[PART_HOLDERS_MAX];
+} part_t;
+
+struct placer
+{
+  GArray *rows;        /* of row_t */
+  GHashTable *by_id;   /* id -> row + 1 */
+  GHashTable *parts;   /* id -> part_t */
+  double read_speed;   /* tokens per millisecond */
+  gs_rng_t rng;
+};
+
+void
+placer_create (placer_t **out, uint64_t seed)
+{
+  placer_t *placer = g_new0 (placer_t, 1);
+
+  placer->rows = g_array_new (FALSE, TRUE, sizeof (row_t));
+  placer->by_id
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  placer->parts
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  placer->read_speed = READ_SPEED_FIRST;
+  gs_rng_seed (&placer->rng, seed);
+  *out = placer;
+}
+
+void
+placer_destroy (placer_t *placer)
+{
+  if (placer == NULL)
+    return;
+  g_hash_table_unref (placer->parts);
+  g_hash_table_unref (placer->by_id);
+  g_array_unref (placer->rows);
+  g_free (placer);
+}
+
+static row_t *
+row_at (const placer_t *placer, uint32_t row)
+{
+  return &g_array_index (placer->rows, row_t, row);
+}
+
+static row_t *
+find_row (const placer_t *placer, const char *id)
+{
+  guint row = GPOINTER_TO_UINT (g_hash_table_lookup (placer->by_id, id));
+
+  return row > 0 ? row_at (placer, row - 1) : NULL;
+}
+
+/* @return a row that no replica and no request uses, NULL when there is no
+   more room  */
+static row_t *
+free_row (placer_t *placer)
+{
+  row_t none = { .listed = false };
+
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      row_t *row = row_at (placer, i);
+
+      if (!row->listed && row->in_flight == 0 && row->replica.id[0] == '\0')
+        return row;
+    }
+  if (placer->rows->len >= ROWS_MAX)
+    return NULL;
+  g_array_append_val (placer->rows, none);
+  return row_at (placer, placer->rows->len - 1);
+}
+
+/* A replica that came back under its id after a restart holds nothing.  */
+static void
+set_replica (placer_t *placer, row_t *row, const gs_replica_t *replica)
+{
+  if (row->replica.born_ms != replica->born_ms
+      || strcmp (row->replica.address, replica->address) != 0)
+    {
+      row->generation++;
+      row->failures = 0;
+      row->ejections = 0;
+      row->ejected_until = 0;
+    }
+  row->replica = *replica;
+  row->listed = true;
+}
+
+/* Rows of replicas that are gone are emptied once nothing is there.  */
+static void
+empty_rows (placer_t *placer)
+{
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      row_t *row = row_at (placer, i);
+
+      if (row->listed || row->in_flight > 0 || row->replica.id[0] == '\0')
+        continue;
+      g_hash_table_remove (placer->by_id, row->replica.id);
+      *row = (row_t){ .generation = row->generation + 1 };
+    }
+}
+
+void
+placer_set_replicas (placer_t *placer, gs_time_t now,
+                     const gs_replica_list_t *list)
+{
+  (void)now;
+  for (guint i = 0; i < placer->rows->len; i++)
+    row_at (placer, i)->listed = false;
+  for (unsigned i = 0; i < list->count; i++)
+    {
+      const gs_replica_t *replica = &list->rows[i];
+      row_t *row = find_row (placer, replica->id);
+
+      if (row == NULL)
+        {
+          row = free_row (placer);
+          if (row == NULL)
+            {
+              gs_log (GS_LOG_ERROR, "replica_dropped", "id=%s reason=no_row",
+                      replica->id);
+              continue;
+            }
+          row->hash = XXH3_64bits (replica->id, strlen (replica->id));
+          g_hash_table_insert (
+              placer->by_id, g_strdup (replica->id),
+              GUINT_TO_POINTER ((guint)(row - row_at (placer, 0)) + 1));
+        }
+      set_replica (placer, row, replica);
+    }
+  empty_rows (placer);
+}
+
+void
+placer_set_peers (placer_t *placer, const placer_load_t *loads, unsigned count)
+{
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      row_t *row = row_at (placer, i);
+
+      row->peer_in_flight = 0;
+      row->peer_backlog_tokens = 0;
+      row->peer_held_tokens = 0;
+    }
+  for (unsigned i = 0; i < count; i++)
+    {
+      row_t *row = find_row (placer, loads[i].replica);
+
+      if (row == NULL)
+        continue;
+      row->peer_in_flight += loads[i].in_flight;
+      row->peer_backlog_tokens += loads[i].backlog_tokens;
+      row->peer_held_tokens += loads[i].held_tokens;
+    }
+}
+
+static const holder_t *
+find_holder (const part_t *part, uint32_t row, uint32_t generation)
+{
+  for (unsigned i = 0; part != NULL && i < part->count; i++)
+    if (part->holders[i].row == row
+        && part->holders[i].generation == generation)
+      return &part->holders[i];
+  return NULL;
+}
+
+static uint64_t
+preference (const row_t *row, uint64_t part)
+{
+  uint64_t words[] = { row->hash, part };
+
+  return XXH3_64bits (words, sizeof words);
+}
+
+/* The session's part is the last that requests share: the one after it
+   belongs to the request alone.  */
+static uint64_t
+session_of (const placer_query_t *query)
+{
+  if (query->part_count == 0)
+    return 0;
+  return query->parts[query->part_count >= 2 ? query->part_count - 2 : 0].id;
+}
+
+/* Tokens of the prompt that a replica is likely to hold: parts count only
+   when all before them are held.  */
+static uint32_t
+held_of (const placer_t *placer, gs_time_t now, const placer_query_t *query,
+         uint32_t index, bool preferred)
+{
+  const row_t *row = row_at (placer, index);
+  double held = 0;
+  double sure = 1;
+
+  for (unsigned i = 0; i < query->part_count && sure > 0; i++)
+    {
+      const part_t *part
+          = g_hash_table_lookup (placer->parts, &query->parts[i].id);
+      const holder_t *holder = find_holder (part, index, row->generation);
+
+      if (holder == NULL || holder->used_at + PART_KEPT < now)
+        sure = preferred && i + 1 < query->part_count
+                   ? MIN (sure, PREFERRED_HOLDS)
+                   : 0;
+      held += sure * query->parts[i].tokens;
+    }
+  return (uint32_t)MIN (held, (double)query->prompt_tokens);
+}
+
+static bool
+is_usable (const row_t *row, gs_time_t now, const char *service)
+{
+  return row->listed && row->replica.state == GS_REPLICA_READY
+         && row->ejected_until <= now
+         && strcmp (row->replica.service, service) == 0;
+}
+
+static uint32_t
+taken_of (const row_t *row)
+{
+  return row->in_flight + row->peer_in_flight;
+}
+
+static bool
+is_full (const row_t *row, const placer_query_t *query)
+{
+  uint64_t wanted = query->prompt_tokens + query->output_tokens;
+  uint64_t held = row->held_tokens + row->peer_held_tokens;
+  unsigned connections = query->connections_max;
+
+  if (connections != 0
+      && taken_of (row) >= (unsigned)(CONNECTIONS_PART * connections))
+    return true;
+  if (query->past_slots)
+    return false;
+  if (taken_of (row) >= row->replica.slots)
+    return true;
+  /* A request larger than the memory is the replica's to refuse.  */
+  return query->engine && query->cache_tokens != 0 && held > 0
+         && (double)(held + wanted) > MEMORY_PART * (double)query->cache_tokens;
+}
+
+/* The best replica of a service for a part by a hash that all nodes share.
+   @return PLACER_ROW_NONE when there is none  */
+static uint32_t
+preferred_row (const placer_t *placer, gs_time_t now,
+               const placer_query_t *query)
+{
+  uint64_t session = session_of (query);
+  uint64_t best_value = 0;
+  uint32_t best = PLACER_ROW_NONE;
+
+  if (!query->engine || query->part_count == 0)
+    return best;
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      const row_t *row = row_at (placer, i);
+      uint64_t value;
+
+      if (!is_usable (row, now, query->service))
+        continue;
+      value = preference (row, session);
+      if (best == PLACER_ROW_NONE || value > best_value)
+        {
+          best = i;
+          best_value = value;
+        }
+    }
+  return best;
+}
+
+typedef struct
+{
+  double score;
+  uint32_t missing;
+  gs_time_t first_at;
+} forecast_t;
+
+static forecast_t
+forecast (placer_t *placer, gs_time_t now, const placer_query_t *query,
+          uint32_t index, bool preferred)
+{
+  const row_t *row = row_at (placer, index);
+  double waiting = (double)(row->backlog_tokens + row->peer_backlog_tokens);
+  forecast_t out = { .missing = 0 };
+  double first;
+
+  if (!query->engine)
+    {
+      out.score = (double)taken_of (row) / row->replica.slots
+                  + 0.5 / row->replica.slots * gs_rng_unit (&placer->rng);
+      if (row->replica.cold_until > now)
+        out.score += 1.0 / row->replica.slots;
+      out.first_at = now;
+      return out;
+    }
+  out.missing = query->prompt_tokens
+                - held_of (placer, now, query, index, preferred);
+  first = (double)FIRST_EVENT_BASE
+          + (waiting + out.missing) / placer->read_speed * (double)GS_MSEC;
+  if (taken_of (row) >= row->replica.slots)
+    first += (double)(taken_of (row) - row->replica.slots + 1)
+             * (double)GS_SEC / row->replica.slots;
+  out.first_at = now + (gs_time_t)first;
+  out.score = first + (double)taken_of (row) * (double)SLOT_PENALTY
+              + READ_AGAIN_WEIGHT * out.missing / placer->read_speed
+                    * (double)GS_MSEC
+              + gs_rng_unit (&placer->rng) * (double)SLOT_PENALTY;
+  return out;
+}
+
+gs_status_t
+placer_pick (placer_t *placer, gs_time_t now, const placer_query_t *query,
+             placer_choice_t *out)
+{
+  uint32_t preferred = preferred_row (placer, now, query);
+  forecast_t best = { .score = INFINITY };
+  forecast_t avoided = { .score = INFINITY };
+
+  *out = (placer_choice_t){ .row = PLACER_ROW_NONE };
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      const row_t *row = row_at (placer, i);
+      forecast_t here;
+
+      if (!is_usable (row, now, query->service))
+        continue;
+      out->candidates++;
+      if (is_full (row, query))
+        {
+          out->full++;
+          continue;
+        }
+      here = forecast (placer, now, query, i, i == preferred);
+      if (i == query->avoid)
+        {
+          avoided = here;
+          continue;
+        }
+      if (here.score >= best.score)
+        continue;
+      best = here;
+      out->row = i;
+    }
+  if (out->row == PLACER_ROW_NONE && isfinite (avoided.score))
+    {
+      best = avoided;
+      out->row = query->avoid;
+    }
+  if (out->row == PLACER_ROW_NONE)
+    return out->candidates == 0
+               ? gs_error_set (GS_ENOTFOUND, "no replica of %s",
+                               query->service)
+               : gs_error_set (GS_ELIMIT, "all replicas of %s are full",
+                               query->service);
+  out->missing_tokens = best.missing;
+  out->first_expected_at = best.first_at;
+  out->in_flight = taken_of (row_at (placer, out->row));
+  out->backlog_tokens
+      = (uint32_t)(row_at (placer, out->row)->backlog_tokens
+                   + row_at (placer, out->row)->peer_backlog_tokens);
+  return GS_OK;
+}
+
+/* Least recently used holders make room.  */
+static void
+note_part (placer_t *placer, gs_time_t now, uint64_t id, uint32_t index)
+{
+  uint32_t generation = row_at (placer, index)->generation;
+  part_t *part = g_hash_table_lookup (placer->parts, &id);
+  holder_t *oldest;
+
+  if (part == NULL)
+    {
+      if (g_hash_table_size (placer->parts) >= PARTS_MAX)
+        g_hash_table_remove_all (placer->parts);
+      part = g_new0 (part_t, 1);
+      part->id = id;
+      g_hash_table_insert (placer->parts, &part->id, part);
+    }
+  oldest = &part->holders[0];
+  for (unsigned i = 0; i < part->count; i++)
+    {
+      holder_t *holder = &part->holders[i];
+
+      if (holder->row == index && holder->generation == generation)
+        {
+          holder->used_at = now;
+          return;
+        }
+      if (holder->used_at < oldest->used_at)
+        oldest = holder;
+    }
+  if (part->count < PART_HOLDERS_MAX)
+    oldest = &part->holders[part->count++];
+  *oldest = (holder_t){ index, generation, now };
+}
+
+void
+placer_sent (placer_t *placer, gs_time_t now, const placer_query_t *query,
+             const placer_choice_t *choice, placer_ticket_t *ticket)
+{
+  row_t *row = row_at (placer, choice->row);
+
+  *ticket = (placer_ticket_t){
+    .row = choice->row,
+    .missing_tokens = query->engine ? choice->missing_tokens : 0,
+    .held_tokens
+    = query->engine ? query->prompt_tokens + query->output_tokens : 0,
+    .sent_at = now,
+    .first_expected_at = choice->first_expected_at,
+  };
+  row->in_flight++;
+  row->backlog_tokens += ticket->missing_tokens;
+  row->held_tokens += ticket->held_tokens;
+  /* The last part is the request's own and won't be asked for again.  */
+  for (unsigned i = 0; query->engine && i + 1 < query->part_count; i++)
+    note_part (placer, now, query->parts[i].id, choice->row);
+}
+
+void
+placer_first (placer_t *placer, gs_time_t now, placer_ticket_t *ticket)
+{
+  row_t *row = row_at (placer, ticket->row);
+  double before = (double)(row->backlog_tokens + row->peer_backlog_tokens);
+  double took = (double)(now - ticket->sent_at - FIRST_EVENT_BASE) / GS_MSEC;
+
+  row->backlog_tokens -= ticket->missing_tokens;
+  if (ticket->missing_tokens >= READ_SPEED_TOKENS_LEAST && took > 1
+      && before <= 2.0 * ticket->missing_tokens)
+    {
+      double speed = MIN (ticket->missing_tokens / took,
+                          4 * placer->read_speed);
+
+      placer->read_speed
+          += READ_SPEED_GAIN * (speed - placer->read_speed);
+    }
+  ticket->missing_tokens = 0;
+}
+
+static void
+eject (row_t *row, gs_time_t now, const char *reason)
+{
+  gs_time_t pause = EJECT_FIRST << MIN (row->ejections, EJECT_SHIFT_MAX);
+
+  row->ejections++;
+  row->failures = 0;
+  row->ejected_until = now + pause;
+  gs_log (GS_LOG_WARN, "replica_left_out",
+          "id=%s service=%s reason=%s for_ms=%lld", row->replica.id,
+          row->replica.service, reason, (long long)(pause / GS_MSEC));
+}
+
+void
+placer_ended (placer_t *placer, gs_time_t now, placer_ticket_t *ticket,
+              placer_end_t end)
+{
+  row_t *row = row_at (placer, ticket->row);
+
+  row->in_flight--;
+  row->backlog_tokens -= ticket->missing_tokens;
+  row->held_tokens -= ticket->held_tokens;
+  switch (end)
+    {
+    case PLACER_GOOD:
+      row->failures = 0;
+      row->ejections = 0;
+      break;
+    case PLACER_FAILED:
+      if (++row->failures >= FAILURES_MAX)
+        eject (row, now, "failures");
+      break;
+    case PLACER_UNREACHABLE:
+      eject (row, now, "unreachable");
+      break;
+    case PLACER_FULL:
+      row->ejected_until = MAX (row->ejected_until, now + FULL_PAUSE);
+      break;
+    case PLACER_OTHER:
+      eject (row, now, "address_of_another");
+      break;
+    case PLACER_LEFT:
+      break;
+    }
+  ticket->row = PLACER_ROW_NONE;
+}
+
+const gs_replica_t *
+placer_replica (const placer_t *placer, uint32_t row)
+{
+  return &row_at (placer, row)->replica;
+}
+
+bool
+placer_is_ready (const placer_t *placer, uint32_t row)
+{
+  return row_at (placer, row)->listed
+         && row_at (placer, row)->replica.state == GS_REPLICA_READY;
+}
+
+unsigned
+placer_export (const placer_t *placer, placer_load_t *loads, unsigned max)
+{
+  unsigned count = 0;
+
+  for (guint i = 0; i < placer->rows->len && count < max; i++)
+    {
+      const row_t *row = row_at (placer, i);
+
+      if (row->in_flight > 0)
+        loads[count++] = (placer_load_t){ row->replica.id, row->in_flight,
+                                          (uint32_t)row->backlog_tokens,
+                                          (uint32_t)row->held_tokens };
+    }
+  return count;
+}
+
+void
+placer_room (const placer_t *placer, const char *service, unsigned *slots,
+             unsigned *taken)
+{
+  *slots = 0;
+  *taken = 0;
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      const row_t *row = row_at (placer, i);
+
+      if (!is_usable (row, 0, service))
+        continue;
+      *slots += row->replica.slots;
+      *taken += MIN (taken_of (row), row->replica.slots);
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.c
@@ -0,0 +1,859 @@
+#include "gateway/traffic_private.h"
+
+#include "garnetstack/log.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Replicas that one request is offered to at most, those included that say
+   that they did not run it.  */
+#define SENDS_MAX 4
+/* With less time left a request is not sent once more.  */
+#define RESEND_TIME_LEAST (60 * GS_MSEC)
+/* Replicas and nodes stand within a region; a connection that takes longer to
+   open has lost packets or nobody there.  */
+#define CONNECT_TIME (500 * GS_MSEC)
+/* Largest answer that is kept until it is whole.  */
+#define ANSWER_BYTES_MAX ((size_t)16 << 20)
+/* Keep-alive time of replicas from which on their connections are used again;
+   libcurl counts idle time in whole seconds.  */
+#define KEEP_SECONDS_LEAST 3
+/* Part of the goal that a request may wait at this node for a free slot.  */
+#define WAIT_PART 0.6
+/* Shortest and longest time after which a refused caller is asked to come
+   back, and the part of its time left that callers honour.  */
+#define RETRY_AFTER_LEAST (100 * GS_MSEC)
+#define RETRY_AFTER_MOST (2 * GS_SEC)
+#define RETRY_AFTER_PART 3
+#define RATE_HALF_LIFE (2 * GS_SEC)
+/* A node that is told to end takes requests for so long, while callers learn
+   of it; then it sends them elsewhere.  */
+#define LEAVE_TAKES (2500 * GS_MSEC)
+
+struct relay
+{
+  traffic_t *traffic;
+  gs_exchange_t *exchange;
+  gs_route_table_t *table; /* that the route and the account belong to */
+  const gs_path_route_t *route;
+  traffic_service_t *service;
+  const gs_path_service_t *service_row;
+  const gs_client_account_t *account; /* NULL for anonymous */
+  gs_passed_request_t request;
+  gs_time_t arrived_at;
+  gs_time_t deadline;
+  gs_time_t goal_at;
+  uint32_t tokens; /* counted against the account's limit */
+  unsigned limit_row;
+  bool limited;
+  bool waiting;
+  GList *waiting_link;
+  /* The attempt under way. */
+  gs_http_call_t *call;
+  placer_ticket_t ticket;
+  gs_passed_head_t head;
+  bool foreign; /* the answer belongs to another request */
+  bool attempt_began; /* this attempt's answer or first event has come */
+  GString *body;
+  events_t events;
+  /* What became of it. */
+  unsigned sends;
+  unsigned runs; /* attempts that ran, or perhaps did */
+  bool counted;  /* in the usage */
+  bool started;  /* the caller has the head of the answer */
+  uint32_t avoid;
+  placer_choice_t choice;
+  char replica[GS_NAME_BYTES];
+  gs_time_t sent_at;
+  gs_time_t first_at;
+};
+
+static void serve_one (relay_t *relay, gs_time_t now);
+
+static long long
+msec (gs_time_t from, gs_time_t to)
+{
+  return from == 0 || to == 0 ? -1 : (long long)((to - from) / GS_MSEC);
+}
+
+static void
+log_end (const relay_t *relay, gs_time_t now, const char *outcome,
+         unsigned status, const char *reason)
+{
+  const traffic_t *traffic = relay->traffic;
+  gs_log_value_t id;
+
+  gs_log (GS_LOG_INFO, "request",
+          "id=%s route=%s account=%s outcome=%s status=%u reason=%s sends=%u"
+          " runs=%u replica=%s in_flight=%u backlog=%u missing=%u"
+          " candidates=%u full=%u wait_ms=%lld expected_ms=%lld first_ms=%lld"
+          " total_ms=%lld left_ms=%lld events=%llu config=%llu replicas=%llu"
+          " peers_age_ms=%lld members=%u",
+          gs_log_quote (&id, relay->request.id),
+          relay->route != NULL ? relay->route->name : "-",
+          relay->account != NULL ? relay->account->name : "-", outcome, status,
+          reason, relay->sends, relay->runs,
+          relay->replica[0] != '\0' ? relay->replica : "-",
+          relay->choice.in_flight, relay->choice.backlog_tokens,
+          relay->choice.missing_tokens, relay->choice.candidates,
+          relay->choice.full, msec (relay->arrived_at, relay->sent_at),
+          msec (relay->arrived_at, relay->choice.first_expected_at),
+          msec (relay->arrived_at, relay->first_at),
+          msec (relay->arrived_at, now), msec (now, relay->deadline),
+          (unsigned long long)relay->events.count,
+          relay->table != NULL
+              ? (unsigned long long)gs_route_table_version (relay->table)
+              : 0ULL,
+          traffic->list != NULL ? (unsigned long long)traffic->list->sequence
+                                : 0ULL,
+          msec (traffic->peers_at, now), traffic->members);
+}
+
+static void
+stop_waiting (relay_t *relay)
+{
+  if (!relay->waiting)
+    return;
+  g_queue_delete_link (&relay->service->waiting, relay->waiting_link);
+  relay->waiting = false;
+}
+
+static void
+relay_free (relay_t *relay)
+{
+  traffic_t *traffic = relay->traffic;
+
+  stop_waiting (relay);
+  if (relay->limited && relay->runs > 0)
+    gs_limits_release (traffic->limits, gs_clock_now (), relay->limit_row, 0);
+  else if (relay->limited)
+    gs_limits_cancel (traffic->limits, gs_clock_now (), relay->limit_row,
+                      relay->tokens);
+  gs_exchange_on_gone (relay->exchange, NULL, NULL);
+  gs_exchange_unref (relay->exchange);
+  g_hash_table_remove (traffic->relays, relay);
+  gs_passed_head_clear (&relay->head);
+  events_clear (&relay->events);
+  g_string_free (relay->body, TRUE);
+  gs_route_table_unref (relay->table);
+  g_free (relay);
+}
+
+/* The end of a request with an answer of the node's own.  */
+static void
+answer_own (relay_t *relay, unsigned status, const char *reason,
+            gs_time_t retry_after)
+{
+  gs_time_t now = gs_clock_now ();
+  bool leaving = relay->traffic->leave_at != 0;
+  bool not_run = status == 503 || status == 429;
+  char seconds[32];
+  char *text = g_strdup_printf (
+      "{\"error\":{\"type\":\"%s\",\"outcome\":\"%s\"}}", reason,
+      not_run || status < 500 ? "not_run" : "unknown");
+  const char *headers[5] = { NULL };
+  unsigned count = 0;
+
+  if (retry_after > 0)
+    {
+      g_snprintf (seconds, sizeof seconds, "%lld.%03lld",
+                  (long long)(retry_after / GS_SEC),
+                  (long long)(retry_after % GS_SEC / GS_MSEC));
+      headers[count++] = "Retry-After";
+      headers[count++] = seconds;
+    }
+  if (leaving)
+    {
+      headers[count++] = "Connection";
+      headers[count++] = "close";
+    }
+  log_end (relay, now, not_run ? "refused" : status < 500 ? "denied" : "failed",
+           status, reason);
+  if (not_run && relay->service != NULL)
+    relay->service->demand.refused++;
+  if (relay->started)
+    gs_exchange_abort (relay->exchange);
+  else
+    gs_exchange_reply (relay->exchange, status, "application/json", headers,
+                       text, strlen (text));
+  g_free (text);
+  relay_free (relay);
+}
+
+/* When there is likely to be room: after those that wait have been served,
+   spread so that the callers do not come back all at once.  */
+static gs_time_t
+retry_after (relay_t *relay, gs_time_t now)
+{
+  traffic_service_t *service = relay->service;
+  double waiting = g_queue_get_length (&service->waiting) + 1.0;
+  double rate = MAX (service->ended_per_sec, 1.0);
+  gs_time_t wait = (gs_time_t)(waiting / rate * (double)GS_SEC);
+  gs_time_t honoured = (relay->deadline - now) / RETRY_AFTER_PART;
+
+  wait = (gs_time_t)((double)wait
+                     * (1 + gs_rng_unit (&relay->traffic->rng)));
+  wait = CLAMP (wait, RETRY_AFTER_LEAST, RETRY_AFTER_MOST);
+  return MAX (MIN (wait, honoured), GS_MSEC);
+}
+
+static void
+refuse (relay_t *relay, gs_time_t now, const char *reason)
+{
+  answer_own (relay, 503, reason, retry_after (relay, now));
+}
+
+/* No more can be done.  Only what has certainly not run may be called so. */
+static void
+give_up (relay_t *relay, gs_time_t now, const char *reason)
+{
+  if (relay->runs == 0 && now < relay->deadline)
+    refuse (relay, now, reason);
+  else if (relay->runs == 0)
+    answer_own (relay, 503, reason, 0);
+  else
+    answer_own (relay, now >= relay->deadline ? 504 : 502, reason, 0);
+}
+
+static void
+note_ended (traffic_service_t *service, gs_time_t now)
+{
+  double passed = (double)(now - service->ended_at);
+
+  service->ended_per_sec
+      = service->ended_per_sec * exp2 (-passed / RATE_HALF_LIFE)
+        + M_LN2 * GS_SEC / RATE_HALF_LIFE;
+  service->ended_at = now;
+}
+
+static void
+end_attempt (relay_t *relay, gs_time_t now, placer_end_t end)
+{
+  if (relay->ticket.row == PLACER_ROW_NONE)
+    return;
+  placer_ended (relay->traffic->placer, now, &relay->ticket, end);
+  relay->service->demand.in_flight--;
+  note_ended (relay->service, now);
+}
+
+/* The caller has closed its connection.  */
+static void
+on_gone (void *context)
+{
+  relay_t *relay = context;
+  gs_time_t now = gs_clock_now ();
+
+  if (relay->call != NULL)
+    gs_loop_http_cancel (relay->call);
+  relay->call = NULL;
+  end_attempt (relay, now, PLACER_LEFT);
+  log_end (relay, now, "left", 0, "caller_closed");
+  gs_exchange_abort (relay->exchange);
+  relay_free (relay);
+}
+
+/* The answer, or its first event, has begun: the request runs.  */
+static void
+note_began (relay_t *relay)
+{
+  gs_time_t now = gs_clock_now ();
+
+  if (relay->attempt_began)
+    return;
+  relay->attempt_began = true;
+  placer_first (relay->traffic->placer, now, &relay->ticket);
+  if (relay->first_at == 0)
+    {
+      relay->first_at = now;
+      if (now > relay->goal_at)
+        relay->service->demand.late++;
+    }
+  if (!relay->counted && relay->account != NULL)
+    usage_count_note (relay->traffic->usage, gs_clock_wall (),
+                      relay->account->name);
+  relay->counted = true;
+}
+
+static bool
+is_success (const gs_passed_head_t *head)
+{
+  return head->status >= 200 && head->status < 300;
+}
+
+static bool
+is_stream (const relay_t *relay)
+{
+  return relay->route->streaming && is_success (&relay->head)
+         && relay->head.sealed && !relay->head.encoded;
+}
+
+static bool
+on_line (void *context, const char *line, size_t length)
+{
+  relay_t *relay = context;
+
+  relay->traffic->options.passing->read_line (&relay->head, line, length);
+  if (!relay->head.complete)
+    return true;
+  if (relay->head.keep_seconds != 0)
+    relay->service->keep_seconds = relay->head.keep_seconds;
+  /* The answer to a request before, which came late on the connection.  */
+  relay->foreign = relay->head.id[0] != '\0'
+                   && strcmp (relay->head.id, relay->request.id) != 0;
+  return !relay->foreign;
+}
+
+/* @return names and values to pass back, NULL-ended; owned by the head  */
+static const char *const *
+pass_back (relay_t *relay)
+{
+  GPtrArray *headers = relay->head.headers;
+
+  if (relay->traffic->leave_at != 0)
+    {
+      g_ptr_array_add (headers, g_strdup ("Connection"));
+      g_ptr_array_add (headers, g_strdup ("close"));
+    }
+  g_ptr_array_add (headers, NULL);
+  return (const char *const *)headers->pdata;
+}
+
+static const char *
+content_type (const relay_t *relay)
+{
+  return relay->head.content_type[0] != '\0' ? relay->head.content_type : NULL;
+}
+
+static void
+start_stream (relay_t *relay)
+{
+  if (relay->started)
+    return;
+  relay->started = true;
+  gs_exchange_start (relay->exchange, relay->head.status, content_type (relay),
+                     pass_back (relay));
+}
+
+static bool
+on_data (void *context, const char *data, size_t length)
+{
+  relay_t *relay = context;
+  GString *whole;
+
+  if (!is_stream (relay))
+    {
+      if (relay->body->len + length > ANSWER_BYTES_MAX)
+        return false;
+      g_string_append_len (relay->body, data, (gssize)length);
+      return true;
+    }
+  whole = g_string_new (NULL);
+  events_feed (&relay->events, data, length, whole);
+  if (whole->len > 0)
+    {
+      note_began (relay);
+      start_stream (relay);
+      gs_exchange_write (relay->exchange, whole->str, whole->len);
+    }
+  g_string_free (whole, TRUE);
+  return true;
+}
+
+static resend_bounds_t
+resend_bounds (const relay_t *relay)
+{
+  const gs_deployment_t *deployment = relay->traffic->options.deployment;
+
+  return (resend_bounds_t){ deployment->resend_ratio, deployment->resend_slack,
+                            relay->traffic->members };
+}
+
+static bool
+may_resend (relay_t *relay, gs_time_t now)
+{
+  resend_bounds_t bounds = resend_bounds (relay);
+
+  if (relay->sends >= SENDS_MAX || now + RESEND_TIME_LEAST > relay->deadline)
+    return false;
+  if (relay->runs > 0
+      && (relay->route->repeat == GS_REPEAT_NEVER
+          || relay->runs >= relay->route->runs_max))
+    return false;
+  return resend_budget_take (&relay->service->budget, now, &bounds);
+}
+
+static void
+log_attempt (const relay_t *relay, const char *outcome, const char *reason)
+{
+  gs_log_value_t id;
+
+  gs_log (GS_LOG_INFO, "attempt",
+          "id=%s replica=%s send=%u outcome=%s status=%u reason=\"%s\""
+          " took_ms=%lld began=%d last_event=%llu",
+          gs_log_quote (&id, relay->request.id), relay->replica, relay->sends,
+          outcome, relay->head.status, reason,
+          msec (relay->sent_at, gs_clock_now ()), relay->attempt_began,
+          (unsigned long long)relay->events.last_id);
+}
+
+/* Another replica, if that is allowed; else the end.
+   @param arrived whether the attempt reached its replica  */
+static void
+go_elsewhere (relay_t *relay, gs_time_t now, bool arrived, const char *reason)
+{
+  relay->avoid = relay->ticket.row;
+  events_drop_held (&relay->events);
+  if (arrived ? may_resend (relay, now)
+              : relay->sends < SENDS_MAX
+                    && now + RESEND_TIME_LEAST < relay->deadline)
+    serve_one (relay, now);
+  else
+    give_up (relay, now, reason);
+}
+
+static void
+on_not_run (relay_t *relay, gs_time_t now)
+{
+  uint32_t row = relay->ticket.row;
+  bool other = relay->head.status == 421;
+
+  relay->runs--;
+  log_attempt (relay, "not_run", other ? "other_replica" : "replica_refused");
+  end_attempt (relay, now, other ? PLACER_OTHER : PLACER_FULL);
+  relay->ticket.row = row;
+  if (relay->head.status == 400)
+    answer_own (relay, 400, "replica_rejected", 0);
+  else
+    go_elsewhere (relay, now, true, other ? "replica_gone" : "replica_full");
+}
+
+/* Its fate is not known, or it ran and failed without an answer to pass on. */
+static void
+on_lost (relay_t *relay, gs_time_t now, const gs_http_result_t *result)
+{
+  uint32_t row = relay->ticket.row;
+  bool unsent = result->status == GS_EUNREACHABLE;
+  const char *reason = relay->foreign             ? "foreign_answer"
+                       : result->status == GS_OK  ? "answer_not_valid"
+                       : unsent                   ? "replica_unreachable"
+                       : now >= relay->deadline   ? "deadline"
+                                                  : "replica_lost";
+
+  if (unsent)
+    relay->runs--;
+  log_attempt (relay, unsent ? "not_sent" : "unknown",
+               result->status == GS_OK ? reason : result->reason);
+  end_attempt (relay, now, unsent ? PLACER_UNREACHABLE : PLACER_FAILED);
+  relay->ticket.row = row;
+  go_elsewhere (relay, now, !unsent, reason);
+}
+
+static bool
+is_retryable_failure (const relay_t *relay)
+{
+  return relay->head.status >= 500 && relay->route->repeat != GS_REPEAT_NEVER;
+}
+
+static void
+pass_answer (relay_t *relay, gs_time_t now)
+{
+  unsigned status = relay->head.status;
+
+  note_began (relay);
+  end_attempt (relay, now, status >= 500 ? PLACER_FAILED : PLACER_GOOD);
+  log_end (relay, now, "answered", status, "replica_answered");
+  if (is_stream (relay))
+    {
+      start_stream (relay);
+      gs_exchange_finish (relay->exchange);
+    }
+  else
+    gs_exchange_reply (relay->exchange, status, content_type (relay),
+                       pass_back (relay), relay->body->str, relay->body->len);
+  relay_free (relay);
+}
+
+static void
+on_done (void *context, const gs_http_result_t *result)
+{
+  relay_t *relay = context;
+  gs_time_t now = gs_clock_now ();
+  const gs_passed_head_t *head = &relay->head;
+
+  relay->call = NULL;
+  if (result->status != GS_OK || !head->complete || relay->foreign)
+    on_lost (relay, now, result);
+  else if (head->not_run)
+    on_not_run (relay, now);
+  else if (head->encoded || (is_success (head) && !head->sealed)
+           || (relay->started && !is_stream (relay))
+           || (is_stream (relay) && relay->events.held->len > 0))
+    on_lost (relay, now, result);
+  else if (is_retryable_failure (relay) && may_resend (relay, now))
+    {
+      log_attempt (relay, "failed", "replica_failed");
+      relay->avoid = relay->ticket.row;
+      end_attempt (relay, now, PLACER_FAILED);
+      serve_one (relay, now);
+    }
+  else
+    pass_answer (relay, now);
+}
+
+static placer_query_t
+make_query (const relay_t *relay)
+{
+  const gs_passed_request_t *request = &relay->request;
+  uint32_t hint = request->output_tokens_hint;
+
+  return (placer_query_t){
+    .service = relay->service->name,
+    .engine = relay->service_row->engine,
+    .cache_tokens = relay->service_row->cache_tokens,
+    .connections_max = relay->service_row->connections_max,
+    .nodes = relay->traffic->members,
+    .goal_at = relay->goal_at,
+    .prompt_tokens = request->prompt_tokens,
+    .output_tokens = hint != 0 ? MIN (hint, request->output_tokens_max)
+                               : request->output_tokens_max / 2,
+    .parts = request->parts,
+    .part_count = request->part_count,
+    .avoid = relay->avoid,
+  };
+}
+
+static int
+priority_of (const relay_t *relay)
+{
+  return relay->account != NULL
+                 && relay->account->priority != GS_PRIORITY_UNSET
+             ? relay->account->priority
+             : relay->route->priority;
+}
+
+static void
+send_request (relay_t *relay, gs_time_t now, const placer_query_t *query)
+{
+  const gs_replica_t *replica
+      = placer_replica (relay->traffic->placer, relay->choice.row);
+  gs_passed_extra_t extra = { .replica = replica->id,
+                              .account = relay->account != NULL
+                                             ? relay->account->name
+                                             : NULL,
+                              .deadline = relay->deadline,
+                              .priority = relay->service_row->engine
+                                              ? priority_of (relay)
+                                              : GS_PRIORITY_UNSET,
+                              .resume_after = relay->events.last_id };
+  gs_http_request_t request = GS_HTTP_REQUEST_INIT;
+  char **headers
+      = relay->traffic->options.passing->write_headers (relay->exchange,
+                                                        &extra);
+  char *url = g_strdup_printf ("http://%s/", replica->address);
+  size_t length;
+  const char *body = gs_exchange_body (relay->exchange, &length);
+  unsigned keep = relay->service->keep_seconds;
+
+  placer_sent (relay->traffic->placer, now, query, &relay->choice,
+               &relay->ticket);
+  relay->service->demand.in_flight++;
+  relay->service->demand.missing_tokens += relay->choice.missing_tokens;
+  relay->service->demand.output_tokens += query->output_tokens;
+  g_strlcpy (relay->replica, replica->id, sizeof relay->replica);
+  relay->sent_at = now;
+  relay->sends++;
+  relay->runs++;
+  relay->attempt_began = false;
+  relay->foreign = false;
+  gs_passed_head_clear (&relay->head);
+  gs_passed_head_init (&relay->head);
+  g_string_truncate (relay->body, 0);
+  request.method = gs_exchange_method (relay->exchange);
+  request.url = url;
+  request.target = gs_exchange_target (relay->exchange);
+  request.headers = (const char *const *)headers;
+  if (length > 0 || strcmp (request.method, "POST") == 0
+      || strcmp (request.method, "PUT") == 0)
+    request.body = body;
+  request.body_length = length;
+  request.deadline = relay->deadline;
+  request.connect_deadline = MIN (now + CONNECT_TIME, relay->deadline);
+  request.once = true;
+  request.probe_silence = true;
+  if (keep >= KEEP_SECONDS_LEAST)
+    request.idle_seconds_max = keep - 2;
+  else if (relay->route->repeat == GS_REPEAT_NEVER)
+    request.fresh = true;
+  request.on_line = on_line;
+  request.on_data = on_data;
+  request.on_done = on_done;
+  request.context = relay;
+  gs_loop_http (&relay->call, relay->traffic->loop, &request);
+  g_free (url);
+  g_strfreev (headers);
+}
+
+static int
+compare_waiting (gconstpointer a, gconstpointer b, gpointer context)
+{
+  const relay_t *left = a;
+  const relay_t *right = b;
+  int by_priority = priority_of (left) - priority_of (right);
+
+  (void)context;
+  if (by_priority != 0)
+    return by_priority;
+  return left->arrived_at < right->arrived_at   ? -1
+         : left->arrived_at > right->arrived_at ? 1
+                                                : 0;
+}
+
+/* When a request that waits is refused.  */
+static gs_time_t
+waits_until (const relay_t *relay)
+{
+  gs_time_t goal = relay->goal_at - relay->arrived_at;
+  gs_time_t left = relay->deadline - relay->arrived_at;
+
+  return relay->arrived_at
+         + (gs_time_t)(WAIT_PART * (double)(goal > 0 ? goal : left));
+}
+
+static void
+wait_for_room (relay_t *relay, gs_time_t now)
+{
+  GQueue *waiting = &relay->service->waiting;
+  double rate = relay->service->ended_per_sec;
+  double ahead = g_queue_get_length (waiting) + 1.0;
+  gs_time_t expected
+      = now + (gs_time_t)(ahead / MAX (rate, 1e-3) * (double)GS_SEC);
+
+  if (expected > waits_until (relay))
+    {
+      give_up (relay, now, "no_room");
+      return;
+    }
+  g_queue_insert_sorted (waiting, relay, compare_waiting, NULL);
+  relay->waiting_link = g_queue_find (waiting, relay);
+  relay->waiting = true;
+}
+
+/* Send a request, or let it wait, or refuse it.  */
+static void
+serve_one (relay_t *relay, gs_time_t now)
+{
+  placer_query_t query = make_query (relay);
+  gs_status_t status
+      = placer_pick (relay->traffic->placer, now, &query, &relay->choice);
+
+  if (status == GS_OK)
+    send_request (relay, now, &query);
+  else if (relay->runs > 0)
+    give_up (relay, now, "no_other_replica");
+  else
+    wait_for_room (relay, now);
+}
+
+static void
+serve_service (traffic_t *traffic, traffic_service_t *service, gs_time_t now)
+{
+  bool room = true;
+  GList *next;
+
+  for (GList *link = service->waiting.head; link != NULL; link = next)
+    {
+      relay_t *relay = link->data;
+      placer_query_t query = make_query (relay);
+
+      next = link->next;
+      if (room
+          && placer_pick (traffic->placer, now, &query, &relay->choice)
+                 == GS_OK)
+        {
+          stop_waiting (relay);
+          send_request (relay, now, &query);
+        }
+      else if (now >= waits_until (relay))
+        {
+          stop_waiting (relay);
+          give_up (relay, now, "waited_for_room");
+        }
+      else
+        room = false;
+    }
+}
+
+void
+relay_serve_waiting (traffic_t *traffic, gs_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, traffic->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!g_queue_is_empty (&((traffic_service_t *)value)->waiting))
+      serve_service (traffic, value, now);
+}
+
+void
+relay_end_all (traffic_t *traffic)
+{
+  GList *open_relays = g_hash_table_get_keys (traffic->relays);
+
+  for (GList *link = open_relays; link != NULL; link = link->next)
+    {
+      relay_t *relay = link->data;
+
+      if (relay->call != NULL)
+        gs_loop_http_cancel (relay->call);
+      gs_exchange_abort (relay->exchange);
+      relay_free (relay);
+    }
+  g_list_free (open_relays);
+}
+
+static const gs_path_service_t *
+choose_service (const relay_t *relay)
+{
+  const gs_path_route_t *route = relay->route;
+  uint64_t sum = 0;
+  uint64_t drawn;
+
+  for (unsigned i = 0; i < route->split_count; i++)
+    sum += route->splits[i].weight;
+  drawn = gs_rng_below (&relay->traffic->rng, sum);
+  for (unsigned i = 0; i < route->split_count; i++)
+    {
+      if (drawn < route->splits[i].weight)
+        return gs_route_table_service (relay->table, route->splits[i].service);
+      drawn -= route->splits[i].weight;
+    }
+  return gs_route_table_service (relay->table, route->splits[0].service);
+}
+
+static void
+set_times (relay_t *relay)
+{
+  gs_time_t wait = relay->request.wait;
+  gs_time_t timeout = relay->route->timeout;
+
+  if (wait == 0 || (timeout > 0 && timeout < wait))
+    wait = timeout;
+  relay->deadline = relay->arrived_at + wait;
+  relay->goal_at = relay->arrived_at
+                   + (relay->route->goal > 0 ? relay->route->goal : wait);
+}
+
+/* @return whether the account is within its limit  */
+static bool
+take_limit (relay_t *relay, gs_time_t now, gs_time_t *again)
+{
+  const gs_client_account_t *account = relay->account;
+  gs_limits_t *limits = relay->traffic->limits;
+  const gs_passed_request_t *request = &relay->request;
+
+  if (account == NULL || account->rate == 0
+      || !gs_limits_find (&relay->limit_row, limits,
+                          gs_limits_name ("account", account->name)))
+    return true;
+  relay->tokens = request->has_token_counts
+                      ? request->prompt_tokens + request->output_tokens_max
+                      : account->plain_tokens;
+  relay->limited = gs_limits_admit (limits, now, relay->limit_row,
+                                    relay->tokens, again)
+                   == GS_OK;
+  return relay->limited;
+}
+
+/* @return status to refuse with and the reason, 0 when all is known  */
+static unsigned
+find_route (relay_t *relay, const char **reason)
+{
+  const gs_caller_limits_t *bounds = gs_route_table_limits (relay->table);
+  size_t length;
+  int account;
+
+  gs_exchange_body (relay->exchange, &length);
+  *reason = "no_attempt_id";
+  if (relay->request.id[0] == '\0')
+    return 400;
+  *reason = "no_route";
+  relay->route
+      = gs_route_table_match (relay->table, relay->request.host,
+                              gs_exchange_target (relay->exchange));
+  if (relay->route == NULL)
+    return 404;
+  *reason = "unknown_key";
+  if (!relay->route->anonymous && gs_route_table_accounts (relay->table) > 0)
+    {
+      account = gs_route_table_key (relay->table, relay->request.key);
+      if (account < 0)
+        return 401;
+      relay->account
+          = gs_route_table_account (relay->table, (unsigned)account);
+    }
+  *reason = "body_too_large";
+  if (bounds->body_bytes_max > 0 && length > bounds->body_bytes_max)
+    return 413;
+  return 0;
+}
+
+static relay_t *
+relay_new (traffic_t *traffic, gs_exchange_t *exchange)
+{
+  relay_t *relay = g_new0 (relay_t, 1);
+
+  relay->traffic = traffic;
+  relay->exchange = gs_exchange_ref (exchange);
+  relay->table = gs_route_table_ref (traffic->table);
+  relay->arrived_at = gs_exchange_received_at (exchange);
+  relay->ticket.row = PLACER_ROW_NONE;
+  relay->avoid = PLACER_ROW_NONE;
+  relay->body = g_string_new (NULL);
+  events_init (&relay->events);
+  gs_passed_head_init (&relay->head);
+  traffic->options.passing->read_request (&relay->request, exchange);
+  g_hash_table_add (traffic->relays, relay);
+  gs_exchange_on_gone (exchange, on_gone, relay);
+  return relay;
+}
+
+/* A node that is about to end takes nothing that it may not finish.  */
+static bool
+is_too_late (const traffic_t *traffic, gs_time_t now)
+{
+  return traffic->leave_at != 0 && now > traffic->leave_at + LEAVE_TAKES;
+}
+
+void
+relay_begin (traffic_t *traffic, gs_exchange_t *exchange)
+{
+  gs_time_t now = gs_clock_now ();
+  relay_t *relay = relay_new (traffic, exchange);
+  gs_time_t again = 0;
+  const char *reason;
+  unsigned status;
+
+  if (relay->table == NULL)
+    {
+      answer_own (relay, 503, "no_configuration", RETRY_AFTER_MOST / 4);
+      return;
+    }
+  status = find_route (relay, &reason);
+  if (status != 0)
+    {
+      answer_own (relay, status, reason, 0);
+      return;
+    }
+  set_times (relay);
+  relay->service_row = choose_service (relay);
+  relay->service = traffic_service (traffic, relay->service_row->name);
+  relay->service->demand.requests++;
+  resend_budget_note (&relay->service->budget, now);
+  if (is_too_late (traffic, now))
+    answer_own (relay, 503, "node_leaving", RETRY_AFTER_LEAST);
+  else if (!take_limit (relay, now, &again))
+    answer_own (relay, 429, "account_limit", again);
+  else
+    serve_one (relay, now);
+}
--- /dev/null
+++ b/src/gateway/resend_budget.c
@@ -0,0 +1,69 @@
+#include "gateway/resend_budget.h"
+
+#include <glib.h>
+
+/* Part of the bound that is spent: the rest covers requests that the other
+   side of the count sees earlier or later than this node does.  */
+#define SPENT_PART 0.8
+
+void
+resend_budget_init (resend_budget_t *budget, gs_time_t window)
+{
+  /* One bin more than the window has, so that the oldest is whole.  */
+  *budget = (resend_budget_t){ .bin_length = window / (RESEND_BINS - 1) };
+}
+
+static void
+turn (resend_budget_t *budget, gs_time_t now)
+{
+  unsigned turns = 0;
+
+  if (budget->bin_start == 0)
+    budget->bin_start = now;
+  while (budget->bin_start + budget->bin_length <= now
+         && turns++ < RESEND_BINS)
+    {
+      budget->newest = (budget->newest + 1) % RESEND_BINS;
+      budget->requests[budget->newest] = 0;
+      budget->resends[budget->newest] = 0;
+      budget->bin_start += budget->bin_length;
+    }
+  if (budget->bin_start + budget->bin_length <= now)
+    budget->bin_start = now;
+}
+
+void
+resend_budget_note (resend_budget_t *budget, gs_time_t now)
+{
+  turn (budget, now);
+  budget->requests[budget->newest]++;
+}
+
+double
+resend_budget_left (resend_budget_t *budget, gs_time_t now,
+                    const resend_bounds_t *bounds)
+{
+  unsigned requests = 0;
+  unsigned resends = 0;
+
+  turn (budget, now);
+  for (unsigned i = 0; i < RESEND_BINS; i++)
+    {
+      requests += budget->requests[i];
+      resends += budget->resends[i];
+    }
+  return SPENT_PART
+             * (bounds->ratio * requests
+                + (double)bounds->slack / MAX (bounds->nodes, 1))
+         - resends;
+}
+
+bool
+resend_budget_take (resend_budget_t *budget, gs_time_t now,
+                    const resend_bounds_t *bounds)
+{
+  if (resend_budget_left (budget, now, bounds) < 1)
+    return false;
+  budget->resends[budget->newest]++;
+  return true;
+}
--- /dev/null
+++ b/src/gateway/roster.c
@@ -0,0 +1,176 @@
+#include "gateway/roster.h"
+
+#include "garnetstack/log.h"
+
+#include <string.h>
+
+typedef struct
+{
+  gs_replica_t replica;
+  gs_time_t gone_at; /* the entry is missing; GS_TIME_NEVER while it is there */
+} row_t;
+
+struct roster
+{
+  GHashTable *rows; /* id -> row_t */
+  gs_time_t drain;
+  gs_time_t lost_at; /* first failure since the last answer, 0 for none */
+  gs_time_t back_at; /* the store's last return */
+  uint64_t sequence;
+  bool changed;
+};
+
+gs_replica_list_t *
+gs_replica_list_ref (gs_replica_list_t *list)
+{
+  if (list != NULL)
+    g_atomic_ref_count_inc (&list->references);
+  return list;
+}
+
+void
+gs_replica_list_unref (gs_replica_list_t *list)
+{
+  if (list != NULL && g_atomic_ref_count_dec (&list->references))
+    g_free (list);
+}
+
+void
+roster_create (roster_t **out, gs_time_t drain)
+{
+  roster_t *roster = g_new0 (roster_t, 1);
+
+  roster->rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  roster->drain = drain;
+  roster->back_at = -ROSTER_RETURN_WAIT;
+  roster->changed = true;
+  *out = roster;
+}
+
+void
+roster_destroy (roster_t *roster)
+{
+  if (roster == NULL)
+    return;
+  g_hash_table_unref (roster->rows);
+  g_free (roster);
+}
+
+void
+roster_store_lost (roster_t *roster, gs_time_t now)
+{
+  if (roster->lost_at != 0)
+    return;
+  roster->lost_at = now;
+  gs_log (GS_LOG_WARN, "dependency_lost", "dependency=store replicas=%u",
+          g_hash_table_size (roster->rows));
+}
+
+void
+roster_store_back (roster_t *roster, gs_time_t now)
+{
+  if (roster->lost_at == 0)
+    return;
+  gs_log (GS_LOG_INFO, "dependency_back",
+          "dependency=store away_ms=%lld replicas=%u",
+          (long long)((now - roster->lost_at) / GS_MSEC),
+          g_hash_table_size (roster->rows));
+  roster->lost_at = 0;
+  roster->back_at = now;
+}
+
+void
+roster_put (roster_t *roster, gs_time_t now, const gs_replica_t *entry)
+{
+  row_t *row = g_hash_table_lookup (roster->rows, entry->id);
+
+  (void)now;
+  if (row == NULL)
+    {
+      row = g_new0 (row_t, 1);
+      g_strlcpy (row->replica.id, entry->id, sizeof row->replica.id);
+      g_hash_table_insert (roster->rows, row->replica.id, row);
+    }
+  else if (row->replica.revision == entry->revision
+           && row->gone_at == GS_TIME_NEVER)
+    return;
+  row->replica = *entry;
+  row->gone_at = GS_TIME_NEVER;
+  roster->changed = true;
+  gs_log (GS_LOG_INFO, "replica",
+          "id=%s service=%s address=%s data_centre=%s state=%s spot=%d"
+          " revision=%llu",
+          entry->id, entry->service, entry->address, entry->data_centre,
+          entry->state == GS_REPLICA_READY ? "ready" : "draining", entry->spot,
+          (unsigned long long)entry->revision);
+}
+
+/* While the store is away, and just after, a missing entry says nothing of
+   its replica.  */
+static bool
+may_have_lapsed (const roster_t *roster, gs_time_t now)
+{
+  return roster->lost_at != 0 || now < roster->back_at + ROSTER_RETURN_WAIT;
+}
+
+static void
+mark_gone (roster_t *roster, gs_time_t now, row_t *row)
+{
+  if (row->gone_at != GS_TIME_NEVER)
+    return;
+  row->gone_at = now;
+  if (row->replica.state == GS_REPLICA_READY && may_have_lapsed (roster, now))
+    row->gone_at = MIN (MAX (now, roster->back_at) + ROSTER_RETURN_WAIT,
+                        now + roster->drain - ROSTER_DRAIN_MARGIN);
+  gs_log (GS_LOG_INFO, "replica",
+          "id=%s service=%s state=gone used_on_ms=%lld", row->replica.id,
+          row->replica.service, (long long)((row->gone_at - now) / GS_MSEC));
+  if (row->gone_at <= now)
+    roster->changed = true;
+}
+
+void
+roster_remove (roster_t *roster, gs_time_t now, const char *id)
+{
+  row_t *row = g_hash_table_lookup (roster->rows, id);
+
+  if (row == NULL)
+    return;
+  mark_gone (roster, now, row);
+  roster_tick (roster, now);
+}
+
+void
+roster_tick (roster_t *roster, gs_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, roster->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((row_t *)value)->gone_at <= now)
+      {
+        g_hash_table_iter_remove (&iter);
+        roster->changed = true;
+      }
+}
+
+gs_replica_list_t *
+roster_export (roster_t *roster)
+{
+  unsigned count = g_hash_table_size (roster->rows);
+  gs_replica_list_t *list;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!roster->changed)
+    return NULL;
+  roster->changed = false;
+  list = g_malloc0 (sizeof *list + count * sizeof list->rows[0]);
+  g_atomic_ref_count_init (&list->references);
+  list->sequence = ++roster->sequence;
+  g_hash_table_iter_init (&iter, roster->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    list->rows[list->count++] = ((row_t *)value)->replica;
+  return list;
+}
--- /dev/null
+++ b/src/gateway/route_table.c
@@ -0,0 +1,229 @@
+#include "garnetstack/route_table.h"
+
+#include <string.h>
+
+struct gs_route_table
+{
+  gatomicrefcount references;
+  uint64_t revision;
+  uint64_t version;
+  GPtrArray *routes;      /* of gs_path_route_t */
+  GHashTable *by_prefix;  /* host and prefix -> gs_path_route_t */
+  GArray *services;       /* of gs_path_service_t */
+  GHashTable *by_service; /* name -> index + 1 */
+  GArray *accounts;       /* of gs_client_account_t */
+  GHashTable *by_key;     /* key -> index + 1 */
+  gs_caller_limits_t limits;
+};
+
+static void
+route_free (gpointer data)
+{
+  gs_path_route_t *route = data;
+
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->prefix);
+  g_free (route);
+}
+
+static void
+service_clear (gpointer data)
+{
+  gs_path_service_t *service = data;
+
+  g_free (service->name);
+  if (service->scale.data_centre_prices != NULL)
+    g_hash_table_unref (service->scale.data_centre_prices);
+}
+
+static void
+account_clear (gpointer data)
+{
+  g_free (((gs_client_account_t *)data)->name);
+}
+
+gs_status_t
+gs_route_table_create (gs_route_table_t **out, uint64_t revision,
+                       uint64_t version)
+{
+  gs_route_table_t *table = g_new0 (gs_route_table_t, 1);
+
+  g_atomic_ref_count_init (&table->references);
+  table->revision = revision;
+  table->version = version;
+  table->routes = g_ptr_array_new_with_free_func (route_free);
+  table->by_prefix
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  table->services = g_array_new (FALSE, TRUE, sizeof (gs_path_service_t));
+  g_array_set_clear_func (table->services, service_clear);
+  table->by_service = g_hash_table_new (g_str_hash, g_str_equal);
+  table->accounts = g_array_new (FALSE, TRUE, sizeof (gs_client_account_t));
+  g_array_set_clear_func (table->accounts, account_clear);
+  table->by_key
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  *out = table;
+  return GS_OK;
+}
+
+gs_route_table_t *
+gs_route_table_ref (gs_route_table_t *table)
+{
+  if (table != NULL)
+    g_atomic_ref_count_inc (&table->references);
+  return table;
+}
+
+void
+gs_route_table_unref (gs_route_table_t *table)
+{
+  if (table == NULL || !g_atomic_ref_count_dec (&table->references))
+    return;
+  g_hash_table_unref (table->by_key);
+  g_hash_table_unref (table->by_service);
+  g_hash_table_unref (table->by_prefix);
+  g_array_unref (table->accounts);
+  g_array_unref (table->services);
+  g_ptr_array_unref (table->routes);
+  g_free (table);
+}
+
+uint64_t
+gs_route_table_revision (const gs_route_table_t *table)
+{
+  return table->revision;
+}
+
+uint64_t
+gs_route_table_version (const gs_route_table_t *table)
+{
+  return table->version;
+}
+
+void
+gs_route_table_add_service (gs_route_table_t *table,
+                            const gs_path_service_t *service)
+{
+  g_array_append_vals (table->services, service, 1);
+  g_hash_table_insert (table->by_service, service->name,
+                       GUINT_TO_POINTER (table->services->len));
+}
+
+void
+gs_route_table_add_account (gs_route_table_t *table,
+                            const gs_client_account_t *account)
+{
+  g_array_append_vals (table->accounts, account, 1);
+}
+
+/* A host holds no slash, so host and prefix together are unambiguous.  */
+static char *
+prefix_key (const char *host, size_t host_length, const char *prefix,
+            size_t prefix_length)
+{
+  GString *key = g_string_sized_new (host_length + prefix_length + 1);
+
+  g_string_append_len (key, host, (gssize)host_length);
+  g_string_ascii_down (key);
+  g_string_append_len (key, prefix, (gssize)prefix_length);
+  return g_string_free (key, FALSE);
+}
+
+gs_status_t
+gs_route_table_add_route (gs_route_table_t *table,
+                          const gs_path_route_t *route)
+{
+  gs_path_route_t *own = g_memdup2 (route, sizeof *route);
+  char *key = prefix_key (own->host, strlen (own->host), own->prefix,
+                          strlen (own->prefix));
+
+  g_ptr_array_add (table->routes, own);
+  if (g_hash_table_contains (table->by_prefix, key))
+    {
+      g_free (key);
+      return gs_error_set (GS_EINVAL, "route %s: %s%s is taken", own->name,
+                           own->host, own->prefix);
+    }
+  g_hash_table_insert (table->by_prefix, key, own);
+  return GS_OK;
+}
+
+void
+gs_route_table_add_key (gs_route_table_t *table, const char *key)
+{
+  g_hash_table_insert (table->by_key, g_strdup (key),
+                       GUINT_TO_POINTER (table->accounts->len));
+}
+
+void
+gs_route_table_set_limits (gs_route_table_t *table,
+                           const gs_caller_limits_t *limits)
+{
+  table->limits = *limits;
+}
+
+const gs_caller_limits_t *
+gs_route_table_limits (const gs_route_table_t *table)
+{
+  return &table->limits;
+}
+
+unsigned
+gs_route_table_services (const gs_route_table_t *table)
+{
+  return table->services->len;
+}
+
+const gs_path_service_t *
+gs_route_table_service (const gs_route_table_t *table, unsigned index)
+{
+  return &g_array_index (table->services, gs_path_service_t, index);
+}
+
+int
+gs_route_table_find_service (const gs_route_table_t *table, const char *name)
+{
+  return (int)GPOINTER_TO_UINT (g_hash_table_lookup (table->by_service, name))
+         - 1;
+}
+
+unsigned
+gs_route_table_accounts (const gs_route_table_t *table)
+{
+  return table->accounts->len;
+}
+
+const gs_client_account_t *
+gs_route_table_account (const gs_route_table_t *table, unsigned index)
+{
+  return &g_array_index (table->accounts, gs_client_account_t, index);
+}
+
+/* Every prefix ends with a slash, so the candidates are the parts of the
+   path up to each slash, and the cost does not grow with the routes.  */
+const gs_path_route_t *
+gs_route_table_match (const gs_route_table_t *table, const char *host,
+                      const char *target)
+{
+  size_t host_length = strcspn (host, ":");
+  size_t length = strcspn (target, "?#");
+  const gs_path_route_t *route = NULL;
+
+  for (; length > 0 && route == NULL; length--)
+    {
+      char *key;
+
+      if (target[length - 1] != '/')
+        continue;
+      key = prefix_key (host, host_length, target, length);
+      route = g_hash_table_lookup (table->by_prefix, key);
+      g_free (key);
+    }
+  return route;
+}
+
+int
+gs_route_table_key (const gs_route_table_t *table, const char *key)
+{
+  return (int)GPOINTER_TO_UINT (g_hash_table_lookup (table->by_key, key)) - 1;
+}
--- /dev/null
+++ b/src/gateway/traffic.h
@@ -0,0 +1,117 @@
+/**
+ * @file traffic.h
+ * The thread that takes callers' requests and passes them on.  It owns its
+ * requests, its connections and what it decides by; the control thread hands
+ * it routes, replicas and what the other nodes have, and gets reports.
+ */
+#ifndef GS_GATEWAY_TRAFFIC_H
+#define GS_GATEWAY_TRAFFIC_H
+
+#include "garnetstack/deployment.h"
+#include "garnetstack/limits.h"
+#include "garnetstack/passing.h"
+#include "garnetstack/replica.h"
+#include "garnetstack/route_table.h"
+#include "gateway/placer.h"
+
+/** Longest list of loads in a report; replicas beyond it are left out. */
+#define TRAFFIC_LOADS_MAX 2048
+/** Time between two reports. */
+#define TRAFFIC_REPORT_INTERVAL (200 * GS_MSEC)
+/** Windows of usage that a report tells of. */
+#define TRAFFIC_WINDOWS 4
+
+/** Load of a replica, with its name. */
+typedef struct
+{
+  char replica[GS_NAME_BYTES];
+  uint32_t in_flight;
+  uint32_t backlog_tokens;
+  uint32_t held_tokens;
+} traffic_load_t;
+
+/** Requests of an account that began to run in a window. */
+typedef struct
+{
+  char account[GS_NAME_BYTES];
+  int64_t window;
+  uint64_t requests;
+} traffic_usage_t;
+
+/** What a service was asked for since the start of the process. */
+typedef struct
+{
+  char service[GS_NAME_BYTES];
+  uint64_t requests;
+  uint64_t refused;       /**< for want of room */
+  uint64_t missing_tokens; /**< to be read, of those sent */
+  uint64_t output_tokens; /**< expected, of those sent */
+  uint64_t late;          /**< first events after the goal */
+  uint32_t in_flight;
+  uint32_t waiting;
+} traffic_demand_t;
+
+/** What the traffic thread tells the control thread; freed with
+    traffic_report_free(). */
+typedef struct
+{
+  gs_time_t made_at;
+  unsigned open; /**< exchanges not yet answered wholly */
+  double read_speed;
+  GArray *loads;  /**< of traffic_load_t */
+  GArray *usage;  /**< of traffic_usage_t */
+  GArray *demand; /**< of traffic_demand_t */
+  GArray *limits; /**< of gs_usage_row_t */
+} traffic_report_t;
+
+void traffic_report_free (traffic_report_t *report);
+
+/** What one other node told. */
+typedef struct
+{
+  uint64_t node; /**< incarnation */
+  GArray *loads; /**< of traffic_load_t */
+  GArray *limits; /**< of gs_usage_row_t */
+} traffic_peer_t;
+
+/** What is known of the other nodes. */
+typedef struct
+{
+  unsigned members; /**< nodes, this one included, heard or not */
+  GArray *peers;    /**< of traffic_peer_t: those heard lately */
+} traffic_peers_t;
+
+void traffic_peers_free (traffic_peers_t *peers);
+
+typedef struct
+{
+  const gs_deployment_t *deployment;
+  const gs_passing_t *passing;
+  uint64_t seed;
+  /** Gets each report, on the traffic thread; owns it. */
+  void (*on_report) (void *context, traffic_report_t *report);
+  void *context;
+} traffic_options_t;
+
+typedef struct traffic traffic_t;
+
+/** Listen and start the thread. @return GS_OK or GS_EIO */
+gs_status_t traffic_create (traffic_t **out, const traffic_options_t *options);
+
+/** Stop the thread and free all. */
+void traffic_destroy (traffic_t *traffic);
+
+/** Put routes in force; takes over a reference. */
+void traffic_set_routes (traffic_t *traffic, gs_route_table_t *table);
+
+/** Replace the replicas; takes over a reference. */
+void traffic_set_replicas (traffic_t *traffic, gs_replica_list_t *list);
+
+/** Replace what is known of the other nodes; takes it over. */
+void traffic_set_peers (traffic_t *traffic, traffic_peers_t *peers);
+
+/** The process is to end: send callers elsewhere, and finish what is open.
+    @param deadline when the process is killed */
+void traffic_leave (traffic_t *traffic, gs_time_t deadline);
+
+#endif
--- /dev/null
+++ b/src/gateway/usage_ledger.c
@@ -0,0 +1,139 @@
+#include "gateway/usage_ledger.h"
+
+#include <glib.h>
+
+/* Counts of the other nodes are at most this old: a report and a digest are
+   on their way for half a second.  */
+#define SETTLE (1800 * GS_MSEC)
+/* A call that failed is made again after this.  */
+#define RETRY (400 * GS_MSEC)
+/* Windows that are looked back at without a record.  */
+#define FIRST_WINDOWS_BACK 1
+
+void
+usage_ledger_init (usage_ledger_t *ledger, gs_time_t length, gs_time_t late)
+{
+  *ledger = (usage_ledger_t){ .length = length, .settle = SETTLE,
+                              .late = late };
+}
+
+void
+usage_ledger_clear (usage_ledger_t *ledger)
+{
+  json_decref (ledger->counts);
+  json_decref (ledger->writing);
+  ledger->counts = NULL;
+  ledger->writing = NULL;
+}
+
+void
+usage_ledger_forget (usage_ledger_t *ledger)
+{
+  ledger->known = false;
+}
+
+/* The window after the record's, or the oldest that is still of use.  */
+static int64_t
+next_window (const usage_ledger_t *ledger, int64_t wall)
+{
+  int64_t oldest = (wall - ledger->late) / ledger->length;
+  int64_t first = wall / ledger->length - FIRST_WINDOWS_BACK;
+
+  if (ledger->window == 0)
+    return first;
+  return MAX (ledger->window + 1, oldest);
+}
+
+usage_action_t
+usage_ledger_next (usage_ledger_t *ledger, gs_time_t now, int64_t wall)
+{
+  usage_action_t action = { .kind = USAGE_NOTHING };
+
+  if (ledger->busy || now < ledger->due)
+    return action;
+  if (!ledger->known)
+    action.kind = USAGE_READ;
+  else if (ledger->window != 0 && !ledger->sent
+           && wall < (ledger->window + 1) * ledger->length + ledger->late)
+    {
+      action.kind = USAGE_SEND;
+      action.window = ledger->window;
+    }
+  else
+    {
+      int64_t window = next_window (ledger, wall);
+
+      if (wall < (window + 1) * ledger->length + ledger->settle)
+        return action;
+      action.kind = USAGE_WRITE;
+      action.window = window;
+      action.revision = ledger->revision;
+    }
+  ledger->busy = true;
+  return action;
+}
+
+static void
+set_record (usage_ledger_t *ledger, int64_t window, uint64_t revision,
+            json_t *counts)
+{
+  json_decref (ledger->counts);
+  ledger->counts = counts;
+  ledger->window = window;
+  ledger->revision = revision;
+  ledger->sent = false;
+  ledger->known = true;
+}
+
+void
+usage_ledger_read_done (usage_ledger_t *ledger, gs_time_t now,
+                        gs_status_t status, uint64_t revision,
+                        const json_t *value)
+{
+  ledger->busy = false;
+  if (status == GS_ENOTFOUND)
+    set_record (ledger, 0, 0, NULL);
+  else if (status != GS_OK)
+    ledger->due = now + RETRY;
+  else
+    set_record (
+        ledger,
+        (int64_t)json_integer_value (json_object_get (value, "window")),
+        revision, json_incref (json_object_get (value, "counts")));
+}
+
+json_t *
+usage_ledger_start_write (usage_ledger_t *ledger, int64_t window,
+                          json_t *counts)
+{
+  json_decref (ledger->writing);
+  ledger->writing = counts;
+  return json_pack ("{s:I, s:O}", "window", (json_int_t)window, "counts",
+                    counts);
+}
+
+void
+usage_ledger_write_done (usage_ledger_t *ledger, gs_time_t now,
+                         gs_status_t status, uint64_t revision, int64_t window)
+{
+  ledger->busy = false;
+  if (status == GS_OK)
+    set_record (ledger, window, revision, json_incref (ledger->writing));
+  else
+    {
+      /* It may have been done, or another holder was there.  */
+      ledger->known = false;
+      ledger->due = now + RETRY;
+    }
+}
+
+void
+usage_ledger_send_done (usage_ledger_t *ledger, gs_time_t now,
+                        gs_status_t status)
+{
+  ledger->busy = false;
+  if (status == GS_OK || status == GS_ECONFLICT || status == GS_EINVAL)
+    ledger->sent = true;
+  else
+    ledger->due = now + RETRY;
+}
