server: run the daemon of a loop as soon as a connection is resumed

Cause: on a loop libmicrohttpd is not woken by a resumption, so events left once a second; found by timing a stream by hand. Ruled out: the event splitter and the client library (both saw each event at once).

--- a/src/util/exchange.c
+++ b/src/util/exchange.c
@@ -30,6 +30,7 @@
     return;
   exchange->suspended = false;
   MHD_resume_connection (exchange->connection);
+  gs_server_kick (exchange->server);
 }
 
 const char *
--- a/src/util/server.c
+++ b/src/util/server.c
@@ -414,6 +414,26 @@
     }
 }
 
+static void
+run_kicked (void *context)
+{
+  gs_server_t *server = context;
+
+  server->kicked = false;
+  run_daemon (server, -1, 0);
+}
+
+/* A daemon without a thread of its own is not woken by a resumption.  */
+void
+gs_server_kick (gs_server_t *server)
+{
+  if (server->loop == NULL || server->kicked)
+    return;
+  server->kicked = true;
+  if (gs_loop_post (server->loop, run_kicked, server) != GS_OK)
+    server->kicked = false;
+}
+
 void
 gs_server_tick (gs_server_t *server)
 {
--- a/src/util/server_private.h
+++ b/src/util/server_private.h
@@ -26,6 +26,7 @@
   gs_sweep_t *sweep;
   gs_loop_t *loop; /* NULL when the daemon has threads of its own */
   int ready_fd;    /* readable when the daemon of a loop has work */
+  bool kicked;     /* the daemon of a loop is going to be run */
   atomic_uint idle_seconds;
   pthread_mutex_t lock;
   GHashTable *exchanges; /* set of those not completed */
@@ -65,4 +66,7 @@
   size_t out_read;
 };
 
+/** Run the daemon of a loop soon, as a connection was resumed. */
+void gs_server_kick (gs_server_t *server);
+
 #endif
