limits: let accounts save up what their limit tolerates; sessions stay put

Ruled out: the account whose limit was lowered is refused rightly (asks 170000/s of 86361/s). Change: saved amount per limit, from the bounds in the settings; a session's preferred replica counts as holding its part with 0.9 instead of 0.5.

--- a/include/garnetstack/deployment.h
+++ b/include/garnetstack/deployment.h
@@ -52,6 +52,9 @@
   double resend_ratio;       /**< resends allowed for each request */
   unsigned resend_slack;     /**< resends allowed besides, over all nodes */
   gs_time_t resend_window;
+  gs_time_t quota_window; /**< limits of accounts are judged over it */
+  double quota_over;      /**< part by which a limit may be exceeded there */
+  double quota_slack;     /**< amount by which it may be exceeded besides */
 } gs_deployment_t;
 
 #endif
--- a/include/garnetstack/limits.h
+++ b/include/garnetstack/limits.h
@@ -29,6 +29,9 @@
 typedef struct
 {
   uint64_t most[GS_LIMIT_COUNT];
+  /** May be saved up besides what one second brings, by all members in equal
+      parts; not for GS_LIMIT_IN_FLIGHT. */
+  uint64_t saved[GS_LIMIT_COUNT];
 } gs_limit_values_t;
 
 /** What a member is asked for under one name, in thousandths. */
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -25,7 +25,7 @@
 #define READ_AGAIN_WEIGHT 0.5
 /* How sure it is that the replica that all nodes prefer for a part holds it
    when this node has not seen it there.  */
-#define PREFERRED_HOLDS 0.5
+#define PREFERRED_HOLDS 0.9
 /* A part is counted as held for so long after its last use here.  */
 #define PART_KEPT (30 * GS_SEC)
 #define PART_HOLDERS_MAX 4
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -87,7 +87,8 @@
           "id=%s route=%s account=%s outcome=%s status=%u reason=%s sends=%u"
           " runs=%u replica=%s in_flight=%u backlog=%u missing=%u"
           " candidates=%u full=%u wait_ms=%lld expected_ms=%lld first_ms=%lld"
-          " total_ms=%lld left_ms=%lld events=%llu config=%llu replicas=%llu"
+          " total_ms=%lld left_ms=%lld tokens=%u limit=%llu share=%.0f"
+          " events=%llu config=%llu replicas=%llu"
           " peers_age_ms=%lld members=%u",
           gs_log_quote (&id, relay->request.id),
           relay->route != NULL ? relay->route->name : "-",
@@ -100,6 +101,15 @@
           msec (relay->arrived_at, relay->choice.first_expected_at),
           msec (relay->arrived_at, relay->first_at),
           msec (relay->arrived_at, now), msec (now, relay->deadline),
+          relay->tokens,
+          relay->account != NULL ? (unsigned long long)relay->account->rate
+                                 : 0ULL,
+          relay->tokens > 0 ? gs_limits_share (traffic->limits, now,
+                                               relay->limit_row,
+                                               relay->account->by_tokens
+                                                   ? GS_LIMIT_TOKENS
+                                                   : GS_LIMIT_REQUESTS)
+                            : 0,
           (unsigned long long)relay->events.count,
           relay->table != NULL
               ? (unsigned long long)gs_route_table_version (relay->table)
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -18,6 +18,10 @@
    limit; closing later than that costs only memory.  */
 #define IDLE_SLACK_SEC 5
 #define IDLE_SECONDS_FIRST 60
+/* Part of what a limit may be exceeded by that nodes save up, so that a burst
+   at one node is not refused while the account is below its limit; the rest
+   covers requests that were let in before and arrive later.  */
+#define SAVED_PART 0.6
 
 void
 traffic_report_free (traffic_report_t *report)
@@ -250,6 +254,20 @@
   gs_time_t leave_until;
 } message_t;
 
+/* Nodes together may pass on a whole bucket at once, and exceed the limit by a
+   part of what it allows in a window.  */
+static uint64_t
+saved_amount (const gs_deployment_t *deployment,
+              const gs_client_account_t *account)
+{
+  double window = (double)deployment->quota_window / GS_SEC;
+  double whole = (double)account->rate * window + (double)account->burst;
+  double exceed = deployment->quota_over * whole + deployment->quota_slack;
+  double bucket = (double)account->burst - (double)account->rate;
+
+  return (uint64_t)MAX (bucket + SAVED_PART * exceed, 0);
+}
+
 static void
 set_account_limits (traffic_t *traffic)
 {
@@ -257,10 +275,13 @@
     {
       const gs_client_account_t *account
           = gs_route_table_account (traffic->table, i);
-      gs_limit_values_t values = { { 0 } };
+      gs_limit_values_t values = { { 0 }, { 0 } };
+      gs_limit_kind_t kind
+          = account->by_tokens ? GS_LIMIT_TOKENS : GS_LIMIT_REQUESTS;
 
-      values.most[account->by_tokens ? GS_LIMIT_TOKENS : GS_LIMIT_REQUESTS]
-          = account->rate;
+      values.most[kind] = account->rate;
+      values.saved[kind]
+          = saved_amount (traffic->options.deployment, account);
       gs_limits_set (traffic->limits,
                      gs_limits_name ("account", account->name), &values);
     }
--- a/src/routing/governor.c
+++ b/src/routing/governor.c
@@ -124,8 +124,8 @@
   const char *class_name = class_ref != NULL ? class_ref->entry.name : "";
   account_t *account
       = g_hash_table_lookup (governor->accounts, entry->entry.name);
-  gs_limit_values_t values = { { 0 } };
-  gs_limit_values_t class_values = { { 0 } };
+  gs_limit_values_t values = { .most = { 0 } };
+  gs_limit_values_t class_values = { .most = { 0 } };
   uint64_t name = gs_limits_name ("account", entry->entry.name);
 
   if (account == NULL)
@@ -163,7 +163,7 @@
 set_target (gs_governor_t *governor, const char *kind, const char *name,
             uint64_t in_flight_max)
 {
-  gs_limit_values_t values = { { 0 } };
+  gs_limit_values_t values = { .most = { 0 } };
 
   values.most[GS_LIMIT_IN_FLIGHT] = part_of (governor, in_flight_max);
   gs_limits_set (governor->limits, gs_limits_name (kind, name), &values);
--- a/src/routing/limits.c
+++ b/src/routing/limits.c
@@ -209,7 +209,9 @@
 
   for (int kind = 0; kind < GS_LIMIT_IN_FLIGHT; kind++)
     {
-      double most = MAX (shares[kind] * BURST_SEC, 1);
+      double saved
+          = (double)state->limits.saved[kind] / limits->member_count;
+      double most = MAX (shares[kind] * BURST_SEC + saved, 1);
 
       state->level[kind]
           = state->level_at == 0
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -135,7 +135,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (fleet_cases); i++)
     {
       const fleet_case_t *row = &fleet_cases[i];
-      const gs_limit_values_t values = { { LIMIT, 0, 0 } };
+      const gs_limit_values_t values = { .most = { LIMIT, 0, 0 } };
       fleet_t fleet;
       uint64_t percent;
 
@@ -160,10 +160,10 @@
     unsigned admitted; /* of ten requests of 100 tokens at one moment */
     bool after_release;
   } rows[] = {
-    { { { 0, 0, 0 } }, 10, true },
-    { { { 4, 0, 0 } }, 4, false },
-    { { { 0, 250, 0 } }, 3, true }, /* the last may pass the level */
-    { { { 0, 0, 5 } }, 5, true },
+    { { .most = { 0, 0, 0 } }, 10, true },
+    { { .most = { 4, 0, 0 } }, 4, false },
+    { { .most = { 0, 250, 0 } }, 3, true }, /* the last may pass the level */
+    { { .most = { 0, 0, 5 } }, 5, true },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
@@ -190,7 +190,7 @@
 static void
 the_time_to_retry_is_true (void)
 {
-  const gs_limit_values_t values = { { 4, 300, 0 } };
+  const gs_limit_values_t values = { .most = { 4, 300, 0 } };
   gs_limits_t *limits;
   gs_time_t retry_after = 0;
   unsigned row;
