scaler: order reclaimable replicas by the load, kept ones when short

Change: the holder of the duty orders reclaimable replicas for twice the need, spread evenly, and gives kept ones back once those are ready; kept ones fill in while the replicas are fewer than the load needs.

--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -4,6 +4,7 @@
 #include "garnetstack/log.h"
 #include "gateway/usage_ledger.h"
 
+#include <math.h>
 #include <string.h>
 
 #define LEASE_NAME "lease"
@@ -19,6 +20,20 @@
 #define LEASE_RENEW_PART 0.45
 #define LEASE_PAUSE_PART 0.15
 #define LEASE_RETRY (150 * GS_MSEC)
+/* How often orders are thought over.  */
+#define SCALE_INTERVAL (500 * GS_MSEC)
+/* Half-life of the rates that orders follow: digests come every third of a
+   second, requests in clumps.  */
+#define LOAD_HALF_LIFE (1500 * GS_MSEC)
+#define ORDERS_MAX 64
+
+/* What a service was asked for, of all nodes.  */
+typedef struct
+{
+  uint64_t missing_tokens; /* sum of the counters, at the last look */
+  double missing_per_sec;
+  bool seen;
+} meter_t;
 
 struct duties
 {
@@ -28,6 +43,10 @@
   gs_time_t acts_from; /* a new holder waits until the one before is past */
   usage_ledger_t ledger;
   int64_t writing_window;
+  scaler_t *scaler;
+  gs_time_t scale_due;
+  gs_time_t scaled_at;
+  GHashTable *meters; /* service -> meter_t */
   traffic_report_t *report;
   gs_route_table_t *table;
   gs_replica_list_t *list;
@@ -48,6 +67,9 @@
   gs_lease_init (&duties->lease, options->deployment->node,
                  options->incarnation);
   gs_lease_set_times (&duties->lease, &times);
+  scaler_create (&duties->scaler);
+  duties->meters
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   usage_ledger_init (&duties->ledger, options->deployment->usage_window,
                      options->deployment->usage_late);
   *out = duties;
@@ -59,6 +81,8 @@
   if (duties == NULL)
     return;
   usage_ledger_clear (&duties->ledger);
+  scaler_destroy (duties->scaler);
+  g_hash_table_unref (duties->meters);
   traffic_report_free (duties->report);
   gs_route_table_unref (duties->table);
   gs_replica_list_unref (duties->list);
@@ -160,6 +184,7 @@
     {
       duties->acts_from = now + duties->options.deployment->lease;
       usage_ledger_forget (&duties->ledger);
+      scaler_forget (duties->scaler);
     }
   gs_log (GS_LOG_INFO, fencing != 0 ? "duty_taken" : "duty_lost",
           "fencing=%llu store_answered_ms=%lld",
@@ -317,11 +342,141 @@
     }
 }
 
+/* Sums over the nodes.  */
+typedef struct
+{
+  const char *service;
+  gs_time_t now;
+  uint64_t requests;
+  uint64_t missing_tokens;
+  double in_flight;
+  double waiting;
+} demand_sum_t;
+
+static void
+add_demand (demand_sum_t *sum, const GArray *demand, bool present)
+{
+  for (guint i = 0; i < demand->len; i++)
+    {
+      const traffic_demand_t *row
+          = &g_array_index (demand, traffic_demand_t, i);
+
+      if (strcmp (row->service, sum->service) != 0)
+        continue;
+      sum->requests += row->requests;
+      sum->missing_tokens += row->missing_tokens;
+      sum->in_flight += present ? row->in_flight : 0;
+      sum->waiting += present ? row->waiting : 0;
+    }
+}
+
+static void
+add_peer_demand (void *context, const digest_t *digest, gs_time_t heard_at)
+{
+  demand_sum_t *sum = context;
+
+  add_demand (sum, digest->report->demand,
+              sum->now <= heard_at + PEERS_SILENT);
+}
+
+static scaler_load_t
+measure_load (duties_t *duties, gs_time_t now, const char *service)
+{
+  demand_sum_t sum = { .service = service, .now = now };
+  meter_t *meter = g_hash_table_lookup (duties->meters, service);
+  double passed = (double)(now - duties->scaled_at);
+  double part = exp2 (-passed / (double)LOAD_HALF_LIFE);
+  scaler_load_t load = { .read_speed = duties->report->read_speed };
+
+  if (meter == NULL)
+    {
+      meter = g_new0 (meter_t, 1);
+      g_hash_table_insert (duties->meters, g_strdup (service), meter);
+    }
+  add_demand (&sum, duties->report->demand, true);
+  peers_each (duties->options.peers, now, add_peer_demand, &sum);
+  /* The sum falls when a process is forgotten.  */
+  if (duties->scaled_at != 0 && passed > 0
+      && sum.missing_tokens >= meter->missing_tokens)
+    meter->missing_per_sec
+        = meter->missing_per_sec * part
+          + (1 - part) * (double)(sum.missing_tokens - meter->missing_tokens)
+                * (double)GS_SEC / passed;
+  meter->missing_tokens = sum.missing_tokens;
+  meter->seen |= sum.requests > 0;
+  load.missing_tokens_per_sec = meter->missing_per_sec;
+  load.in_flight = sum.in_flight;
+  load.waiting = sum.waiting;
+  load.seen = meter->seen;
+  return load;
+}
+
+typedef struct
+{
+  duties_t *duties;
+  scaler_order_t order;
+  uint64_t fencing;
+} order_call_t;
+
+static void
+on_ordered (void *argument, gs_status_t status)
+{
+  order_call_t *call = argument;
+  const scaler_order_t *order = &call->order;
+
+  gs_log (status == GS_OK ? GS_LOG_INFO : GS_LOG_WARN, "replicas_ordered",
+          "service=%s data_centre=%s spot=%d wanted=%u there=%u need=%.1f"
+          " status=%s fencing=%llu",
+          order->service, order->data_centre, order->spot, order->wanted,
+          order->there, order->need, gs_status_name (status),
+          (unsigned long long)call->fencing);
+  scaler_ordered (call->duties->scaler, gs_clock_now (), order, status);
+  g_free (call);
+}
+
+static void
+send_order (duties_t *duties, gs_time_t now, const scaler_order_t *order)
+{
+  const gs_provider_t *provider = duties->options.provider;
+  order_call_t *call = g_new (order_call_t, 1);
+  gs_duty_t duty = own_duty (duties);
+
+  *call = (order_call_t){ duties, *order, duties->fencing };
+  provider->order_replicas (provider->context, &duty, order->service,
+                            order->data_centre, order->spot, order->wanted,
+                            now + PROVIDER_TIME, on_ordered, call);
+}
+
+static void
+tick_scale (duties_t *duties, gs_time_t now)
+{
+  scaler_order_t orders[ORDERS_MAX];
+
+  if (now < duties->scale_due || duties->table == NULL || duties->list == NULL
+      || duties->report == NULL)
+    return;
+  duties->scale_due = now + SCALE_INTERVAL;
+  for (unsigned i = 0; i < gs_route_table_services (duties->table); i++)
+    {
+      const gs_path_service_t *service
+          = gs_route_table_service (duties->table, i);
+      scaler_load_t load = measure_load (duties, now, service->name);
+      unsigned count = scaler_plan (duties->scaler, now, service, duties->list,
+                                    &load, orders, ORDERS_MAX);
+
+      for (unsigned j = 0; j < count; j++)
+        send_order (duties, now, &orders[j]);
+    }
+  duties->scaled_at = now;
+}
+
 void
 duties_tick (duties_t *duties, gs_time_t now, bool wanted)
 {
   tick_lease (duties, now, wanted);
   note_holder (duties, now);
-  if (duties_holds (duties, now))
-    tick_usage (duties, now);
+  if (!duties_holds (duties, now))
+    return;
+  tick_usage (duties, now);
+  tick_scale (duties, now);
 }
--- a/src/gateway/duties.h
+++ b/src/gateway/duties.h
@@ -13,6 +13,7 @@
 #include "garnetstack/replica.h"
 #include "garnetstack/route_table.h"
 #include "gateway/peers.h"
+#include "gateway/scaler.h"
 
 /** Kind of the objects that hold the lease and what was reported. */
 #define DUTIES_KIND "gateway-duties"
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -589,6 +589,12 @@
   return count;
 }
 
+double
+placer_read_speed (const placer_t *placer)
+{
+  return placer->read_speed;
+}
+
 void
 placer_room (const placer_t *placer, const char *service, unsigned *slots,
              unsigned *taken)
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -116,6 +116,10 @@
 unsigned placer_export (const placer_t *placer, placer_load_t *loads,
                         unsigned max);
 
+/** @return tokens of prompts that an engine reads in a millisecond, as
+    observed. */
+double placer_read_speed (const placer_t *placer);
+
 /** Slots of the ready replicas of a service, and how many are taken. */
 void placer_room (const placer_t *placer, const char *service, unsigned *slots,
                   unsigned *taken);
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -122,6 +122,7 @@
 
   report->made_at = now;
   report->open = gs_server_open (traffic->server);
+  report->read_speed = placer_read_speed (traffic->placer);
   report->loads = g_array_new (FALSE, TRUE, sizeof (traffic_load_t));
   report->usage = g_array_new (FALSE, TRUE, sizeof (traffic_usage_t));
   report->demand = g_array_new (FALSE, TRUE, sizeof (traffic_demand_t));
