tests: the gateway against a copy of the platform, byte by byte

Change: raw listeners and callers, a store, a provider and replicas that behave as the path says; 21 cases of answers, framing, streams, configuration, drain, lapsed entries, stop and usage. They found four faults, mended here: a node said that it was ready before its traffic thread knew any replica; replicas that were all left out after failures gave no candidate; a header name with a space before its colon passed; a window of usage shorter than the wait for counts was never reported.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -60,10 +60,14 @@
   atomic_uint open;        /* exchanges of callers, as last reported */
 };
 
+/* Control knows routes and replicas a moment before traffic does.  */
 static bool
 is_ready (const gateway_t *gateway)
 {
-  return gateway->table != NULL && gateway->has_replicas && !gateway->leaving;
+  const traffic_report_t *report = duties_report (gateway->duties);
+
+  return gateway->has_replicas && !gateway->leaving && report != NULL
+         && report->serves;
 }
 
 static void
@@ -200,8 +204,11 @@
 static void
 on_replicas_listed (void *context, gs_time_t now)
 {
+  gateway_t *gateway = context;
+
   (void)now;
-  ((gateway_t *)context)->has_replicas = true;
+  gateway->has_replicas = true;
+  publish_replicas (gateway);
 }
 
 static void
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -58,6 +58,7 @@
   unsigned failures; /* in a row */
   unsigned ejections;
   gs_time_t ejected_until;
+  gs_time_t full_until; /* it said that it takes no more */
 } row_t;
 
 typedef struct
@@ -289,6 +290,17 @@
          && strcmp (row->replica.service, service) == 0;
 }
 
+/* A replica that was left out is better than none.
+   @return when left-out replicas count as usable: now, or never  */
+static gs_time_t
+usable_at (const placer_t *placer, gs_time_t now, const char *service)
+{
+  for (guint i = 0; i < placer->rows->len; i++)
+    if (is_usable (row_at (placer, i), now, service))
+      return now;
+  return GS_TIME_NEVER;
+}
+
 static uint32_t
 taken_of (const row_t *row)
 {
@@ -296,7 +308,7 @@
 }
 
 static bool
-is_full (const row_t *row, const placer_query_t *query)
+is_full (const row_t *row, gs_time_t now, const placer_query_t *query)
 {
   uint64_t wanted = query->prompt_tokens + query->output_tokens;
   uint64_t held = row->held_tokens + row->peer_held_tokens;
@@ -305,6 +317,8 @@
   if (connections != 0
       && taken_of (row) >= (unsigned)(CONNECTIONS_PART * connections))
     return true;
+  if (row->full_until > now)
+    return true;
   if (query->past_slots)
     return false;
   if (taken_of (row) >= row->replica.slots)
@@ -387,7 +401,8 @@
 placer_pick (placer_t *placer, gs_time_t now, const placer_query_t *query,
              placer_choice_t *out)
 {
-  uint32_t preferred = preferred_row (placer, now, query);
+  gs_time_t usable = usable_at (placer, now, query->service);
+  uint32_t preferred = preferred_row (placer, usable, query);
   forecast_t best = { .score = INFINITY };
   forecast_t avoided = { .score = INFINITY };
 
@@ -397,10 +412,10 @@
       const row_t *row = row_at (placer, i);
       forecast_t here;
 
-      if (!is_usable (row, now, query->service))
+      if (!is_usable (row, usable, query->service))
         continue;
       out->candidates++;
-      if (is_full (row, query))
+      if (is_full (row, now, query))
         {
           out->full++;
           continue;
@@ -548,7 +563,7 @@
       eject (row, now, "unreachable");
       break;
     case PLACER_FULL:
-      row->ejected_until = MAX (row->ejected_until, now + FULL_PAUSE);
+      row->full_until = now + FULL_PAUSE;
       break;
     case PLACER_OTHER:
       eject (row, now, "address_of_another");
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -121,6 +121,7 @@
       = gs_limits_export (traffic->limits, now, rows, GS_USAGE_ROWS_MAX);
 
   report->made_at = now;
+  report->serves = traffic->table != NULL && traffic->list != NULL;
   report->open = gs_server_open (traffic->server);
   report->read_speed = placer_read_speed (traffic->placer);
   report->loads = g_array_new (FALSE, TRUE, sizeof (traffic_load_t));
@@ -316,6 +317,7 @@
   gs_replica_list_unref (traffic->list);
   traffic->list = message->list;
   placer_set_replicas (traffic->placer, gs_clock_now (), traffic->list);
+  traffic->report_due = MIN (traffic->report_due, gs_clock_now () + TICK);
   relay_serve_waiting (traffic, gs_clock_now ());
   g_free (message);
 }
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -56,6 +56,7 @@
 typedef struct
 {
   gs_time_t made_at;
+  bool serves;   /**< routes and replicas are known to it */
   unsigned open; /**< exchanges not yet answered wholly */
   double read_speed;
   GArray *loads;  /**< of traffic_load_t */
--- a/src/gateway/usage_ledger.c
+++ b/src/gateway/usage_ledger.c
@@ -34,14 +34,14 @@
 
 /* The window after the record's, or the oldest that is still of use.  */
 static int64_t
-next_window (const usage_ledger_t *ledger, int64_t wall)
+next_window (usage_ledger_t *ledger, int64_t wall)
 {
   int64_t oldest = (wall - ledger->late) / ledger->length;
-  int64_t first = wall / ledger->length - FIRST_WINDOWS_BACK;
 
-  if (ledger->window == 0)
-    return first;
-  return MAX (ledger->window + 1, oldest);
+  if (ledger->first == 0)
+    ledger->first = wall / ledger->length - FIRST_WINDOWS_BACK;
+  return MAX (ledger->window == 0 ? ledger->first : ledger->window + 1,
+              oldest);
 }
 
 usage_action_t
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -38,6 +38,7 @@
   bool known;        /**< the record is as in the store */
   bool busy;
   bool sent;         /**< the record's window was taken by the platform */
+  int64_t first;     /**< window to begin with when there is no record */
   int64_t window;    /**< of the record; 0 for none */
   uint64_t revision; /**< of the record; 0 for none */
   json_t *counts;    /**< of the record, account -> requests */
--- a/src/util/server.c
+++ b/src/util/server.c
@@ -14,6 +14,10 @@
 #define BAD_REQUEST 400
 /* A daemon on a loop that still has work is run again at most so often.  */
 #define RUNS_MAX 16
+/* Of the name of a header (RFC 9110, 5.6.2).  */
+#define TOKEN_CHARACTERS                                                      \
+  "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZ"                       \
+  "abcdefghijklmnopqrstuvwxyz"
 
 /* The other side has closed, perhaps only for sending; nobody closes half of
    a connection while it waits for an answer.  */
@@ -244,6 +248,9 @@
 {
   framing_t *framing = context;
 
+  /* A name with a space before its colon is read by some as the name.  */
+  if (name[strspn (name, TOKEN_CHARACTERS)] != '\0')
+    framing->unclear = true;
   if (g_ascii_strcasecmp (name, "Content-Length") == 0)
     {
       framing->lengths++;
--- /dev/null
+++ b/tests/raw_http.c
@@ -0,0 +1,342 @@
+#include "raw_http.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BLOCK 16384
+#define BACKLOG 64
+
+struct raw_server
+{
+  int fd;
+  uint16_t port;
+  raw_handler_t handler;
+  void *context;
+  pthread_t thread;
+  pthread_mutex_t lock;
+  pthread_cond_t ended;
+  GHashTable *fds; /* of open connections */
+  bool stopping;
+};
+
+typedef struct
+{
+  raw_server_t *server;
+  int fd;
+} accepted_t;
+
+void
+raw_message_clear (raw_message_t *message)
+{
+  g_free (message->first);
+  g_free (message->head);
+  if (message->body != NULL)
+    g_string_free (message->body, TRUE);
+  *message = (raw_message_t){ NULL, NULL, NULL };
+}
+
+char *
+raw_header (const raw_message_t *message, const char *name)
+{
+  char **lines = g_strsplit (message->head, "\r\n", -1);
+  size_t length = strlen (name);
+  char *value = NULL;
+
+  for (char **line = lines; *line != NULL && value == NULL; line++)
+    if (g_ascii_strncasecmp (*line, name, length) == 0
+        && (*line)[length] == ':')
+      value = g_strstrip (g_strdup (*line + length + 1));
+  g_strfreev (lines);
+  return value;
+}
+
+static bool
+receive (raw_conn_t *conn)
+{
+  char block[BLOCK];
+  ssize_t count;
+
+  do
+    count = recv (conn->fd, block, sizeof block, 0);
+  while (count < 0 && errno == EINTR);
+  if (count <= 0)
+    return false;
+  g_string_append_len (conn->in, block, count);
+  return true;
+}
+
+static bool
+take (raw_conn_t *conn, GString *out, size_t length)
+{
+  while (conn->in->len < length)
+    if (!receive (conn))
+      return false;
+  g_string_append_len (out, conn->in->str, (gssize)length);
+  g_string_erase (conn->in, 0, (gssize)length);
+  return true;
+}
+
+/* @return text up to and with @p end, NULL when the connection ended  */
+static char *
+take_until (raw_conn_t *conn, const char *end)
+{
+  char *found;
+  char *text;
+
+  while ((found = strstr (conn->in->str, end)) == NULL)
+    if (!receive (conn))
+      return NULL;
+  text = g_strndup (conn->in->str,
+                    (gsize)(found - conn->in->str) + strlen (end));
+  g_string_erase (conn->in, 0, (gssize)strlen (text));
+  return text;
+}
+
+static bool
+take_chunks (raw_conn_t *conn, GString *out)
+{
+  GString *line_end = g_string_new (NULL);
+  size_t size;
+  bool whole = true;
+
+  do
+    {
+      char *line = take_until (conn, "\r\n");
+
+      if (line == NULL)
+        {
+          whole = false;
+          break;
+        }
+      size = strtoul (line, NULL, 16);
+      g_free (line);
+      whole = take (conn, out, size) && take (conn, line_end, 2);
+    }
+  while (whole && size > 0);
+  g_string_free (line_end, TRUE);
+  return whole;
+}
+
+bool
+raw_read_request (raw_conn_t *conn, raw_message_t *out)
+{
+  char *length;
+  char *coding;
+  bool whole = true;
+
+  *out = (raw_message_t){ NULL, NULL, g_string_new (NULL) };
+  out->head = take_until (conn, "\r\n\r\n");
+  if (out->head == NULL)
+    {
+      raw_message_clear (out);
+      return false;
+    }
+  out->first = g_strndup (out->head, strcspn (out->head, "\r"));
+  length = raw_header (out, "Content-Length");
+  coding = raw_header (out, "Transfer-Encoding");
+  if (length != NULL)
+    whole = take (conn, out->body, strtoul (length, NULL, 10));
+  else if (coding != NULL)
+    whole = take_chunks (conn, out->body);
+  g_free (length);
+  g_free (coding);
+  if (!whole)
+    raw_message_clear (out);
+  return whole;
+}
+
+void
+raw_send (raw_conn_t *conn, const char *data, size_t length)
+{
+  while (length > 0)
+    {
+      ssize_t count = send (conn->fd, data, length, MSG_NOSIGNAL);
+
+      if (count <= 0)
+        return;
+      data += count;
+      length -= (size_t)count;
+    }
+}
+
+void
+raw_printf (raw_conn_t *conn, const char *format, ...)
+{
+  va_list args;
+  char *text;
+
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  raw_send (conn, text, strlen (text));
+  g_free (text);
+}
+
+void
+raw_set_reset (raw_conn_t *conn)
+{
+  struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (conn->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+bool
+raw_wait_close (raw_conn_t *conn, gs_time_t deadline)
+{
+  for (;;)
+    {
+      struct pollfd polled = { .fd = conn->fd, .events = POLLIN };
+      gs_time_t left = deadline - gs_clock_now ();
+
+      if (left <= 0)
+        return false;
+      if (poll (&polled, 1, (int)(left / GS_MSEC) + 1) > 0 && !receive (conn))
+        return true;
+    }
+}
+
+static void *
+serve (void *context)
+{
+  accepted_t *accepted = context;
+  raw_server_t *server = accepted->server;
+  raw_conn_t conn = { accepted->fd, g_string_new (NULL) };
+
+  server->handler (server->context, &conn);
+  pthread_mutex_lock (&server->lock);
+  g_hash_table_remove (server->fds, GINT_TO_POINTER (conn.fd));
+  raw_close (&conn);
+  pthread_cond_signal (&server->ended);
+  pthread_mutex_unlock (&server->lock);
+  g_free (accepted);
+  return NULL;
+}
+
+static void *
+listen_on (void *context)
+{
+  raw_server_t *server = context;
+
+  for (;;)
+    {
+      int fd = accept (server->fd, NULL, NULL);
+      accepted_t *accepted;
+      pthread_t thread;
+
+      if (fd < 0)
+        return NULL;
+      accepted = g_new (accepted_t, 1);
+      *accepted = (accepted_t){ server, fd };
+      pthread_mutex_lock (&server->lock);
+      g_hash_table_add (server->fds, GINT_TO_POINTER (fd));
+      pthread_mutex_unlock (&server->lock);
+      pthread_create (&thread, NULL, serve, accepted);
+      pthread_detach (thread);
+    }
+}
+
+void
+raw_server_create (raw_server_t **out, raw_handler_t handler, void *context)
+{
+  raw_server_t *server = g_new0 (raw_server_t, 1);
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t length = sizeof address;
+
+  server->handler = handler;
+  server->context = context;
+  server->fds = g_hash_table_new (NULL, NULL);
+  pthread_mutex_init (&server->lock, NULL);
+  pthread_cond_init (&server->ended, NULL);
+  server->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (bind (server->fd, (struct sockaddr *)&address, sizeof address) != 0
+      || listen (server->fd, BACKLOG) != 0)
+    {
+      perror ("raw server");
+      exit (1);
+    }
+  getsockname (server->fd, (struct sockaddr *)&address, &length);
+  server->port = ntohs (address.sin_port);
+  pthread_create (&server->thread, NULL, listen_on, server);
+  *out = server;
+}
+
+uint16_t
+raw_server_port (const raw_server_t *server)
+{
+  return server->port;
+}
+
+void
+raw_server_destroy (raw_server_t *server)
+{
+  GHashTableIter iter;
+  gpointer fd;
+
+  if (server == NULL)
+    return;
+  shutdown (server->fd, SHUT_RDWR);
+  pthread_join (server->thread, NULL);
+  close (server->fd);
+  pthread_mutex_lock (&server->lock);
+  g_hash_table_iter_init (&iter, server->fds);
+  while (g_hash_table_iter_next (&iter, &fd, NULL))
+    shutdown (GPOINTER_TO_INT (fd), SHUT_RDWR);
+  while (g_hash_table_size (server->fds) > 0)
+    pthread_cond_wait (&server->ended, &server->lock);
+  pthread_mutex_unlock (&server->lock);
+  pthread_cond_destroy (&server->ended);
+  pthread_mutex_destroy (&server->lock);
+  g_hash_table_unref (server->fds);
+  g_free (server);
+}
+
+bool
+raw_connect (raw_conn_t *conn, uint16_t port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  conn->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  conn->in = g_string_new (NULL);
+  address.sin_port = htons (port);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (connect (conn->fd, (struct sockaddr *)&address, sizeof address) == 0)
+    return true;
+  raw_close (conn);
+  return false;
+}
+
+void
+raw_close (raw_conn_t *conn)
+{
+  close (conn->fd);
+  g_string_free (conn->in, TRUE);
+  conn->in = NULL;
+}
+
+GString *
+raw_read_all (raw_conn_t *conn, gs_time_t quiet, const char *until)
+{
+  GString *out;
+
+  for (;;)
+    {
+      struct pollfd polled = { .fd = conn->fd, .events = POLLIN };
+
+      if (until != NULL && strstr (conn->in->str, until) != NULL)
+        break;
+      if (poll (&polled, 1, (int)(quiet / GS_MSEC)) <= 0 || !receive (conn))
+        break;
+    }
+  out = g_string_new_len (conn->in->str, (gssize)conn->in->len);
+  g_string_truncate (conn->in, 0);
+  return out;
+}
--- /dev/null
+++ b/tests/test_process_gateway.c
@@ -0,0 +1,716 @@
+#include "check.h"
+#include "gateway_world.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define ONE_SECOND GS_SEC
+/* From the operator's acknowledged change to its effect at each node.  */
+#define CONFIG_BOUND (2 * GS_SEC)
+/* Work at a replica ends so long after the caller has closed.  */
+#define GONE_BOUND (500 * GS_MSEC)
+
+static unsigned
+status_of (const char *answer)
+{
+  return g_str_has_prefix (answer, "HTTP/1.1 ")
+             ? (unsigned)strtoul (answer + strlen ("HTTP/1.1 "), NULL, 10)
+             : 0;
+}
+
+static bool
+has_line (const char *head, const char *line)
+{
+  char *whole = g_strdup_printf ("\r\n%s\r\n", line);
+  bool has = strstr (head, whole) != NULL;
+
+  g_free (whole);
+  return has;
+}
+
+static char *
+header_of (const char *text, const char *name)
+{
+  raw_message_t message = { NULL, (char *)text, NULL };
+
+  return raw_header (&message, name);
+}
+
+/* One world at a time; a case that ends early leaves its world to the next. */
+static gateway_world_t world;
+static bool world_is_live;
+
+static void
+end_world (void)
+{
+  if (world_is_live)
+    gw_destroy (&world);
+  world_is_live = false;
+}
+
+static void
+start_world (unsigned replicas)
+{
+  end_world ();
+  gw_create (&world, replicas);
+  world_is_live = true;
+}
+
+static void
+start_one (unsigned replicas)
+{
+  start_world (replicas);
+  gw_configure (&world, 1, "/a/", WORLD_KEY);
+  gw_start (&world, 0, true);
+}
+
+/* What a caller gets for what a replica does, and how often the replicas were
+   asked.  */
+typedef struct
+{
+  const char *target;
+  unsigned status;   /* 0: the connection ends without a whole answer */
+  unsigned arrivals; /* at two replicas */
+  const char *body;  /* "" for any; "=" for the attempt's id */
+} answer_row_t;
+
+static const answer_row_t answer_rows[] = {
+  { "/a/never/good", 200, 1, "=" },
+  { "/a/free/good", 200, 1, "=" },
+  { "/a/never/fails", 500, 1, "=" },
+  { "/a/free/fails", 500, 2, "=" },
+  { "/a/free/fails-once", 200, 2, "=" },
+  /* Its fate is not known: only what may run twice is sent again. */
+  { "/a/never/die", 502, 1, "" },
+  { "/a/never/die-once", 502, 1, "" },
+  { "/a/free/die-once", 200, 2, "=" },
+  { "/a/never/noise", 502, 1, "" },
+  { "/a/free/noise-once", 200, 2, "=" },
+  /* Not run: sent elsewhere, or refused as such. */
+  { "/a/never/full-once", 200, 2, "=" },
+  { "/a/never/full", 503, 4, "" }, /* offered again, then refused */
+  { "/a/never/moved-once", 200, 2, "=" },
+  /* Not the replica's whole answer to this request. */
+  { "/a/never/noseal", 502, 1, "" },
+  { "/a/never/encoded", 502, 1, "" },
+  { "/a/never/foreign", 502, 1, "" },
+  { "/a/free/foreign-once", 200, 2, "=" },
+  { "/a/never/short", 502, 1, "" },
+  { "/a/never/unframed", 200, 1, "whole" },
+  { "/a/never/unframed-reset", 502, 1, "" },
+  { "/a/never/extra", 200, 1, "=" },
+};
+
+static void
+callers_get_whole_answers_or_true_refusals (void)
+{
+
+  start_one (2);
+  for (size_t i = 0; i < G_N_ELEMENTS (answer_rows); i++)
+    {
+      const answer_row_t *row = &answer_rows[i];
+      char *id = g_strdup_printf ("row-%zu", i);
+      char *answer = gw_ask (&world, 0, "POST", row->target, id, "", "x");
+      const char *body = strstr (answer, "\r\n\r\n");
+      const char *expected = strcmp (row->body, "=") == 0 ? id : row->body;
+      bool good = status_of (answer) == row->status
+                  && gw_arrivals (&world, id) == row->arrivals
+                  && (*expected == '\0'
+                      || (body != NULL && strcmp (body + 4, expected) == 0));
+
+      if (!good)
+        printf ("\n  %s: %u arrivals, %s\n", row->target,
+                gw_arrivals (&world, id), answer);
+      CU_ASSERT_TRUE (good);
+      g_free (answer);
+      g_free (id);
+    }
+  end_world ();
+}
+
+static void
+a_refusal_says_when_to_come_back (void)
+{
+  char *answer;
+  char *after;
+
+  start_one (1);
+  answer = gw_ask (&world, 0, "POST", "/a/never/full", "full-1", "", "x");
+  after = header_of (answer, "Retry-After");
+  CU_ASSERT_EQUAL (status_of (answer), 503);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (after);
+  CU_ASSERT (g_ascii_strtod (after, NULL) > 0);
+  g_free (after);
+  g_free (answer);
+  end_world ();
+}
+
+static void
+requests_arrive_as_they_were_sent (void)
+{
+  static const char extra[]
+      = "X-Model: m\r\nX-Token-Counts: 100,20\r\n"
+        "X-Prompt-Prefix: a:60,b:40\r\nX-Empty:\r\n"
+        "X-Tenant: forged\r\nX-Kv-Hold: 1\r\nX-Pin-Ms: 9\r\n"
+        "X-Kv-Backup: 1.2.3.4:1\r\nKv-From: 1.2.3.4:1/x\r\n"
+        "X-Request-Priority: 0\r\nX-Expect-Instance: forged\r\n";
+  const arrival_t *arrival;
+  char *answer;
+  char *left;
+
+  start_one (1);
+  answer = gw_ask (&world, 0, "POST", "/a/free/%7e/../x%2fy/good?b=2&a=%20",
+                   "as-sent", extra, "the body");
+  CU_ASSERT_EQUAL (status_of (answer), 200);
+  arrival = gw_arrival (&world, "as-sent");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (arrival);
+  CU_ASSERT_STRING_EQUAL (arrival->first,
+                          "POST /a/free/%7e/../x%2fy/good?b=2&a=%20 HTTP/1.1");
+  CU_ASSERT_STRING_EQUAL (arrival->body->str, "the body");
+  CU_ASSERT_TRUE (has_line (arrival->head, "X-Model: m"));
+  CU_ASSERT_TRUE (has_line (arrival->head, "X-Token-Counts: 100,20"));
+  CU_ASSERT_TRUE (has_line (arrival->head, "X-Prompt-Prefix: a:60,b:40"));
+  CU_ASSERT_TRUE (has_line (arrival->head, "X-Tenant: " WORLD_ACCOUNT));
+  CU_ASSERT_TRUE (has_line (arrival->head, "X-Expect-Instance: i-0"));
+  CU_ASSERT_PTR_NULL (strstr (arrival->head, "forged"));
+  CU_ASSERT_PTR_NULL (strstr (arrival->head, WORLD_KEY));
+  CU_ASSERT_PTR_NULL (strstr (arrival->head, "X-Kv-"));
+  CU_ASSERT_PTR_NULL (strstr (arrival->head, "Kv-From"));
+  CU_ASSERT_PTR_NULL (strstr (arrival->head, "X-Pin-Ms"));
+  left = header_of (arrival->head, "X-Deadline-Ms");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (left);
+  CU_ASSERT (strtol (left, NULL, 10) > 1000
+             && strtol (left, NULL, 10) <= 2500);
+  g_free (left);
+  g_free (answer);
+  end_world ();
+}
+
+static void
+a_body_in_chunks_arrives_whole (void)
+{
+  raw_conn_t conn;
+  GString *answer;
+  const arrival_t *arrival;
+
+  start_one (1);
+  CU_ASSERT_TRUE_FATAL (gw_connect (&conn, &world, 0));
+  gw_send (&conn, "POST", "/a/never/good", "chunks",
+           "Transfer-Encoding: chunked\r\n", NULL);
+  raw_printf (&conn, "3\r\nabc\r\n");
+  g_usleep (30000);
+  raw_printf (&conn, "4\r\ndefg\r\n0\r\n\r\n");
+  answer = raw_read_all (&conn, 2 * ONE_SECOND, "\r\n\r\nchunks");
+  CU_ASSERT_EQUAL (status_of (answer->str), 200);
+  arrival = gw_arrival (&world, "chunks");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (arrival);
+  CU_ASSERT_STRING_EQUAL (arrival->body->str, "abcdefg");
+  g_string_free (answer, TRUE);
+  raw_close (&conn);
+  end_world ();
+}
+
+/* Requests whose end two parties could see at different places, or that are
+   not proper: nothing of them reaches a replica.  */
+static const struct
+{
+  const char *text;
+  unsigned status;
+} bad_rows[] = {
+  { "POST /a/never/good HTTP/1.1\r\nHost: caller.example\r\n"
+    "X-Attempt-Id: bad\r\nX-Api-Key: " WORLD_KEY "\r\nContent-Length: 5\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /a/never/good HTTP/1.1"
+    "\r\nHost: caller.example\r\nX-Attempt-Id: bad\r\n\r\n",
+    400 },
+  { "POST /a/never/good HTTP/1.1\r\nHost: caller.example\r\n"
+    "X-Attempt-Id: bad\r\nX-Api-Key: " WORLD_KEY "\r\nContent-Length: 1\r\n"
+    "Content-Length: 2\r\n\r\nxy",
+    400 },
+  { "POST /a/never/good HTTP/1.1\r\nHost: caller.example\r\n"
+    "X-Attempt-Id: bad\r\nX-Api-Key: " WORLD_KEY "\r\n"
+    "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    400 },
+  { "POST /a/never/good HTTP/1.1\r\nHost: caller.example\r\n"
+    "X-Attempt-Id: bad\r\nX-Api-Key: " WORLD_KEY "\r\n"
+    "Content-Length : 3\r\nContent-Length: 0\r\n\r\nabc",
+    400 },
+  { "POST /a/never/good HTTP/1.1\r\nHost: caller.example\r\n"
+    "X-Api-Key: " WORLD_KEY "\r\nContent-Length: 0\r\n\r\n",
+    400 },
+  { "POST /a/never/good HTTP/1.1\r\nHost: caller.example\r\n"
+    "X-Attempt-Id: bad\r\nX-Api-Key: wrong\r\nContent-Length: 0\r\n\r\n",
+    401 },
+  { "POST /b/never/good HTTP/1.1\r\nHost: caller.example\r\n"
+    "X-Attempt-Id: bad\r\nX-Api-Key: " WORLD_KEY
+    "\r\nContent-Length: 0\r\n\r\n",
+    404 },
+  { "POST /a/never/good HTTP/1.1\r\nHost: other.example\r\n"
+    "X-Attempt-Id: bad\r\nX-Api-Key: " WORLD_KEY
+    "\r\nContent-Length: 0\r\n\r\n",
+    404 },
+  { "POST /a/never/good HTTP/1.1\r\nHost: caller.example\r\n"
+    "X-Attempt-Id: bad\r\nX-Api-Key: " WORLD_KEY
+    "\r\nContent-Length: 99999999\r\n\r\n",
+    413 },
+};
+
+static void
+improper_requests_reach_no_replica (void)
+{
+
+  start_one (1);
+  for (size_t i = 0; i < G_N_ELEMENTS (bad_rows); i++)
+    {
+      raw_conn_t conn;
+      GString *answer;
+
+      CU_ASSERT_TRUE_FATAL (gw_connect (&conn, &world, 0));
+      raw_printf (&conn, "%s", bad_rows[i].text);
+      answer = raw_read_all (&conn, ONE_SECOND, NULL);
+      if (status_of (answer->str) != bad_rows[i].status)
+        printf ("\n  row %zu: %s\n", i, answer->str);
+      CU_ASSERT_EQUAL (status_of (answer->str), bad_rows[i].status);
+      CU_ASSERT_EQUAL (gw_arrivals (&world, "bad"), 0);
+      g_string_free (answer, TRUE);
+      raw_close (&conn);
+    }
+  end_world ();
+}
+
+/* The answer must reach a sender that goes on sending what is too much.  */
+static void
+a_body_above_the_limit_is_told_so (void)
+{
+  static char block[4096];
+  raw_conn_t conn;
+  GString *answer;
+
+  memset (block, 'x', sizeof block);
+  start_one (1);
+  CU_ASSERT_TRUE_FATAL (gw_connect (&conn, &world, 0));
+  gw_send (&conn, "POST", "/a/never/good", "large",
+           "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n", NULL);
+  for (unsigned i = 0; i < 100; i++)
+    {
+      raw_printf (&conn, "%zx\r\n", sizeof block);
+      raw_send (&conn, block, sizeof block);
+      raw_printf (&conn, "\r\n");
+    }
+  raw_printf (&conn, "0\r\n\r\n");
+  answer = raw_read_all (&conn, 2 * ONE_SECOND, "HTTP/1.1 413");
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer->str, "HTTP/1.1 413"));
+  CU_ASSERT_EQUAL (gw_arrivals (&world, "large"), 0);
+  g_string_free (answer, TRUE);
+  raw_close (&conn);
+  end_world ();
+}
+
+static bool
+is_whole_stream (const char *text, unsigned last)
+{
+  const char *at = text;
+
+  for (unsigned i = 1; i <= last; i++)
+    {
+      char *event = g_strdup_printf ("id: %u\ndata: event %u\n\n", i, i);
+
+      at = strstr (at, event);
+      g_free (event);
+      if (at == NULL)
+        return false;
+      at++;
+    }
+  return strstr (at, "\r\n0\r\n\r\n") != NULL;
+}
+
+static void
+events_are_passed_on_as_they_come (void)
+{
+  raw_conn_t conn;
+  GString *first;
+  GString *rest;
+
+  start_one (1);
+  CU_ASSERT_TRUE_FATAL (gw_connect (&conn, &world, 0));
+  gw_send (&conn, "POST", "/a/stream/once/good", "events", "", "x");
+  /* The replica makes the second event after the first was due.  */
+  first = raw_read_all (&conn, 2 * ONE_SECOND, "id: 1");
+  CU_ASSERT_PTR_NOT_NULL (strstr (first->str, "id: 1"));
+  CU_ASSERT_PTR_NULL (strstr (first->str, "id: 3"));
+  rest = raw_read_all (&conn, 2 * ONE_SECOND, "\r\n0\r\n\r\n");
+  g_string_append (first, rest->str);
+  CU_ASSERT_TRUE (is_whole_stream (first->str, 6));
+  g_string_free (first, TRUE);
+  g_string_free (rest, TRUE);
+  raw_close (&conn);
+  end_world ();
+}
+
+static void
+a_torn_stream_does_not_look_whole (void)
+{
+  char *answer;
+
+  start_one (2);
+  answer = gw_ask (&world, 0, "POST", "/a/stream/once/torn", "torn", "", "x");
+  CU_ASSERT_EQUAL (status_of (answer), 200);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "data: event 3\n\n"));
+  CU_ASSERT_PTR_NULL (strstr (answer, "id: 4"));
+  CU_ASSERT_PTR_NULL (strstr (answer, "\r\n0\r\n\r\n"));
+  CU_ASSERT_EQUAL (gw_arrivals (&world, "torn"), 1);
+  g_free (answer);
+  end_world ();
+}
+
+static void
+a_resumable_stream_goes_on_without_gap_or_doubling (void)
+{
+  char *answer;
+
+  start_one (2);
+  answer = gw_ask (&world, 0, "POST", "/a/stream/resume/torn-once", "resumed",
+                   "", "x");
+  CU_ASSERT_EQUAL (status_of (answer), 200);
+  CU_ASSERT_TRUE (is_whole_stream (answer, 6));
+  CU_ASSERT_EQUAL (gw_arrivals (&world, "resumed"), 2);
+  CU_ASSERT_PTR_NULL (strstr (strstr (answer, "id: 4") + 1, "id: 4"));
+  g_free (answer);
+  end_world ();
+}
+
+/* libcurl would send a request again when a kept connection turns out to be
+   dead.  */
+static void
+a_request_leaves_once_on_a_dead_connection (void)
+{
+  char *answer;
+
+  start_one (1);
+  for (unsigned i = 0; i < 5; i++)
+    {
+      char *id = g_strdup_printf ("dead-%u", i);
+
+      answer = gw_ask (&world, 0, "POST", "/a/never/good", "warm", "", "x");
+      CU_ASSERT_EQUAL (status_of (answer), 200);
+      g_free (answer);
+      answer = gw_ask (&world, 0, "POST", "/a/never/die", id, "", "x");
+      CU_ASSERT_EQUAL (status_of (answer), 502);
+      CU_ASSERT_EQUAL (gw_arrivals (&world, id), 1);
+      g_free (answer);
+      g_free (id);
+    }
+  end_world ();
+}
+
+static void
+a_late_second_answer_reaches_nobody (void)
+{
+
+  start_one (1);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      char *id = g_strdup_printf ("late-%u", i);
+      char *answer
+          = gw_ask (&world, 0, "POST", "/a/free/late-extra", id, "", "x");
+
+      CU_ASSERT_TRUE (status_of (answer) != 200
+                      || g_str_has_suffix (answer, id));
+      CU_ASSERT_PTR_NULL (strstr (answer, "extra"));
+      g_usleep (i % 4 * 30000);
+      g_free (answer);
+      g_free (id);
+    }
+  end_world ();
+}
+
+static void
+work_ends_when_the_caller_leaves (void)
+{
+  const arrival_t *arrival = NULL;
+  raw_conn_t conn;
+  gs_time_t closed_at;
+
+  start_one (1);
+  CU_ASSERT_TRUE_FATAL (gw_connect (&conn, &world, 0));
+  gw_send (&conn, "POST", "/a/free/hang", "gone", "", "x");
+  for (unsigned i = 0; i < 100 && arrival == NULL; i++)
+    {
+      g_usleep (10000);
+      arrival = gw_arrival (&world, "gone");
+    }
+  CU_ASSERT_PTR_NOT_NULL_FATAL (arrival);
+  closed_at = gs_clock_now ();
+  raw_close (&conn);
+  g_usleep (GONE_BOUND);
+  CU_ASSERT (arrival->closed_at != 0
+             && arrival->closed_at <= closed_at + GONE_BOUND);
+  end_world ();
+}
+
+static void
+an_answer_comes_at_the_routes_timeout (void)
+{
+  gs_time_t begin = gs_clock_now ();
+  char *answer;
+
+  start_one (1);
+  begin = gs_clock_now ();
+  answer = gw_ask (&world, 0, "POST", "/a/never/hang", "slow", "", "x");
+  CU_ASSERT_EQUAL (status_of (answer), 504);
+  CU_ASSERT (gs_clock_now () - begin < 3 * ONE_SECOND);
+  g_free (answer);
+  end_world ();
+}
+
+static void
+a_node_without_configuration_refuses_and_is_not_ready (void)
+{
+  char *answer;
+
+  start_world (1);
+  gw_start (&world, 0, false);
+  g_usleep (ONE_SECOND);
+  CU_ASSERT_FALSE (gw_is_ready (&world, 0));
+  answer = gw_ask (&world, 0, "POST", "/a/never/good", "early", "", "x");
+  CU_ASSERT_EQUAL (status_of (answer), 503);
+  g_free (answer);
+  gw_configure (&world, 1, "/a/", WORLD_KEY);
+  g_usleep (CONFIG_BOUND);
+  CU_ASSERT_TRUE (gw_is_ready (&world, 0));
+  answer = gw_ask (&world, 0, "POST", "/a/never/good", "then", "", "x");
+  CU_ASSERT_EQUAL (status_of (answer), 200);
+  g_free (answer);
+  end_world ();
+}
+
+/* How the store behaves before and while a configuration is written, and
+   where the second node has to get it from.  */
+static const struct
+{
+  const char *name;
+  store_mode_t at_second; /* the store as the second node finds it */
+  bool compacted;
+} config_rows[] = {
+  { "watch", STORE_GOOD, false },
+  { "history is gone", STORE_GOOD, true },
+  { "store refuses the node", STORE_REFUSES, false },
+  { "store resets the node", STORE_RESETS, false },
+  { "store is silent to the node", STORE_SILENT, false },
+};
+
+static void
+each_node_has_a_configuration_within_its_bound (void)
+{
+  char *answer;
+
+  start_one (1);
+  gw_start (&world, 1, true);
+  for (unsigned i = 0; i < G_N_ELEMENTS (config_rows); i++)
+    {
+      char *prefix = g_strdup_printf ("/v%u/", i);
+      char *target = g_strdup_printf ("%snever/good", prefix);
+
+      gw_set_store_of (&world, 1, config_rows[i].at_second);
+      g_usleep (ONE_SECOND);
+      gw_configure (&world, i + 2, prefix, WORLD_KEY);
+      if (config_rows[i].compacted)
+        gw_compact (&world);
+      g_usleep (CONFIG_BOUND);
+      for (unsigned node = 0; node < 2; node++)
+        {
+          answer = gw_ask (&world, node, "POST", target, config_rows[i].name,
+                           "", "x");
+          if (status_of (answer) != 200)
+            printf ("\n  %s, node %u: %s\n", config_rows[i].name, node,
+                    answer);
+          CU_ASSERT_EQUAL (status_of (answer), 200);
+          g_free (answer);
+        }
+      gw_set_store_of (&world, 1, STORE_GOOD);
+      g_free (target);
+      g_free (prefix);
+    }
+  end_world ();
+}
+
+static void
+a_node_that_starts_without_the_store_learns_from_a_peer (void)
+{
+  char *answer;
+
+  start_one (1);
+  gw_set_store (&world, STORE_RESETS);
+  gw_start (&world, 1, true);
+  answer = gw_ask (&world, 1, "POST", "/a/never/good", "peer", "", "x");
+  CU_ASSERT_EQUAL (status_of (answer), 200);
+  g_free (answer);
+  end_world ();
+}
+
+static void
+a_draining_replica_gets_nothing_new (void)
+{
+
+  start_one (2);
+  gw_list_replica (&world, 0, "draining");
+  g_usleep (CONFIG_BOUND / 4);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      char *id = g_strdup_printf ("drained-%u", i);
+      char *answer = gw_ask (&world, 0, "POST", "/a/never/good", id, "", "x");
+
+      CU_ASSERT_EQUAL (status_of (answer), 200);
+      CU_ASSERT_EQUAL (gw_arrival (&world, id)->replica, 1);
+      g_free (answer);
+      g_free (id);
+    }
+  end_world ();
+}
+
+/* Entries that lapsed with the store's absence come back soon after.  */
+static void
+replicas_whose_entries_lapsed_are_used_on_for_a_while (void)
+{
+  char *answer;
+
+  start_one (1);
+  gw_set_store (&world, STORE_RESETS);
+  g_usleep (ONE_SECOND);
+  gw_remove (&world, "servers", "i-0");
+  gw_set_store (&world, STORE_GOOD);
+  g_usleep (ONE_SECOND);
+  answer = gw_ask (&world, 0, "POST", "/a/never/good", "lapsed", "", "x");
+  CU_ASSERT_EQUAL (status_of (answer), 200);
+  g_free (answer);
+  g_usleep (2 * ONE_SECOND);
+  answer = gw_ask (&world, 0, "POST", "/a/never/good", "missing", "", "x");
+  CU_ASSERT_EQUAL (status_of (answer), 503);
+  g_free (answer);
+  end_world ();
+}
+
+static void
+unreadable_entries_name_no_replica (void)
+{
+  char *answer;
+
+  start_one (1);
+  gw_put (&world, "servers", "i-odd",
+          json_pack ("{s:s, s:i, s:s}", "service", "pool", "address", 5,
+                     "state", "ready"));
+  gw_put (&world, "servers", "i-text", json_string ("???"));
+  gw_put (&world, "servers", "i-0", json_null ());
+  g_usleep (CONFIG_BOUND / 4);
+  answer = gw_ask (&world, 0, "POST", "/a/never/good", "odd", "", "x");
+  CU_ASSERT_EQUAL (status_of (answer), 503);
+  g_free (answer);
+  gw_list_replica (&world, 0, "ready");
+  g_usleep (CONFIG_BOUND / 4);
+  answer = gw_ask (&world, 0, "POST", "/a/never/good", "even", "", "x");
+  CU_ASSERT_EQUAL (status_of (answer), 200);
+  g_free (answer);
+  end_world ();
+}
+
+static void
+a_node_told_to_end_finishes_what_is_open (void)
+{
+  raw_conn_t conn;
+  GString *answer;
+
+  start_one (1);
+  CU_ASSERT_TRUE_FATAL (gw_connect (&conn, &world, 0));
+  gw_send (&conn, "POST", "/a/stream/once/good", "open", "", "x");
+  g_usleep (100000);
+  gw_signal (&world, 0, SIGTERM);
+  g_usleep (100000);
+  CU_ASSERT_FALSE (gw_is_ready (&world, 0));
+  answer = raw_read_all (&conn, 2 * ONE_SECOND, "\r\n0\r\n\r\n");
+  CU_ASSERT_TRUE (is_whole_stream (answer->str, 6));
+  CU_ASSERT_TRUE (gw_wait_end (&world, 0, gs_clock_now () + 8 * ONE_SECOND));
+  g_string_free (answer, TRUE);
+  raw_close (&conn);
+  end_world ();
+}
+
+static void
+usage_is_reported_once_for_each_window (void)
+{
+  unsigned sum = 0;
+  json_int_t last = 0;
+  size_t i;
+  json_t *report;
+
+  start_one (1);
+  gw_start (&world, 1, true);
+  for (unsigned j = 0; j < 20; j++)
+    {
+      char *id = g_strdup_printf ("used-%u", j);
+
+      g_free (gw_ask (&world, j % 2, "POST", "/a/never/good", id, "", "x"));
+      g_free (id);
+    }
+  g_usleep (5 * ONE_SECOND);
+  /* The holder is lost; its successor reports no window again with other
+     counts.  */
+  gw_signal (&world, 0, SIGKILL);
+  g_usleep (3 * ONE_SECOND);
+  pthread_mutex_lock (&world.lock);
+  json_array_foreach (world.usage, i, report)
+  {
+    json_int_t window
+        = json_integer_value (json_object_get (report, "window_id"));
+
+    CU_ASSERT (window >= last);
+    if (window > last)
+      sum += (unsigned)json_integer_value (
+          json_object_get (json_object_get (report, "counts"), WORLD_ACCOUNT));
+    last = window;
+  }
+  CU_ASSERT_EQUAL (sum, 20);
+  CU_ASSERT (json_array_size (world.usage) > 3);
+  pthread_mutex_unlock (&world.lock);
+  end_world ();
+}
+
+static const check_case_t cases[] = {
+  { "callers get whole answers or true refusals",
+    callers_get_whole_answers_or_true_refusals },
+  { "a refusal says when to come back", a_refusal_says_when_to_come_back },
+  { "requests arrive as they were sent", requests_arrive_as_they_were_sent },
+  { "a body in chunks arrives whole", a_body_in_chunks_arrives_whole },
+  { "improper requests reach no replica", improper_requests_reach_no_replica },
+  { "a body above the limit is told so", a_body_above_the_limit_is_told_so },
+  { "events are passed on as they come", events_are_passed_on_as_they_come },
+  { "a torn stream does not look whole", a_torn_stream_does_not_look_whole },
+  { "a resumable stream goes on without gap or doubling",
+    a_resumable_stream_goes_on_without_gap_or_doubling },
+  { "a request leaves once on a dead connection",
+    a_request_leaves_once_on_a_dead_connection },
+  { "a late second answer reaches nobody",
+    a_late_second_answer_reaches_nobody },
+  { "work ends when the caller leaves", work_ends_when_the_caller_leaves },
+  { "an answer comes at the route's timeout",
+    an_answer_comes_at_the_routes_timeout },
+  { "a node without configuration refuses and is not ready",
+    a_node_without_configuration_refuses_and_is_not_ready },
+  { "each node has a configuration within its bound",
+    each_node_has_a_configuration_within_its_bound },
+  { "a node that starts without the store learns from a peer",
+    a_node_that_starts_without_the_store_learns_from_a_peer },
+  { "a draining replica gets nothing new",
+    a_draining_replica_gets_nothing_new },
+  { "replicas whose entries lapsed are used on for a while",
+    replicas_whose_entries_lapsed_are_used_on_for_a_while },
+  { "unreadable entries name no replica", unreadable_entries_name_no_replica },
+  { "a node told to end finishes what is open",
+    a_node_told_to_end_finishes_what_is_open },
+  { "usage is reported once for each window",
+    usage_is_reported_once_for_each_window },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("process_gateway", cases);
+}
