roster: a replica missing after the store's return is gone two seconds after it

Cause: found by a table of times: an entry whose lapse was learned late was used up to two seconds from then, not from the store's return.

--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -120,7 +120,9 @@
     return;
   row->gone_at = now;
   if (row->replica.state == GS_REPLICA_READY && may_have_lapsed (roster, now))
-    row->gone_at = MIN (MAX (now, roster->back_at) + ROSTER_RETURN_WAIT,
+    row->gone_at = MIN (roster->lost_at != 0
+                            ? GS_TIME_NEVER
+                            : roster->back_at + ROSTER_RETURN_WAIT,
                         now + roster->drain - ROSTER_DRAIN_MARGIN);
   gs_log (GS_LOG_INFO, "replica",
           "id=%s service=%s state=gone used_on_ms=%lld", row->replica.id,
--- /dev/null
+++ b/tests/test_events.c
@@ -0,0 +1,57 @@
+#include "check.h"
+#include "gateway/events.h"
+
+#include <string.h>
+
+static const char stream[]
+    = "id: 1\ndata: a\n\n: note\r\nid: 2\r\ndata: b\r\n\r\n"
+      "id:3\ndata: c\ndata: d\n\n";
+
+static void
+whole_events_pass_however_the_stream_is_cut (void)
+{
+  for (size_t cut = 1; cut < sizeof stream - 1; cut++)
+    {
+      events_t events;
+      GString *whole = g_string_new (NULL);
+
+      events_init (&events);
+      events_feed (&events, stream, cut, whole);
+      events_feed (&events, stream + cut, sizeof stream - 1 - cut, whole);
+      CU_ASSERT_STRING_EQUAL (whole->str, stream);
+      CU_ASSERT_EQUAL (events.last_id, 3);
+      CU_ASSERT_EQUAL (events.held->len, 0);
+      g_string_free (whole, TRUE);
+      events_clear (&events);
+    }
+}
+
+static void
+a_piece_of_an_event_is_held_back (void)
+{
+  events_t events;
+  GString *whole = g_string_new (NULL);
+
+  events_init (&events);
+  events_feed (&events, "id: 7\ndata: x\n\nid: 8\ndata:", 26, whole);
+  CU_ASSERT_STRING_EQUAL (whole->str, "id: 7\ndata: x\n\n");
+  CU_ASSERT_EQUAL (events.last_id, 7);
+  CU_ASSERT_EQUAL (events.count, 1);
+  events_drop_held (&events);
+  events_feed (&events, "id: 8\ndata: y\n\n", 15, whole);
+  CU_ASSERT_STRING_EQUAL (whole->str, "id: 7\ndata: x\n\nid: 8\ndata: y\n\n");
+  g_string_free (whole, TRUE);
+  events_clear (&events);
+}
+
+static const check_case_t cases[] = {
+  { "whole events pass however the stream is cut",
+    whole_events_pass_however_the_stream_is_cut },
+  { "a piece of an event is held back", a_piece_of_an_event_is_held_back },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("events", cases);
+}
--- /dev/null
+++ b/tests/test_resend_budget.c
@@ -0,0 +1,89 @@
+#include "check.h"
+#include "garnetstack/rng.h"
+#include "gateway/resend_budget.h"
+
+#include <string.h>
+
+#define WINDOW (10 * GS_SEC)
+#define NODES 5
+#define MINUTE (60 * GS_SEC)
+#define STEP (10 * GS_MSEC)
+#define STEPS (MINUTE / STEP)
+
+static const resend_bounds_t bounds
+    = { .ratio = 0.2, .slack = 56, .nodes = NODES };
+
+/* All nodes resend whatever they may; the bound holds in every window, as it
+   is stated for the whole.  */
+static void
+all_nodes_together_stay_within_the_bound_in_any_window (void)
+{
+  resend_budget_t budgets[NODES];
+  unsigned requests[STEPS] = { 0 };
+  unsigned resends[STEPS] = { 0 };
+  const size_t span = WINDOW / STEP;
+  gs_rng_t rng;
+
+  gs_rng_seed (&rng, 7);
+  for (int i = 0; i < NODES; i++)
+    resend_budget_init (&budgets[i], WINDOW);
+  for (size_t step = 0; step < STEPS; step++)
+    for (int i = 0; i < NODES; i++)
+      {
+        gs_time_t now = GS_SEC + (gs_time_t)step * STEP;
+        /* Load that comes and goes. */
+        uint64_t level = step / 700 % 2 == 0 ? 60 : 5;
+
+        if (gs_rng_below (&rng, 100) < level)
+          {
+            resend_budget_note (&budgets[i], now);
+            requests[step]++;
+          }
+        resends[step] += resend_budget_take (&budgets[i], now, &bounds);
+      }
+  for (size_t from = 0; from + span <= STEPS; from++)
+    {
+      unsigned here = 0;
+      unsigned before = 0;
+      unsigned half = 0;
+      unsigned again = 0;
+
+      for (size_t i = from; i < from + span; i++)
+        {
+          here += requests[i];
+          again += resends[i];
+          if (i >= span)
+            before += requests[i - span];
+          if (i >= span / 2)
+            half += requests[i - span / 2];
+        }
+      here = MAX (here, MAX (before, half));
+      CU_ASSERT_FATAL (again <= bounds.ratio * here + bounds.slack);
+    }
+}
+
+static void
+a_quiet_node_has_its_part_of_the_slack (void)
+{
+  resend_budget_t budget;
+  unsigned taken = 0;
+
+  resend_budget_init (&budget, WINDOW);
+  while (resend_budget_take (&budget, GS_SEC, &bounds))
+    taken++;
+  CU_ASSERT (taken > 0 && taken <= bounds.slack / NODES);
+  CU_ASSERT_TRUE (resend_budget_take (&budget, 12 * GS_SEC, &bounds));
+}
+
+static const check_case_t cases[] = {
+  { "all nodes together stay within the bound in any window",
+    all_nodes_together_stay_within_the_bound_in_any_window },
+  { "a quiet node has its part of the slack",
+    a_quiet_node_has_its_part_of_the_slack },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("resend_budget", cases);
+}
--- /dev/null
+++ b/tests/test_route_table.c
@@ -0,0 +1,99 @@
+#include "check.h"
+#include "garnetstack/route_table.h"
+
+#include <string.h>
+
+static void
+add_route (gs_route_table_t *table, const char *name, const char *host,
+           const char *prefix)
+{
+  gs_path_route_t route = { .split_count = 1 };
+
+  route.name = g_strdup (name);
+  route.host = g_strdup (host);
+  route.prefix = g_strdup (prefix);
+  CU_ASSERT_EQUAL (gs_route_table_add_route (table, &route), GS_OK);
+}
+
+static gs_route_table_t *
+make_table (void)
+{
+  gs_route_table_t *table;
+  gs_client_account_t account = { .rate = 1 };
+
+  gs_route_table_create (&table, 7, 3);
+  add_route (table, "root", "one.example", "/");
+  add_route (table, "short", "one.example", "/a/");
+  add_route (table, "long", "one.example", "/a/b/");
+  add_route (table, "other", "two.example", "/a/");
+  account.name = g_strdup ("first");
+  gs_route_table_add_account (table, &account);
+  gs_route_table_add_key (table, "k1");
+  gs_route_table_add_key (table, "k2");
+  account.name = g_strdup ("second");
+  gs_route_table_add_account (table, &account);
+  gs_route_table_add_key (table, "k3");
+  return table;
+}
+
+static const struct
+{
+  const char *host;
+  const char *target;
+  const char *route; /* NULL for none */
+} rows[] = {
+  { "one.example", "/a/b/c", "long" },
+  { "one.example", "/a/b/", "long" },
+  { "one.example", "/a/b", "short" },
+  { "one.example", "/a/bb/c", "short" },
+  { "one.example", "/a/?x=/b/", "short" },
+  { "one.example", "/ab", "root" },
+  { "ONE.example:80", "/a/x", "short" },
+  { "two.example", "/a/x", "other" },
+  { "two.example", "/b/x", NULL },
+  { "two.exampl", "/a/x", NULL },
+  { "", "/a/x", NULL },
+  { "one.example", "", NULL },
+  { "one.example", "*", NULL },
+};
+
+static void
+the_longest_prefix_of_the_host_is_chosen (void)
+{
+  gs_route_table_t *table = make_table ();
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      const gs_path_route_t *route
+          = gs_route_table_match (table, rows[i].host, rows[i].target);
+
+      CU_ASSERT_EQUAL (
+          g_strcmp0 (route != NULL ? route->name : NULL, rows[i].route), 0);
+    }
+  gs_route_table_unref (table);
+}
+
+static void
+keys_stand_for_their_accounts (void)
+{
+  gs_route_table_t *table = make_table ();
+
+  CU_ASSERT_EQUAL (gs_route_table_key (table, "k1"), 0);
+  CU_ASSERT_EQUAL (gs_route_table_key (table, "k2"), 0);
+  CU_ASSERT_EQUAL (gs_route_table_key (table, "k3"), 1);
+  CU_ASSERT_EQUAL (gs_route_table_key (table, ""), -1);
+  CU_ASSERT_EQUAL (gs_route_table_key (table, "K1"), -1);
+  gs_route_table_unref (table);
+}
+
+static const check_case_t cases[] = {
+  { "the longest prefix of the host is chosen",
+    the_longest_prefix_of_the_host_is_chosen },
+  { "keys stand for their accounts", keys_stand_for_their_accounts },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("route_table", cases);
+}
