scaler: kept replicas fill in at once, nothing is given back in a drought

Ruled out: that kept ones are not to be had either (they were, status ok). Change: kept ones by the shortage of reclaimable ones, cheapest place first; nothing is given back while a place is without; what is there counts as the need until there is a history; a table of markets in virtual time.

--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -21,7 +21,7 @@
 #define LEASE_PAUSE_PART 0.15
 #define LEASE_RETRY (150 * GS_MSEC)
 /* How often orders are thought over.  */
-#define SCALE_INTERVAL (500 * GS_MSEC)
+#define SCALE_INTERVAL (250 * GS_MSEC)
 /* Half-life of the rates that orders follow: digests come every third of a
    second, requests in clumps.  */
 #define LOAD_HALF_LIFE (1500 * GS_MSEC)
--- a/src/gateway/scaler.c
+++ b/src/gateway/scaler.c
@@ -1,6 +1,7 @@
 #include "gateway/scaler.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Part of a replica's time that reading prompts may take: the rest makes
@@ -22,15 +23,23 @@
 #define ORDER_PAUSE GS_SEC
 /* What could not be had is asked for again after this.  */
 #define REFUSED_PAUSE (2 * GS_SEC)
+/* A place counts as without reclaimable replicas until it was asked again. */
+#define DRY_TIME (3 * GS_SEC)
 /* Kept replicas that fill in are given back after so long without need.  */
 #define FILL_IN_TIME (6 * GS_SEC)
+/* Kept replicas fill in for the highest need of so many seconds.  */
+#define SHORTAGE_SECONDS 3
+/* Part of the reclaimable replicas that must be ready before kept ones that
+   were there at first are given back.  */
+#define TAKEN_OVER_PART 0.8
 
 typedef struct
 {
   unsigned ordered; /* last wanted */
   bool known;       /* something was ordered */
   bool open;        /* an order is on its way */
-  gs_time_t due;    /* next order not before */
+  gs_time_t ordered_at;
+  gs_time_t due; /* next order not before, as the last was refused */
 } sort_t;
 
 typedef struct
@@ -39,12 +48,15 @@
   double price;
   sort_t sorts[2]; /* kept, spot */
   unsigned ready[2];
+  unsigned kept_wanted;
+  gs_time_t dry_until; /* no reclaimable ones were to be had lately */
 } place_t;
 
 typedef struct
 {
   double needs[NEED_SECONDS]; /* highest by second */
   int64_t second;             /* of the last need */
+  bool begun;                 /* needs were noted */
   unsigned first_total;       /* replicas found at first */
   unsigned fill_in;           /* kept replicas wanted while short */
   gs_time_t fill_in_until;
@@ -142,78 +154,158 @@
 {
   double reading = load->missing_tokens_per_sec
                    / (MAX (load->read_speed, 1.0) * 1000.0) / READ_PART;
-  double running = (load->in_flight + load->waiting)
-                   / MAX (service->slots, 1) / RUN_PART;
+  double running
+      = (load->in_flight + load->waiting) / MAX (service->slots, 1) / RUN_PART;
 
   return MAX (MAX (reading, running), 1.0);
 }
 
-static double
-note_need (plan_t *plan, gs_time_t now, double need)
+/* Before there is a history, what is there counts as what was needed: a new
+   holder of the duty takes nothing away that the load may need.  */
+static void
+note_need (plan_t *plan, gs_time_t now, double need, unsigned ready)
 {
   int64_t second = now / GS_SEC;
-  double highest = 0;
 
-  for (int64_t i = plan->second + 1; i <= second; i++)
-    if (i > second - NEED_SECONDS)
-      plan->needs[i % NEED_SECONDS] = 0;
+  if (!plan->begun)
+    {
+      for (int i = 0; i < NEED_SECONDS; i++)
+        plan->needs[i] = ready / SPOT_SPREAD;
+      plan->begun = true;
+      plan->second = second;
+    }
+  for (int64_t i = MAX (plan->second + 1, second - NEED_SECONDS + 1);
+       i <= second; i++)
+    plan->needs[i % NEED_SECONDS] = 0;
   plan->second = second;
   plan->needs[second % NEED_SECONDS]
       = MAX (plan->needs[second % NEED_SECONDS], need);
-  for (int i = 0; i < NEED_SECONDS; i++)
-    highest = MAX (highest, plan->needs[i]);
+}
+
+static double
+highest_need (const plan_t *plan, int seconds)
+{
+  double highest = 0;
+
+  for (int i = 0; i < seconds; i++)
+    highest = MAX (highest, plan->needs[(plan->second - i) % NEED_SECONDS]);
   return highest;
 }
 
-/* While the replicas there are fewer than the load needs now, kept ones fill
-   in, whatever else was ordered: reclaimable ones may not be to be had.  */
+/* When reclaimable replicas are fewer than the load needs, kept ones fill in:
+   they can be had when reclaimable ones can't.  */
 static void
-note_shortage (plan_t *plan, gs_time_t now, unsigned ready, unsigned kept,
-               double need)
+note_shortage (plan_t *plan, gs_time_t now, unsigned spot_ready)
 {
-  if ((double)ready < need)
+  double missing = highest_need (plan, SHORTAGE_SECONDS) - spot_ready;
+
+  if (missing > 0 && (unsigned)ceil (missing) >= plan->fill_in)
     {
-      plan->fill_in
-          = MAX (plan->fill_in, kept + (unsigned)ceil (need - ready));
+      plan->fill_in = (unsigned)ceil (missing);
       plan->fill_in_until = now + FILL_IN_TIME;
     }
   else if (now >= plan->fill_in_until)
-    plan->fill_in = 0;
+    plan->fill_in = missing > 0 ? (unsigned)ceil (missing) : 0;
 }
 
+static bool
+is_dry (const place_t *place, gs_time_t now)
+{
+  return now < place->dry_until;
+}
+
+/* Reclaimable replicas wanted at a place.  What can't be had at some places
+   is asked for at the others, and nothing is given back meanwhile.  */
 static unsigned
-spot_per_place (const plan_t *plan, const gs_scale_limits_t *limits,
-                const scaler_load_t *load, double need)
+spot_at (const plan_t *plan, const place_t *place, gs_time_t now,
+         const gs_scale_limits_t *limits, double total)
 {
-  double total = load->seen ? need * SPOT_SPREAD : plan->first_total;
+  unsigned open_places = 0;
+  unsigned room = limits->most - MIN (limits->most, place->ready[0]);
+  unsigned wanted;
+  double elsewhere = 0;
 
-  return CLAMP ((unsigned)ceil (total / plan->place_count),
-                MAX (limits->least, 1), limits->most);
+  for (unsigned i = 0; i < plan->place_count; i++)
+    if (is_dry (&plan->places[i], now))
+      elsewhere += plan->places[i].ready[1];
+    else
+      open_places++;
+  if (is_dry (place, now))
+    wanted = (unsigned)ceil (total / plan->place_count);
+  else
+    wanted = (unsigned)ceil (MAX (total - elsewhere, 0) / open_places);
+  if (open_places < plan->place_count)
+    wanted = MAX (wanted, place->ready[1]);
+  return MIN (MAX (wanted, MAX (limits->least, 1)), room);
 }
 
-/* @return kept replicas wanted at a place: those that fill in, dealt evenly,
-   or all that are there until reclaimable ones have taken over  */
-static unsigned
-kept_at (const plan_t *plan, unsigned index, unsigned spot_ready,
-         unsigned spot_wanted, const gs_scale_limits_t *limits)
+static int
+compare_price (gconstpointer a, gconstpointer b)
+{
+  const place_t *left = *(place_t *const *)a;
+  const place_t *right = *(place_t *const *)b;
+
+  return left->price < right->price   ? -1
+         : left->price > right->price ? 1
+                                      : strcmp (left->name, right->name);
+}
+
+/* Deal the kept replicas that fill in one by one, the cheapest place first. */
+static void
+deal_kept (plan_t *plan, const gs_scale_limits_t *limits)
 {
-  unsigned count = plan->place_count;
-  unsigned dealt = plan->fill_in / count + (index < plan->fill_in % count);
+  place_t *by_price[SCALER_PLACES_MAX];
+  unsigned left = plan->fill_in;
+  bool dealt = true;
 
-  if (plan->fill_in == 0 && spot_ready * 10 < spot_wanted * 8)
-    dealt = plan->places[index].ready[0];
-  return MIN (dealt, limits->most - MIN (limits->most,
-                                         spot_wanted / count));
+  for (unsigned i = 0; i < plan->place_count; i++)
+    {
+      by_price[i] = &plan->places[i];
+      by_price[i]->kept_wanted = 0;
+    }
+  qsort (by_price, plan->place_count, sizeof *by_price, compare_price);
+  while (left > 0 && dealt)
+    {
+      dealt = false;
+      for (unsigned i = 0; i < plan->place_count && left > 0; i++)
+        if (by_price[i]->kept_wanted + by_price[i]->ready[1] < limits->most)
+          {
+            by_price[i]->kept_wanted++;
+            left--;
+            dealt = true;
+          }
+    }
 }
 
+/* Kept ones that were there at first stay until reclaimable ones have taken
+   over.  */
+static void
+plan_kept (plan_t *plan, const gs_scale_limits_t *limits, unsigned spot_ready,
+           double spot_total)
+{
+  deal_kept (plan, limits);
+  if ((double)spot_ready
+      >= TAKEN_OVER_PART * MIN (spot_total, plan->first_total))
+    return;
+  for (unsigned i = 0; i < plan->place_count; i++)
+    if (!plan->places[i].sorts[0].known)
+      plan->places[i].kept_wanted
+          = MAX (plan->places[i].kept_wanted, plan->places[i].ready[0]);
+}
+
+/* What changes is ordered soon; what shows no effect is ordered again only
+   after a replica would have started.  */
 static bool
-is_due (const sort_t *sort, gs_time_t now, unsigned wanted, unsigned ready)
+is_due (const sort_t *sort, gs_time_t now, unsigned wanted, unsigned ready,
+        gs_time_t boot)
 {
   if (sort->open || now < sort->due)
     return false;
   if (!sort->known)
     return wanted != ready;
-  return wanted != sort->ordered || ready != wanted;
+  if (wanted != sort->ordered)
+    return now >= sort->ordered_at + ORDER_PAUSE;
+  return ready != wanted && now >= sort->ordered_at + boot + EFFECT_TIME;
 }
 
 static bool
@@ -223,17 +315,14 @@
 {
   sort_t *sort = &place->sorts[spot];
 
-  if (!is_due (sort, now, wanted, place->ready[spot]))
+  if (!is_due (sort, now, wanted, place->ready[spot], service->scale.boot))
     return false;
-  *out = (scaler_order_t){ .spot = spot, .wanted = wanted,
-                           .there = place->ready[spot], .need = need };
+  *out = (scaler_order_t){
+    .spot = spot, .wanted = wanted, .there = place->ready[spot], .need = need
+  };
   g_strlcpy (out->service, service->name, sizeof out->service);
   g_strlcpy (out->data_centre, place->name, sizeof out->data_centre);
-  /* What changes is ordered soon; what shows no effect only after a while. */
-  sort->due = now
-              + (sort->known && sort->ordered == wanted
-                     ? service->scale.boot + EFFECT_TIME
-                     : ORDER_PAUSE);
+  sort->ordered_at = now;
   sort->known = true;
   sort->open = true;
   sort->ordered = wanted;
@@ -249,11 +338,9 @@
   plan_t *plan = g_hash_table_lookup (scaler->plans, service->name);
   unsigned ready;
   unsigned spot_ready = 0;
-  unsigned kept_ready = 0;
-  unsigned spot;
   unsigned count = 0;
   double need;
-  double highest;
+  double total;
 
   if (!limits->present || limits->most == 0)
     return 0;
@@ -266,26 +353,28 @@
   if (plan->place_count == 0)
     return 0;
   ready = count_ready (plan, service->name, replicas);
-  plan->first_total = MAX (plan->first_total, ready);
+  if (plan->first_total == 0)
+    plan->first_total = ready;
   for (unsigned i = 0; i < plan->place_count; i++)
-    {
-      kept_ready += plan->places[i].ready[0];
-      spot_ready += plan->places[i].ready[1];
-    }
+    spot_ready += plan->places[i].ready[1];
   need = need_of (service, load);
-  highest = note_need (plan, now, need);
   if (load->seen)
-    note_shortage (plan, now, ready, kept_ready, need);
-  spot = spot_per_place (plan, limits, load, highest);
+    {
+      note_need (plan, now, need, ready);
+      note_shortage (plan, now, spot_ready);
+    }
+  total = load->seen ? highest_need (plan, NEED_SECONDS) * SPOT_SPREAD
+                     : plan->first_total;
+  plan_kept (plan, limits, spot_ready, total);
   for (unsigned i = 0; i < plan->place_count && count + 2 <= max; i++)
     {
       place_t *place = &plan->places[i];
-      unsigned kept
-          = kept_at (plan, i, spot_ready, spot * plan->place_count, limits);
 
-      if (add_order (&out[count], service, place, true, spot, now, need))
+      if (add_order (&out[count], service, place, true,
+                     spot_at (plan, place, now, limits, total), now, need))
         count++;
-      if (add_order (&out[count], service, place, false, kept, now, need))
+      if (add_order (&out[count], service, place, false, place->kept_wanted,
+                     now, need))
         count++;
     }
   return count;
@@ -296,13 +385,14 @@
                 gs_status_t status)
 {
   plan_t *plan = g_hash_table_lookup (scaler->plans, order->service);
-  place_t *place
-      = plan != NULL ? find_place (plan, order->data_centre) : NULL;
+  place_t *place = plan != NULL ? find_place (plan, order->data_centre) : NULL;
   sort_t *sort = place != NULL ? &place->sorts[order->spot] : NULL;
 
   if (sort == NULL)
     return;
   sort->open = false;
+  if (status == GS_ECONFLICT && order->spot)
+    place->dry_until = now + DRY_TIME;
   if (status == GS_OK)
     return;
   sort->known = false;
--- /dev/null
+++ b/tests/test_scaler.c
@@ -0,0 +1,271 @@
+#include "check.h"
+#include "gateway/scaler.h"
+
+#include <string.h>
+
+#define PLACES 4
+#define BOOT (4 * GS_SEC)
+#define STEP (250 * GS_MSEC)
+#define MOST 10
+#define SLOTS 32
+#define SPOT_PRICE 0.22
+#define STEPS_MAX 400
+
+static const char *const names[PLACES] = { "a", "b", "c", "d" };
+
+/* Replicas of one sort in one data centre, as the platform has them.  */
+typedef struct
+{
+  unsigned ready;
+  unsigned booting;
+  gs_time_t boots_at;
+} stock_t;
+
+typedef struct
+{
+  scaler_t *scaler;
+  gs_path_service_t service;
+  stock_t stock[PLACES][2]; /* kept, spot */
+  gs_time_t now;
+  gs_time_t dry_until;
+  double price; /* paid so far, in seconds of a kept replica */
+  unsigned orders;
+  unsigned ready_by_step[STEPS_MAX];
+  unsigned steps;
+} market_t;
+
+static void
+market_init (market_t *market, unsigned kept)
+{
+  *market = (market_t){ .now = 100 * GS_SEC };
+  scaler_create (&market->scaler);
+  market->service = (gs_path_service_t){ .name = g_strdup ("pool"),
+                                         .engine = true,
+                                         .slots = SLOTS };
+  market->service.scale = (gs_scale_limits_t){ .present = true,
+                                               .least = 1,
+                                               .most = MOST,
+                                               .boot = BOOT,
+                                               .spot_price = SPOT_PRICE };
+  market->service.scale.data_centre_prices
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  for (int i = 0; i < PLACES; i++)
+    {
+      double price = 1;
+
+      g_hash_table_insert (market->service.scale.data_centre_prices,
+                           g_strdup (names[i]),
+                           g_memdup2 (&price, sizeof price));
+      market->stock[i][0].ready = kept;
+    }
+}
+
+static void
+market_clear (market_t *market)
+{
+  scaler_destroy (market->scaler);
+  g_hash_table_unref (market->service.scale.data_centre_prices);
+  g_free (market->service.name);
+}
+
+static gs_replica_list_t *
+list_ready (const market_t *market)
+{
+  gs_replica_list_t *list
+      = g_malloc0 (sizeof *list + PLACES * 2 * MOST * 2 * sizeof *list->rows);
+
+  g_atomic_ref_count_init (&list->references);
+  for (int place = 0; place < PLACES; place++)
+    for (int spot = 0; spot < 2; spot++)
+      for (unsigned i = 0; i < market->stock[place][spot].ready; i++)
+        {
+          gs_replica_t *row = &list->rows[list->count++];
+
+          g_strlcpy (row->service, "pool", sizeof row->service);
+          g_strlcpy (row->data_centre, names[place], sizeof row->data_centre);
+          row->spot = spot;
+        }
+  return list;
+}
+
+static unsigned
+count_ready (const market_t *market)
+{
+  unsigned total = 0;
+
+  for (int place = 0; place < PLACES; place++)
+    total += market->stock[place][0].ready + market->stock[place][1].ready;
+  return total;
+}
+
+static gs_status_t
+take_order (market_t *market, const scaler_order_t *order)
+{
+  int place = 0;
+  stock_t *stock;
+
+  while (strcmp (names[place], order->data_centre) != 0)
+    place++;
+  stock = &market->stock[place][order->spot];
+  market->orders++;
+  /* Both sorts together stay within the limits.  */
+  CU_ASSERT (order->wanted <= MOST);
+  if (order->wanted <= stock->ready)
+    {
+      stock->ready = order->wanted;
+      stock->booting = 0;
+      return GS_OK;
+    }
+  if (order->spot && market->now < market->dry_until)
+    return GS_ECONFLICT;
+  if (order->wanted != stock->ready + stock->booting)
+    {
+      stock->booting = order->wanted - stock->ready;
+      stock->boots_at = market->now + BOOT;
+    }
+  return GS_OK;
+}
+
+/* Let a load run for a while. */
+static void
+run (market_t *market, gs_time_t time, double need)
+{
+  /* As many prompt tokens as keep so many replicas busy for their part. */
+  scaler_load_t load = { .missing_tokens_per_sec = need * 0.45 * 100e3,
+                         .read_speed = 100,
+                         .seen = need > 0 };
+  scaler_order_t orders[16];
+
+  for (gs_time_t end = market->now + time; market->now < end;
+       market->now += STEP)
+    {
+      gs_replica_list_t *list;
+      unsigned count;
+
+      for (int place = 0; place < PLACES; place++)
+        for (int spot = 0; spot < 2; spot++)
+          {
+            stock_t *stock = &market->stock[place][spot];
+
+            if (stock->booting > 0 && market->now >= stock->boots_at)
+              {
+                stock->ready += stock->booting;
+                stock->booting = 0;
+              }
+            market->price += (stock->ready + stock->booting)
+                             * (spot ? SPOT_PRICE : 1) * STEP / GS_SEC;
+          }
+      list = list_ready (market);
+      count = scaler_plan (market->scaler, market->now, &market->service, list,
+                           &load, orders, G_N_ELEMENTS (orders));
+      gs_replica_list_unref (list);
+      for (unsigned i = 0; i < count; i++)
+        scaler_ordered (market->scaler, market->now, &orders[i],
+                        take_order (market, &orders[i]));
+      if (market->steps < STEPS_MAX)
+        market->ready_by_step[market->steps++] = count_ready (market);
+    }
+}
+
+static void
+reclaim (market_t *market, int place, gs_time_t dry)
+{
+  market->stock[place][1].ready = 0;
+  market->stock[place][1].booting = 0;
+  market->dry_until = market->now + dry;
+}
+
+static void
+reclaimable_replicas_take_over_without_a_gap (void)
+{
+  market_t market;
+
+  market_init (&market, 4);
+  run (&market, 10 * GS_SEC, 0);
+  run (&market, 30 * GS_SEC, 6);
+  for (unsigned i = 0; i < market.steps; i++)
+    CU_ASSERT (market.ready_by_step[i] >= 6);
+  for (int place = 0; place < PLACES; place++)
+    {
+      CU_ASSERT_EQUAL (market.stock[place][0].ready, 0);
+      CU_ASSERT (market.stock[place][1].ready >= 3);
+    }
+  /* Sixteen kept ones for forty seconds would cost 640.  */
+  CU_ASSERT (market.price < 640 / 2);
+  market_clear (&market);
+}
+
+/* Each data centre in turn loses its reclaimable replicas, and there are none
+   to be had: kept ones carry the load after the time one takes to start.  */
+static void
+the_load_is_carried_while_no_reclaimable_replica_is_to_be_had (void)
+{
+  market_t market;
+
+  market_init (&market, 4);
+  run (&market, 10 * GS_SEC, 0);
+  run (&market, 15 * GS_SEC, 10);
+  for (int place = 0; place < PLACES; place++)
+    {
+      reclaim (&market, place, 14 * GS_SEC);
+      run (&market, BOOT + GS_SEC, 10);
+      CU_ASSERT (count_ready (&market) >= 10);
+    }
+  run (&market, 40 * GS_SEC, 10);
+  for (int place = 0; place < PLACES; place++)
+    {
+      CU_ASSERT_EQUAL (market.stock[place][0].ready, 0);
+      CU_ASSERT (market.stock[place][1].ready >= 4);
+    }
+  market_clear (&market);
+}
+
+static void
+a_new_holder_takes_nothing_away_at_once (void)
+{
+  market_t market;
+  unsigned before;
+
+  market_init (&market, 4);
+  run (&market, 10 * GS_SEC, 0);
+  run (&market, 15 * GS_SEC, 10);
+  before = count_ready (&market);
+  scaler_forget (market.scaler);
+  run (&market, 5 * GS_SEC, 3);
+  CU_ASSERT (count_ready (&market) >= before);
+  run (&market, 20 * GS_SEC, 3);
+  CU_ASSERT (count_ready (&market) < before);
+  market_clear (&market);
+}
+
+static void
+a_steady_load_is_not_ordered_for_again_and_again (void)
+{
+  market_t market;
+  unsigned before;
+
+  market_init (&market, 4);
+  run (&market, 10 * GS_SEC, 0);
+  run (&market, 30 * GS_SEC, 6);
+  before = market.orders;
+  run (&market, 60 * GS_SEC, 6);
+  CU_ASSERT_EQUAL (market.orders, before);
+  market_clear (&market);
+}
+
+static const check_case_t cases[] = {
+  { "reclaimable replicas take over without a gap",
+    reclaimable_replicas_take_over_without_a_gap },
+  { "the load is carried while no reclaimable replica is to be had",
+    the_load_is_carried_while_no_reclaimable_replica_is_to_be_had },
+  { "a new holder takes nothing away at once",
+    a_new_holder_takes_nothing_away_at_once },
+  { "a steady load is not ordered for again and again",
+    a_steady_load_is_not_ordered_for_again_and_again },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("scaler", cases);
+}
