--- a/include/garnetstack/deployment.h
+++ b/include/garnetstack/deployment.h
@@ -39,7 +39,7 @@
   unsigned seed_count;
   gs_endpoint_t store;
   gs_endpoint_t provider;
-  double cpu_share;          /**< part of a core */
+  double cpu_share; /**< part of a core */
   unsigned memory_mb;
   unsigned descriptors_max;
   gs_time_t drain;           /**< a leaving replica serves for so long */
--- a/include/garnetstack/log.h
+++ b/include/garnetstack/log.h
@@ -1,6 +1,8 @@
 /**
  * @file log.h
- * Structured log through log4c: one line of key=value pairs per event.
+ * Structured log through log4c: one line of key=value pairs per event, to
+ * standard output.  Writing never waits: a thread of its own hands the lines
+ * on, and a reader that is too slow costs lines, which are counted.
  */
 #ifndef GARNETSTACK_LOG_H
 #define GARNETSTACK_LOG_H
@@ -23,6 +25,9 @@
  */
 gs_status_t gs_log_open (gs_log_level_t level, const char *node);
 
+/** The same, to another descriptor, which stays the caller's. */
+gs_status_t gs_log_open_on (gs_log_level_t level, const char *node, int fd);
+
 /** Close the log. */
 void gs_log_close (void);
 
@@ -54,4 +59,14 @@
 void gs_log (gs_log_level_t level, const char *event, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
 
+/** Routine lines written in one second; those beyond are left out first, and
+    their number is a line.  Four times the requests that the largest node of
+    the known deployments takes on its heaviest day, at two lines each. */
+#define GS_LOG_ROUTINE_PER_SEC 600
+
+/** Write an event of the usual course, such as a request that was answered;
+    left out before any other when there are too many. */
+void gs_log_routine (const char *event, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
 #endif
--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -96,7 +96,7 @@
                            that one that fell silent ends */
   unsigned idle_seconds_max; /**< a connection that was idle for longer is not
                                   used again; 0 for libcurl's default */
-  size_t body_bytes_max;       /**< longest answer kept, 0 for the default */
+  size_t body_bytes_max;     /**< longest answer kept, 0 for the default */
   gs_http_line_cb_t on_line; /**< may be NULL */
   gs_http_data_cb_t on_data;
   gs_http_done_cb_t on_done; /**< called exactly once */
--- a/include/garnetstack/passing.h
+++ b/include/garnetstack/passing.h
@@ -26,10 +26,10 @@
 /** What a request says of itself. */
 typedef struct
 {
-  char id[GS_NAME_BYTES];      /**< of one attempt of a caller; "" if none */
-  char host[GS_URL_BYTES];     /**< "" if none */
-  char key[GS_URL_BYTES];      /**< of the client account; "" if none */
-  gs_time_t wait;              /**< the caller waits so long; 0 if not told */
+  char id[GS_NAME_BYTES];  /**< of one attempt of a caller; "" if none */
+  char host[GS_URL_BYTES]; /**< "" if none */
+  char key[GS_URL_BYTES];  /**< of the client account; "" if none */
+  gs_time_t wait;          /**< the caller waits so long; 0 if not told */
   bool has_token_counts;
   uint32_t prompt_tokens;
   uint32_t output_tokens_max;
@@ -43,27 +43,27 @@
 /** What a node adds when it sends a request on. */
 typedef struct
 {
-  const char *replica;    /**< id of the replica that is to run it */
-  const char *account;    /**< name of the client account; NULL for none */
-  gs_time_t deadline;     /**< the replica stops then */
-  int priority;           /**< 0 to 9, 0 first; below 0 to say none */
-  uint64_t resume_after;  /**< number of the last event that was passed on */
+  const char *replica;   /**< id of the replica that is to run it */
+  const char *account;   /**< name of the client account; NULL for none */
+  gs_time_t deadline;    /**< the replica stops then */
+  int priority;          /**< 0 to 9, 0 first; below 0 to say none */
+  uint64_t resume_after; /**< number of the last event that was passed on */
 } gs_passed_extra_t;
 
 /** The head of a replica's answer. */
 typedef struct
 {
   unsigned status;
-  bool complete;             /**< the empty line has come */
-  bool not_run;              /**< the replica says so */
-  bool sealed;               /**< the replica has signed it */
-  bool encoded;              /**< the body is not in the form asked for */
-  char id[GS_NAME_BYTES];    /**< attempt that it answers; "" if not told */
+  bool complete;          /**< the empty line has come */
+  bool not_run;           /**< the replica says so */
+  bool sealed;            /**< the replica has signed it */
+  bool encoded;           /**< the body is not in the form asked for */
+  char id[GS_NAME_BYTES]; /**< attempt that it answers; "" if not told */
   char content_type[GS_URL_BYTES];
   bool has_length;
-  unsigned keep_seconds;     /**< the connection is kept idle so long; 0 if
-                                  not told */
-  GPtrArray *headers;        /**< names and values in turn, to pass on */
+  unsigned keep_seconds; /**< the connection is kept idle so long; 0 if
+                              not told */
+  GPtrArray *headers;    /**< names and values in turn, to pass on */
 } gs_passed_head_t;
 
 void gs_passed_head_init (gs_passed_head_t *head);
--- a/include/garnetstack/replica.h
+++ b/include/garnetstack/replica.h
@@ -24,12 +24,12 @@
                                     replica is gone */
   char data_centre[GS_NAME_BYTES];
   gs_replica_state_t state;
-  bool spot;           /**< reclaimable */
-  unsigned slots;      /**< requests it runs at once */
-  int64_t born_ms;     /**< wall clock of its start; 0 if not told */
-  gs_time_t leaves_at; /**< when it ends, as far as told; else never */
+  bool spot;            /**< reclaimable */
+  unsigned slots;       /**< requests it runs at once */
+  int64_t born_ms;      /**< wall clock of its start; 0 if not told */
+  gs_time_t leaves_at;  /**< when it ends, as far as told; else never */
   gs_time_t cold_until; /**< it works more slowly before */
-  uint64_t revision;   /**< of its entry in the store */
+  uint64_t revision;    /**< of its entry in the store */
 } gs_replica_t;
 
 /** Immutable, shared between threads by a reference count. */
--- a/include/garnetstack/route_table.h
+++ b/include/garnetstack/route_table.h
@@ -123,8 +123,8 @@
 gs_route_table_limits (const gs_route_table_t *table);
 
 unsigned gs_route_table_services (const gs_route_table_t *table);
-const gs_path_service_t *
-gs_route_table_service (const gs_route_table_t *table, unsigned index);
+const gs_path_service_t *gs_route_table_service (const gs_route_table_t *table,
+                                                 unsigned index);
 
 /** @return index of a service, -1 when there is none of that name. */
 int gs_route_table_find_service (const gs_route_table_t *table,
--- a/include/garnetstack/server.h
+++ b/include/garnetstack/server.h
@@ -44,8 +44,8 @@
 #define GS_SERVER_OPTIONS_INIT                                                \
   {                                                                           \
     .address = "127.0.0.1", .threads = 1, .connections_max = 1024,            \
-    .connection_bytes = (size_t)32 << 10,                                     \
-    .body_bytes_max = (size_t)1 << 20, .bodies_bytes_max = (size_t)256 << 20, \
+    .connection_bytes = (size_t)32 << 10, .body_bytes_max = (size_t)1 << 20,  \
+    .bodies_bytes_max = (size_t)256 << 20,                                    \
     .pending_bytes_max = (size_t)4 << 20, .idle_seconds = 30,                 \
     .receive_seconds = 60                                                     \
   }
--- a/scripts/local-nodes.sh
+++ b/scripts/local-nodes.sh
@@ -48,7 +48,7 @@
     \"peer_port\":$((port + 2)),\"data_centre\":\"$dc\",
     \"region\":\"new-england\",\"state\":\"live\"}"
   "$@" build/garnetstack node --config "$work/$name.ini" \
-    2>"$work/$name.log" &
+    >"$work/$name.log" 2>&1 &
   node_pid=$!
   pids+=("$node_pid")
 }
--- a/src/cmd/cmd_explain.c
+++ b/src/cmd/cmd_explain.c
@@ -1,8 +1,11 @@
 #include "cmd/client.h"
 #include "cmd/cmd.h"
+#include "cmd/explain_log.h"
 #include "cmd/table.h"
 
+#include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 
 /* The records lie with the nodes that took the decisions, so each node is
    asked and the rows are shown in the order of time.  */
@@ -89,25 +92,73 @@
   return result;
 }
 
+static int
+explain_from_log (const char *path, const char *id)
+{
+  if (gs_explain_log (stdout, path, id) == GS_OK)
+    return GS_EXIT_OK;
+  fprintf (stderr, "garnetstack explain: %s\n", gs_error_last ());
+  return GS_EXIT_REFUSED;
+}
+
+/* Requests that a log says nothing about the end of.  */
+static int
+list_unexplained (const char *path)
+{
+  unsigned count;
+
+  if (gs_explain_unexplained (stdout, path, &count) != GS_OK)
+    {
+      fprintf (stderr, "garnetstack explain: %s\n", gs_error_last ());
+      return GS_EXIT_REFUSED;
+    }
+  printf ("unexplained=%u\n", count);
+  return count == 0 ? GS_EXIT_OK : GS_EXIT_FAILURE;
+}
+
+/* Whether the lines come from a file, so that no node is needed.  */
+static bool
+reads_log (int argc, char **argv)
+{
+  for (int i = 1; i < argc; i++)
+    if (g_str_has_prefix (argv[i], "--log") || strcmp (argv[i], "-l") == 0)
+      return true;
+  return false;
+}
+
 int
 gs_cmd_explain (int argc, char **argv)
 {
   gs_node_options_t options = { 0 };
+  char *log = NULL;
+  gboolean all = FALSE;
+  const GOptionEntry entries[]
+      = { { "log", 'l', 0, G_OPTION_ARG_FILENAME, &log,
+            "read the lines of this file instead of asking nodes", "FILE" },
+          { "unexplained", 'u', 0, G_OPTION_ARG_NONE, &all,
+            "with --log: list requests whose end has no cause there", NULL },
+          { 0 } };
   const gs_options_spec_t spec
-      = { "explain", "REQUEST-ID - show the decisions about one request", NULL,
-          &options };
+      = { "explain", "REQUEST-ID - show the decisions about one request",
+          entries, reads_log (argc, argv) ? NULL : &options };
   int result;
 
   if (gs_options_parse (&spec, &argc, &argv, &result))
     {
-      if (argc == 2)
+      if (log != NULL && all && argc == 1)
+        result = list_unexplained (log);
+      else if (argc == 2 && log != NULL && !all)
+        result = explain_from_log (log, argv[1]);
+      else if (argc == 2 && !all)
         result = explain (argv[1], &options);
       else
         {
-          fprintf (stderr, "garnetstack explain: give one request id\n");
+          fprintf (stderr, "garnetstack explain: give one request id, or"
+                           " --log and --unexplained\n");
           result = GS_EXIT_USAGE;
         }
     }
+  g_free (log);
   gs_node_options_clear (&options);
   return result;
 }
--- a/src/cmd/cmd_gateway.c
+++ b/src/cmd/cmd_gateway.c
@@ -68,13 +68,14 @@
 }
 
 static int
-run_gateway (const char *path)
+run_gateway (const char *path, int metrics_port)
 {
   gs_deployment_t settings;
   int result = GS_EXIT_FAILURE;
 
   if (gs_platform_settings_read (&settings, path, print_fault, NULL) != GS_OK)
     return GS_EXIT_REFUSED;
+  settings.metrics_port = (uint16_t)metrics_port;
   curl_global_init (CURL_GLOBAL_DEFAULT);
   if (gs_log_open (GS_LOG_INFO, settings.node) == GS_OK)
     {
@@ -91,9 +92,12 @@
 gs_cmd_gateway (int argc, char **argv)
 {
   char *path = NULL;
+  int metrics_port = 0;
   const GOptionEntry entries[]
       = { { "config", 'c', 0, G_OPTION_ARG_FILENAME, &path,
             "settings as the platform writes them", "FILE" },
+          { "metrics-port", 'm', 0, G_OPTION_ARG_INT, &metrics_port,
+            "serve metrics on this port", "PORT" },
           { 0 } };
   const gs_options_spec_t spec
       = { "gateway", "- run a node that passes callers' requests on", entries,
@@ -104,8 +108,14 @@
     {
       if (path == NULL)
         path = g_strdup (gs_platform_settings_path ());
-      if (path != NULL)
-        result = run_gateway (path);
+      if (metrics_port < 0 || metrics_port > UINT16_MAX)
+        {
+          fprintf (stderr, "garnetstack gateway: --metrics-port is not a"
+                           " port\n");
+          result = GS_EXIT_USAGE;
+        }
+      else if (path != NULL)
+        result = run_gateway (path, metrics_port);
       else
         {
           fprintf (stderr, "garnetstack gateway: --config is missing\n");
--- a/src/gateway/digest.c
+++ b/src/gateway/digest.c
@@ -155,8 +155,7 @@
   pack_limits (&out, digest->report->limits);
   pack_members (&out, digest->members);
   bytes = g_byte_array_sized_new ((guint)buffer.size);
-  g_byte_array_append (bytes, (const guint8 *)buffer.data,
-                       (guint)buffer.size);
+  g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
 }
@@ -312,8 +311,8 @@
   size_t count = 0;
 
   if (object == NULL
-      || gs_usage_decode (rows, GS_USAGE_ROWS_MAX, &count,
-                          object->via.bin.ptr, object->via.bin.size)
+      || gs_usage_decode (rows, GS_USAGE_ROWS_MAX, &count, object->via.bin.ptr,
+                          object->via.bin.size)
              != GS_OK)
     *fields->invalid = true;
   else
--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -57,11 +57,10 @@
 {
   duties_t *duties = g_new0 (duties_t, 1);
   double shortest = (double)options->deployment->lease;
-  gs_lease_times_t times
-      = { .term = (gs_time_t)(shortest * LEASE_TERM_PART),
-          .renew = (gs_time_t)(shortest * LEASE_RENEW_PART),
-          .pause = (gs_time_t)(shortest * LEASE_PAUSE_PART),
-          .retry = LEASE_RETRY };
+  gs_lease_times_t times = { .term = (gs_time_t)(shortest * LEASE_TERM_PART),
+                             .renew = (gs_time_t)(shortest * LEASE_RENEW_PART),
+                             .pause = (gs_time_t)(shortest * LEASE_PAUSE_PART),
+                             .retry = LEASE_RETRY };
 
   duties->options = *options;
   gs_lease_init (&duties->lease, options->deployment->node,
@@ -102,6 +101,12 @@
   return duties->report;
 }
 
+const gs_replica_list_t *
+duties_replicas (const duties_t *duties)
+{
+  return duties->list;
+}
+
 void
 duties_set_routes (duties_t *duties, gs_route_table_t *table)
 {
@@ -128,9 +133,9 @@
   if (result->status == GS_OK && result->count == 1)
     {
       text = json_dumps (result->objects[0].value, JSON_COMPACT);
-      readable = text != NULL
-                 && gs_lease_record_read (&record, text, strlen (text))
-                        == GS_OK;
+      readable
+          = text != NULL
+            && gs_lease_record_read (&record, text, strlen (text)) == GS_OK;
     }
   gs_lease_read_done (&duties->lease, now,
                       result->status == GS_OK && !readable ? GS_EINVAL
@@ -216,9 +221,8 @@
           = json_integer_value (json_object_get (counts, row->account));
 
       if (row->window == window)
-        json_object_set_new (
-            counts, row->account,
-            json_integer (sum + (json_int_t)row->requests));
+        json_object_set_new (counts, row->account,
+                             json_integer (sum + (json_int_t)row->requests));
     }
 }
 
@@ -299,12 +303,12 @@
   json_t *requests;
 
   json_object_foreach ((json_t *)counts, account, requests)
-    {
-      gs_usage_count_t row
-          = { account, (uint64_t)json_integer_value (requests) };
+  {
+    gs_usage_count_t row
+        = { account, (uint64_t)json_integer_value (requests) };
 
-      g_array_append_val (rows, row);
-    }
+    g_array_append_val (rows, row);
+  }
   provider->report_usage (provider->context, &duty, duties->ledger.window,
                           (const gs_usage_count_t *)(void *)rows->data,
                           rows->len, now + PROVIDER_TIME, on_usage_sent,
--- a/src/gateway/duties.h
+++ b/src/gateway/duties.h
@@ -38,6 +38,9 @@
 /** @return this node's own last report, NULL before the first. */
 const traffic_report_t *duties_report (const duties_t *duties);
 
+/** @return the replicas as last set, NULL before. */
+const gs_replica_list_t *duties_replicas (const duties_t *duties);
+
 /** Routes and replicas in force; each call takes a reference of its own. */
 void duties_set_routes (duties_t *duties, gs_route_table_t *table);
 void duties_set_replicas (duties_t *duties, gs_replica_list_t *list);
--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -38,8 +38,8 @@
   if (length > strlen (ID_FIELD)
       && strncmp (line, ID_FIELD, strlen (ID_FIELD)) == 0)
     {
-      char *value = g_strndup (line + strlen (ID_FIELD),
-                               length - strlen (ID_FIELD));
+      char *value
+          = g_strndup (line + strlen (ID_FIELD), length - strlen (ID_FIELD));
       guint64 id;
 
       if (g_ascii_string_to_unsigned (g_strstrip (value), 10, 0, INT64_MAX,
@@ -98,8 +98,8 @@
   size_t event;
 
   g_string_append_len (events->held, data, (gssize)length);
-  while ((event = whole_event (events->held->str + used,
-                               events->held->len - used))
+  while ((event
+          = whole_event (events->held->str + used, events->held->len - used))
          > 0)
     {
       note_event (events, events->held->str + used, event);
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -32,14 +32,14 @@
   char *kind;
   feed_listener_t listener;
   gs_rng_t rng;
-  GHashTable *held;  /* name -> held_t */
-  uint64_t revision; /* followed to */
+  GHashTable *held;       /* name -> held_t */
+  uint64_t revision;      /* followed to */
   uint64_t list_revision; /* of the list that is being read */
-  char *list_after;  /* name after which it goes on, NULL for its begin */
-  GHashTable *listed; /* names seen in it */
-  bool listing;      /* the next call is a list */
-  bool busy;         /* a call is open */
-  gs_time_t due;     /* of the next call */
+  char *list_after;       /* name after which it goes on, NULL for its begin */
+  GHashTable *listed;     /* names seen in it */
+  bool listing;           /* the next call is a list */
+  bool busy;              /* a call is open */
+  gs_time_t due;          /* of the next call */
   gs_time_t retry;
   gs_time_t lost_at;
 };
@@ -68,8 +68,7 @@
   gs_rng_seed (&feed->rng, seed);
   feed->held
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, held_free);
-  feed->listed
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  feed->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   *out = feed;
 }
 
@@ -97,8 +96,9 @@
               g_hash_table_size (feed->held));
       feed->listener.on_lost (feed->listener.context, now);
     }
-  feed->due = now + feed->retry / 2
-              + (gs_time_t)(gs_rng_unit (&feed->rng) * (double)feed->retry / 2);
+  feed->due
+      = now + feed->retry / 2
+        + (gs_time_t)(gs_rng_unit (&feed->rng) * (double)feed->retry / 2);
   feed->retry = MIN (2 * feed->retry, RETRY_MOST);
 }
 
@@ -203,8 +203,7 @@
   if (result->more && result->count > 0)
     {
       g_free (feed->list_after);
-      feed->list_after
-          = g_strdup (result->objects[result->count - 1].name);
+      feed->list_after = g_strdup (result->objects[result->count - 1].name);
       return;
     }
   g_clear_pointer (&feed->list_after, g_free);
@@ -281,10 +280,10 @@
     {
       const held_t *held = value;
 
-      json_array_append_new (
-          objects, json_pack ("{s:s, s:I, s:O}", "name", held->name,
-                              "revision", (json_int_t)held->revision, "value",
-                              held->value));
+      json_array_append_new (objects,
+                             json_pack ("{s:s, s:I, s:O}", "name", held->name,
+                                        "revision", (json_int_t)held->revision,
+                                        "value", held->value));
     }
   root = json_pack ("{s:I, s:o}", "revision", (json_int_t)feed->revision,
                     "objects", objects);
@@ -317,18 +316,18 @@
   g_clear_pointer (&feed->list_after, g_free);
   g_hash_table_remove_all (feed->listed);
   json_array_foreach (objects, i, from)
-    {
-      gs_object_t object
-          = { .name = json_string_value (json_object_get (from, "name")),
-              .revision = (uint64_t)json_integer_value (
-                  json_object_get (from, "revision")),
-              .value = json_object_get (from, "value") };
-
-      if (object.name == NULL || object.value == NULL)
-        continue;
-      g_hash_table_add (feed->listed, g_strdup (object.name));
-      take_object (feed, now, &object);
-    }
+  {
+    gs_object_t object
+        = { .name = json_string_value (json_object_get (from, "name")),
+            .revision = (uint64_t)json_integer_value (
+                json_object_get (from, "revision")),
+            .value = json_object_get (from, "value") };
+
+    if (object.name == NULL || object.value == NULL)
+      continue;
+    g_hash_table_add (feed->listed, g_strdup (object.name));
+    take_object (feed, now, &object);
+  }
   end_list (feed, now, revision);
   feed->listing = false;
   gs_log (GS_LOG_INFO, "feed_taken_over",
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -1,6 +1,8 @@
 #include "gateway/gateway.h"
 
 #include "garnetstack/log.h"
+#include "garnetstack/meter.h"
+#include "garnetstack/metrics.h"
 #include "garnetstack/server.h"
 #include "garnetstack/thread.h"
 #include "gateway/duties.h"
@@ -50,13 +52,14 @@
   roster_t *roster;
   duties_t *duties;
   gs_route_table_t *table;
+  gs_time_t table_at; /* when it was put in force */
   bool has_replicas;
   gs_time_t view_due;
   gs_time_t second_due;
   gs_time_t config_copy_due;
   gs_time_t replica_copy_due;
   bool leaving;
-  gs_server_t *servers[3]; /* readiness, addresses, peers */
+  gs_server_t *servers[4]; /* readiness, addresses, peers, metrics */
   atomic_uint open;        /* exchanges of callers, as last reported */
 };
 
@@ -102,8 +105,8 @@
     }
   if (is_ready (gateway))
     endpoints[count++] = gateway->settings.callers;
-  count += peers_addresses (gateway->peers, gs_clock_now (),
-                            endpoints + count, ADDRESSES_MAX - count);
+  count += peers_addresses (gateway->peers, gs_clock_now (), endpoints + count,
+                            ADDRESSES_MAX - count);
   if (count == 0)
     {
       reply_status (exchange, 503);
@@ -156,6 +159,100 @@
     }
 }
 
+static void
+set_replica_gauges (const gs_replica_list_t *list)
+{
+  gs_meter_clear ("replicas");
+  for (unsigned i = 0; list != NULL && i < list->count; i++)
+    {
+      const gs_replica_t *first = &list->rows[i];
+      unsigned count = 0;
+      char labels[256];
+
+      /* Counted once for each sort, at its first row. */
+      for (unsigned j = 0; j < list->count; j++)
+        {
+          const gs_replica_t *row = &list->rows[j];
+
+          if (strcmp (row->service, first->service) != 0
+              || strcmp (row->data_centre, first->data_centre) != 0
+              || row->state != first->state || row->spot != first->spot)
+            continue;
+          if (j < i)
+            break;
+          count++;
+        }
+      if (count == 0)
+        continue;
+      g_snprintf (labels, sizeof labels,
+                  "service=\"%s\",data_centre=\"%s\",state=\"%s\",spot=\"%d\"",
+                  first->service, first->data_centre,
+                  first->state == GS_REPLICA_READY ? "ready" : "draining",
+                  first->spot);
+      gs_meter_set ("replicas", labels, count);
+    }
+}
+
+static void
+set_service_gauges (const traffic_report_t *report)
+{
+  for (guint i = 0; i < report->demand->len; i++)
+    {
+      const traffic_demand_t *row
+          = &g_array_index (report->demand, traffic_demand_t, i);
+      char labels[128];
+
+      g_snprintf (labels, sizeof labels, "service=\"%s\"", row->service);
+      gs_meter_set ("in_flight", labels, row->in_flight);
+      gs_meter_set ("waiting", labels, row->waiting);
+      gs_meter_set ("resends_left", labels, row->resends_left);
+    }
+  gs_meter_set ("open_exchanges", "", report->open);
+  gs_meter_set ("read_tokens_per_ms", "", report->read_speed);
+}
+
+static double
+seconds_since (gs_time_t now, gs_time_t then)
+{
+  return then == 0 ? 0 : (double)(now - then) / GS_SEC;
+}
+
+static void
+on_metrics (void *context, gs_exchange_t *exchange)
+{
+  gateway_t *gateway = context;
+  const traffic_report_t *report = duties_report (gateway->duties);
+  gs_time_t now = gs_clock_now ();
+  char *series;
+  char *process;
+  char *text;
+
+  set_replica_gauges (duties_replicas (gateway->duties));
+  if (report != NULL)
+    set_service_gauges (report);
+  gs_meter_set ("ready", "", is_ready (gateway));
+  gs_meter_set ("holds_duty", "", duties_holds (gateway->duties, now));
+  gs_meter_set ("members", "", peers_members (gateway->peers, now));
+  gs_meter_set ("peers_heard", "", peers_heard (gateway->peers, now));
+  gs_meter_set ("store_lost_seconds", "",
+                seconds_since (now, feed_lost_at (gateway->replica_feed)));
+  if (gateway->table != NULL)
+    {
+      gs_meter_set ("config_version", "",
+                    (double)gs_route_table_version (gateway->table));
+      gs_meter_set ("config_age_seconds", "",
+                    seconds_since (now, gateway->table_at));
+    }
+  series = gs_meter_text ();
+  process = gs_metrics_text ();
+  text = g_strconcat (series, process, NULL);
+  gs_exchange_reply (exchange, 200, "text/plain; version=0.0.4", NULL, text,
+                     strlen (text));
+  g_free (text);
+  g_free (process);
+  g_free (series);
+}
+
 static void
 ignore (void *context, gs_time_t now)
 {
@@ -171,7 +268,6 @@
   gateway_t *gateway = context;
   gs_route_table_t *table;
 
-  (void)now;
   if (object->removed || strcmp (object->name, GS_PLATFORM_CONFIG_NAME) != 0)
     return;
   if (gateway->table != NULL
@@ -186,6 +282,7 @@
     }
   gs_route_table_unref (gateway->table);
   gateway->table = table;
+  gateway->table_at = now;
   duties_set_routes (gateway->duties, table);
   traffic_set_routes (gateway->traffic, gs_route_table_ref (table));
 }
@@ -426,6 +523,7 @@
 listen_all (gateway_t *gateway)
 {
   const gs_deployment_t *settings = &gateway->settings;
+  gs_endpoint_t metrics = { .port = settings->metrics_port };
   gs_status_t status = listen_on (gateway, &gateway->servers[0],
                                   &settings->readiness, on_readiness);
 
@@ -433,8 +531,11 @@
     status = listen_on (gateway, &gateway->servers[1], &settings->addresses,
                         on_addresses);
   if (status == GS_OK)
-    status = listen_on (gateway, &gateway->servers[2], &settings->peers,
-                        on_peer);
+    status
+        = listen_on (gateway, &gateway->servers[2], &settings->peers, on_peer);
+  g_strlcpy (metrics.host, settings->callers.host, sizeof metrics.host);
+  if (status == GS_OK)
+    status = listen_on (gateway, &gateway->servers[3], &metrics, on_metrics);
   return status;
 }
 
@@ -454,8 +555,8 @@
   gs_platform_provider_create (&gateway->provider, gateway->loop,
                                &gateway->settings.provider);
   roster_create (&gateway->roster, gateway->settings.drain);
-  feed_create (&gateway->config_feed, &gateway->store,
-               GS_PLATFORM_KIND_CONFIG, &config, seed);
+  feed_create (&gateway->config_feed, &gateway->store, GS_PLATFORM_KIND_CONFIG,
+               &config, seed);
   feed_create (&gateway->replica_feed, &gateway->store,
                GS_PLATFORM_KIND_REPLICAS, &replicas, seed + 1);
   peers_create (&gateway->peers, gateway->loop, &gateway->self,
@@ -470,8 +571,8 @@
 gateway_create (gateway_t **out, const gs_deployment_t *settings)
 {
   gateway_t *gateway = g_new0 (gateway_t, 1);
-  traffic_options_t traffic = { &gateway->settings, &gs_platform_passing, 0,
-                                on_report, gateway };
+  traffic_options_t traffic
+      = { &gateway->settings, &gs_platform_passing, 0, on_report, gateway };
   gs_status_t status;
 
   *out = NULL;
@@ -524,8 +625,7 @@
       nanosleep (&pause, NULL);
       now = gs_clock_now ();
     }
-  while (now < deadline
-         && (now < least || atomic_load (&gateway->open) > 0));
+  while (now < deadline && (now < least || atomic_load (&gateway->open) > 0));
 }
 
 void
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -47,8 +47,7 @@
     return;
   if (object->removed)
     g_strlcpy (member.name, object->name, sizeof member.name);
-  else if (peers_member_decode (&member, object->name, object->value)
-           != GS_OK)
+  else if (peers_member_decode (&member, object->name, object->value) != GS_OK)
     {
       gs_log (GS_LOG_WARN, "node_skipped", "name=%s reason=\"%s\"",
               object->name, gs_error_last ());
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -145,8 +145,8 @@
 static void
 remember (peers_t *peers, gs_time_t now, digest_t *digest)
 {
-  process_t *process = g_hash_table_lookup (peers->processes,
-                                            &digest->self.incarnation);
+  process_t *process
+      = g_hash_table_lookup (peers->processes, &digest->self.incarnation);
 
   if (process == NULL)
     {
@@ -188,8 +188,9 @@
   if (peer->silent)
     gs_log (GS_LOG_INFO, "peer_heard", "peer=%s incarnation=%llx away_ms=%lld",
             digest.self.name, (unsigned long long)digest.self.incarnation,
-            peer->heard_at == 0 ? -1LL
-                                : (long long)((now - peer->heard_at) / GS_MSEC));
+            peer->heard_at == 0
+                ? -1LL
+                : (long long)((now - peer->heard_at) / GS_MSEC));
   peer->silent = false;
   peer->member = digest.self;
   peer->heard_at = now;
@@ -242,8 +243,8 @@
                   + (now > peer->heard_at + PEERS_SILENT ? SILENT_INTERVAL
                                                          : PEERS_INTERVAL);
     }
-  if (whole && take_digest (peers, now, result->body, result->body_length)
-                   != GS_OK)
+  if (whole
+      && take_digest (peers, now, result->body, result->body_length) != GS_OK)
     gs_log (GS_LOG_WARN, "digest_refused", "reason=\"%s\"", gs_error_last ());
   g_free (call);
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -30,8 +30,8 @@
   void (*on_digest) (void *context, gs_time_t now, const digest_t *digest);
 } peers_listener_t;
 
-void peers_create (peers_t **out, gs_loop_t *loop,
-                   const digest_member_t *self, const gs_deployment_t *settings,
+void peers_create (peers_t **out, gs_loop_t *loop, const digest_member_t *self,
+                   const gs_deployment_t *settings,
                    const peers_listener_t *listener, uint64_t seed);
 
 /** To be called after the loop has ended its calls. */
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -77,10 +77,10 @@
 
 struct placer
 {
-  GArray *rows;        /* of row_t */
-  GHashTable *by_id;   /* id -> row + 1 */
-  GHashTable *parts;   /* id -> part_t */
-  double read_speed;   /* tokens per millisecond */
+  GArray *rows;      /* of row_t */
+  GHashTable *by_id; /* id -> row + 1 */
+  GHashTable *parts; /* id -> part_t */
+  double read_speed; /* tokens per millisecond */
   gs_rng_t rng;
 };
 
@@ -325,7 +325,8 @@
     return true;
   /* A request larger than the memory is the replica's to refuse.  */
   return query->engine && query->cache_tokens != 0 && held > 0
-         && (double)(held + wanted) > MEMORY_PART * (double)query->cache_tokens;
+         && (double)(held + wanted)
+                > MEMORY_PART * (double)query->cache_tokens;
 }
 
 /* The best replica of a service for a part by a hash that all nodes share.
@@ -382,13 +383,13 @@
       out.first_at = now;
       return out;
     }
-  out.missing = query->prompt_tokens
-                - held_of (placer, now, query, index, preferred);
+  out.missing
+      = query->prompt_tokens - held_of (placer, now, query, index, preferred);
   first = (double)FIRST_EVENT_BASE
           + (waiting + out.missing) / placer->read_speed * (double)GS_MSEC;
   if (taken_of (row) >= row->replica.slots)
-    first += (double)(taken_of (row) - row->replica.slots + 1)
-             * (double)GS_SEC / row->replica.slots;
+    first += (double)(taken_of (row) - row->replica.slots + 1) * (double)GS_SEC
+             / row->replica.slots;
   out.first_at = now + (gs_time_t)first;
   out.score = first + (double)taken_of (row) * (double)SLOT_PENALTY
               + READ_AGAIN_WEIGHT * out.missing / placer->read_speed
@@ -518,11 +519,10 @@
   if (ticket->missing_tokens >= READ_SPEED_TOKENS_LEAST && took > 1
       && before <= 2.0 * ticket->missing_tokens)
     {
-      double speed = MIN (ticket->missing_tokens / took,
-                          4 * placer->read_speed);
+      double speed
+          = MIN (ticket->missing_tokens / took, 4 * placer->read_speed);
 
-      placer->read_speed
-          += READ_SPEED_GAIN * (speed - placer->read_speed);
+      placer->read_speed += READ_SPEED_GAIN * (speed - placer->read_speed);
     }
   ticket->missing_tokens = 0;
 }
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -1,6 +1,7 @@
 #include "gateway/traffic_private.h"
 
 #include "garnetstack/log.h"
+#include "garnetstack/meter.h"
 
 #include <math.h>
 #include <string.h>
@@ -29,6 +30,8 @@
 /* A node that is told to end takes requests for so long, while callers learn
    of it; then it sends them elsewhere.  */
 #define LEAVE_TAKES (2500 * GS_MSEC)
+/* Timers of the client library count whole milliseconds.  */
+#define DEADLINE_SLACK (5 * GS_MSEC)
 
 struct relay
 {
@@ -52,7 +55,7 @@
   gs_http_call_t *call;
   placer_ticket_t ticket;
   gs_passed_head_t head;
-  bool foreign; /* the answer belongs to another request */
+  bool foreign;       /* the answer belongs to another request */
   bool attempt_began; /* this attempt's answer or first event has come */
   GString *body;
   events_t events;
@@ -76,47 +79,112 @@
   return from == 0 || to == 0 ? -1 : (long long)((to - from) / GS_MSEC);
 }
 
+static const char *
+kind_name (const relay_t *relay)
+{
+  static const char *const names[] = { [GS_REPEAT_NEVER] = "once",
+                                       [GS_REPEAT_FREE] = "repeatable",
+                                       [GS_REPEAT_RESUME] = "resumable" };
+
+  return relay->route != NULL ? names[relay->route->repeat] : "unknown";
+}
+
+static double
+seconds_between (gs_time_t from, gs_time_t to)
+{
+  return (double)(to - from) / GS_SEC;
+}
+
+static void
+meter_end (const relay_t *relay, gs_time_t now, const char *outcome,
+           const char *reason)
+{
+  char labels[160];
+
+  g_snprintf (labels, sizeof labels,
+              "service=\"%s\",kind=\"%s\",outcome=\"%s\",reason=\"%s\"",
+              relay->service != NULL ? relay->service->name : "none",
+              kind_name (relay), outcome, reason);
+  gs_meter_add ("requests_total", labels, 1);
+  if (relay->service == NULL)
+    return;
+  g_snprintf (labels, sizeof labels, "service=\"%s\",kind=\"%s\"",
+              relay->service->name, kind_name (relay));
+  if (relay->first_at != 0)
+    {
+      gs_meter_observe ("first_event_seconds", labels,
+                        seconds_between (relay->arrived_at, relay->first_at));
+      gs_meter_observe ("answer_seconds", labels,
+                        seconds_between (relay->arrived_at, now));
+    }
+  if (relay->events.count > 1)
+    gs_meter_observe ("event_pace_seconds", labels,
+                      seconds_between (relay->first_at, now)
+                          / (double)(relay->events.count - 1));
+}
+
+/* Why a request ended as it did.  Only what is not the usual course is never
+   left out.  */
 static void
 log_end (const relay_t *relay, gs_time_t now, const char *outcome,
          unsigned status, const char *reason)
 {
   const traffic_t *traffic = relay->traffic;
   gs_log_value_t id;
+  char line[512];
+
+  meter_end (relay, now, outcome, reason);
+  g_snprintf (
+      line, sizeof line,
+      "id=%s route=%s account=%s outcome=%s status=%u reason=%s"
+      " sends=%u runs=%u replica=%s first_ms=%lld total_ms=%lld"
+      " left_ms=%lld tokens=%u limit=%llu share=%.0f events=%llu"
+      " waiting=%u",
+      gs_log_quote (&id, relay->request.id),
+      relay->route != NULL ? relay->route->name : "-",
+      relay->account != NULL ? relay->account->name : "-", outcome, status,
+      reason, relay->sends, relay->runs,
+      relay->replica[0] != '\0' ? relay->replica : "-",
+      msec (relay->arrived_at, relay->first_at), msec (relay->arrived_at, now),
+      msec (now, relay->deadline), relay->tokens,
+      relay->account != NULL ? (unsigned long long)relay->account->rate : 0ULL,
+      relay->tokens > 0 ? gs_limits_share (
+          traffic->limits, now, relay->limit_row,
+          relay->account->by_tokens ? GS_LIMIT_TOKENS : GS_LIMIT_REQUESTS)
+                        : 0,
+      (unsigned long long)relay->events.count,
+      relay->service != NULL ? g_queue_get_length (&relay->service->waiting)
+                             : 0);
+  if (strcmp (outcome, "answered") == 0)
+    gs_log_routine ("request", "%s", line);
+  else
+    gs_log (GS_LOG_INFO, "request", "%s", line);
+}
+
+/* What a choice was made from, and how old that was.  */
+static void
+log_placed (const relay_t *relay, gs_time_t now)
+{
+  const traffic_t *traffic = relay->traffic;
+  const placer_choice_t *choice = &relay->choice;
+  gs_log_value_t id;
 
-  gs_log (GS_LOG_INFO, "request",
-          "id=%s route=%s account=%s outcome=%s status=%u reason=%s sends=%u"
-          " runs=%u replica=%s in_flight=%u backlog=%u missing=%u"
-          " candidates=%u full=%u wait_ms=%lld expected_ms=%lld first_ms=%lld"
-          " total_ms=%lld left_ms=%lld tokens=%u limit=%llu share=%.0f"
-          " events=%llu config=%llu replicas=%llu"
-          " peers_age_ms=%lld members=%u",
-          gs_log_quote (&id, relay->request.id),
-          relay->route != NULL ? relay->route->name : "-",
-          relay->account != NULL ? relay->account->name : "-", outcome, status,
-          reason, relay->sends, relay->runs,
-          relay->replica[0] != '\0' ? relay->replica : "-",
-          relay->choice.in_flight, relay->choice.backlog_tokens,
-          relay->choice.missing_tokens, relay->choice.candidates,
-          relay->choice.full, msec (relay->arrived_at, relay->sent_at),
-          msec (relay->arrived_at, relay->choice.first_expected_at),
-          msec (relay->arrived_at, relay->first_at),
-          msec (relay->arrived_at, now), msec (now, relay->deadline),
-          relay->tokens,
-          relay->account != NULL ? (unsigned long long)relay->account->rate
-                                 : 0ULL,
-          relay->tokens > 0 ? gs_limits_share (traffic->limits, now,
-                                               relay->limit_row,
-                                               relay->account->by_tokens
-                                                   ? GS_LIMIT_TOKENS
-                                                   : GS_LIMIT_REQUESTS)
-                            : 0,
-          (unsigned long long)relay->events.count,
-          relay->table != NULL
-              ? (unsigned long long)gs_route_table_version (relay->table)
-              : 0ULL,
-          traffic->list != NULL ? (unsigned long long)traffic->list->sequence
-                                : 0ULL,
-          msec (traffic->peers_at, now), traffic->members);
+  gs_log_routine (
+      "placed",
+      "id=%s route=%s service=%s replica=%s send=%u in_flight=%u backlog=%u"
+      " missing=%u candidates=%u full=%u wait_ms=%lld expected_ms=%lld"
+      " left_ms=%lld resume_after=%llu config=%llu replicas=%llu"
+      " peers_age_ms=%lld members=%u",
+      gs_log_quote (&id, relay->request.id), relay->route->name,
+      relay->service->name, relay->replica, relay->sends, choice->in_flight,
+      choice->backlog_tokens, choice->missing_tokens, choice->candidates,
+      choice->full, msec (relay->arrived_at, now),
+      msec (relay->arrived_at, choice->first_expected_at),
+      msec (now, relay->deadline), (unsigned long long)relay->events.last_id,
+      (unsigned long long)gs_route_table_version (relay->table),
+      traffic->list != NULL ? (unsigned long long)traffic->list->sequence
+                            : 0ULL,
+      msec (traffic->peers_at, now), traffic->members);
 }
 
 static void
@@ -177,7 +245,10 @@
       headers[count++] = "Connection";
       headers[count++] = "close";
     }
-  log_end (relay, now, not_run ? "refused" : status < 500 ? "denied" : "failed",
+  log_end (relay, now,
+           not_run        ? "refused"
+           : status < 500 ? "denied"
+                          : "failed",
            status, reason);
   if (not_run && relay->service != NULL)
     relay->service->demand.refused++;
@@ -201,8 +272,7 @@
   gs_time_t wait = (gs_time_t)(waiting / rate * (double)GS_SEC);
   gs_time_t honoured = (relay->deadline - now) / RETRY_AFTER_PART;
 
-  wait = (gs_time_t)((double)wait
-                     * (1 + gs_rng_unit (&relay->traffic->rng)));
+  wait = (gs_time_t)((double)wait * (1 + gs_rng_unit (&relay->traffic->rng)));
   wait = CLAMP (wait, RETRY_AFTER_LEAST, RETRY_AFTER_MOST);
   return MAX (MIN (wait, honoured), GS_MSEC);
 }
@@ -213,6 +283,12 @@
   answer_own (relay, 503, reason, retry_after (relay, now));
 }
 
+static bool
+is_over (const relay_t *relay, gs_time_t now)
+{
+  return now + DEADLINE_SLACK >= relay->deadline;
+}
+
 /* No more can be done.  Only what has certainly not run may be called so. */
 static void
 give_up (relay_t *relay, gs_time_t now, const char *reason)
@@ -222,7 +298,7 @@
   else if (relay->runs == 0)
     answer_own (relay, 503, reason, 0);
   else
-    answer_own (relay, now >= relay->deadline ? 504 : 502, reason, 0);
+    answer_own (relay, is_over (relay, now) ? 504 : 502, reason, 0);
 }
 
 static void
@@ -369,19 +445,10 @@
   return true;
 }
 
-static resend_bounds_t
-resend_bounds (const relay_t *relay)
-{
-  const gs_deployment_t *deployment = relay->traffic->options.deployment;
-
-  return (resend_bounds_t){ deployment->resend_ratio, deployment->resend_slack,
-                            relay->traffic->members };
-}
-
 static bool
 may_resend (relay_t *relay, gs_time_t now)
 {
-  resend_bounds_t bounds = resend_bounds (relay);
+  resend_bounds_t bounds = traffic_resend_bounds (relay->traffic);
 
   if (relay->sends >= SENDS_MAX || now + RESEND_TIME_LEAST > relay->deadline)
     return false;
@@ -396,7 +463,11 @@
 log_attempt (const relay_t *relay, const char *outcome, const char *reason)
 {
   gs_log_value_t id;
+  char labels[96];
 
+  g_snprintf (labels, sizeof labels, "service=\"%s\",outcome=\"%s\"",
+              relay->service->name, outcome);
+  gs_meter_add ("attempts_lost_total", labels, 1);
   gs_log (GS_LOG_INFO, "attempt",
           "id=%s replica=%s send=%u outcome=%s status=%u reason=\"%s\""
           " took_ms=%lld began=%d last_event=%llu",
@@ -443,11 +514,11 @@
 {
   uint32_t row = relay->ticket.row;
   bool unsent = result->status == GS_EUNREACHABLE;
-  const char *reason = relay->foreign             ? "foreign_answer"
-                       : result->status == GS_OK  ? "answer_not_valid"
-                       : unsent                   ? "replica_unreachable"
-                       : now >= relay->deadline   ? "deadline"
-                                                  : "replica_lost";
+  const char *reason = relay->foreign            ? "foreign_answer"
+                       : result->status == GS_OK ? "answer_not_valid"
+                       : unsent                  ? "replica_unreachable"
+                       : now >= relay->deadline  ? "deadline"
+                                                 : "replica_lost";
 
   if (unsent)
     relay->runs--;
@@ -546,19 +617,16 @@
 {
   const gs_replica_t *replica
       = placer_replica (relay->traffic->placer, relay->choice.row);
-  gs_passed_extra_t extra = { .replica = replica->id,
-                              .account = relay->account != NULL
-                                             ? relay->account->name
-                                             : NULL,
-                              .deadline = relay->deadline,
-                              .priority = relay->service_row->engine
-                                              ? priority_of (relay)
-                                              : GS_PRIORITY_UNSET,
-                              .resume_after = relay->events.last_id };
+  gs_passed_extra_t extra
+      = { .replica = replica->id,
+          .account = relay->account != NULL ? relay->account->name : NULL,
+          .deadline = relay->deadline,
+          .priority = relay->service_row->engine ? priority_of (relay)
+                                                 : GS_PRIORITY_UNSET,
+          .resume_after = relay->events.last_id };
   gs_http_request_t request = GS_HTTP_REQUEST_INIT;
-  char **headers
-      = relay->traffic->options.passing->write_headers (relay->exchange,
-                                                        &extra);
+  char **headers = relay->traffic->options.passing->write_headers (
+      relay->exchange, &extra);
   char *url = g_strdup_printf ("http://%s/", replica->address);
   size_t length;
   const char *body = gs_exchange_body (relay->exchange, &length);
@@ -578,6 +646,9 @@
   gs_passed_head_clear (&relay->head);
   gs_passed_head_init (&relay->head);
   g_string_truncate (relay->body, 0);
+  log_placed (relay, now);
+  gs_meter_observe ("wait_seconds", "",
+                    seconds_between (relay->arrived_at, now));
   request.method = gs_exchange_method (relay->exchange);
   request.url = url;
   request.target = gs_exchange_target (relay->exchange);
@@ -769,9 +840,9 @@
   relay->tokens = request->has_token_counts
                       ? request->prompt_tokens + request->output_tokens_max
                       : account->plain_tokens;
-  relay->limited = gs_limits_admit (limits, now, relay->limit_row,
-                                    relay->tokens, again)
-                   == GS_OK;
+  relay->limited
+      = gs_limits_admit (limits, now, relay->limit_row, relay->tokens, again)
+        == GS_OK;
   return relay->limited;
 }
 
@@ -788,9 +859,8 @@
   if (relay->request.id[0] == '\0')
     return 400;
   *reason = "no_route";
-  relay->route
-      = gs_route_table_match (relay->table, relay->request.host,
-                              gs_exchange_target (relay->exchange));
+  relay->route = gs_route_table_match (relay->table, relay->request.host,
+                                       gs_exchange_target (relay->exchange));
   if (relay->route == NULL)
     return 404;
   *reason = "unknown_key";
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -7,7 +7,8 @@
 typedef struct
 {
   gs_replica_t replica;
-  gs_time_t gone_at; /* the entry is missing; GS_TIME_NEVER while it is there */
+  gs_time_t
+      gone_at; /* the entry is missing; GS_TIME_NEVER while it is there */
 } row_t;
 
 struct roster
@@ -120,10 +121,10 @@
     return;
   row->gone_at = now;
   if (row->replica.state == GS_REPLICA_READY && may_have_lapsed (roster, now))
-    row->gone_at = MIN (roster->lost_at != 0
-                            ? GS_TIME_NEVER
-                            : roster->back_at + ROSTER_RETURN_WAIT,
-                        now + roster->drain - ROSTER_DRAIN_MARGIN);
+    row->gone_at
+        = MIN (roster->lost_at != 0 ? GS_TIME_NEVER
+                                    : roster->back_at + ROSTER_RETURN_WAIT,
+               now + roster->drain - ROSTER_DRAIN_MARGIN);
   gs_log (GS_LOG_INFO, "replica",
           "id=%s service=%s state=gone used_on_ms=%lld", row->replica.id,
           row->replica.service, (long long)((row->gone_at - now) / GS_MSEC));
--- a/src/gateway/scaler.c
+++ b/src/gateway/scaler.c
@@ -27,8 +27,11 @@
 #define DRY_TIME (3 * GS_SEC)
 /* Kept replicas that fill in are given back after so long without need.  */
 #define FILL_IN_TIME (6 * GS_SEC)
-/* Kept replicas fill in for the highest need of so many seconds.  */
+/* Kept replicas fill in for the highest need of so many seconds, and for this
+   part of it: with that many, prompts wait for each other but nothing is
+   refused, and a kept replica costs as much as four or five others.  */
 #define SHORTAGE_SECONDS 3
+#define SHORTAGE_PART 0.7
 /* Part of the reclaimable replicas that must be ready before kept ones that
    were there at first are given back.  */
 #define TAKEN_OVER_PART 0.8
@@ -197,7 +200,8 @@
 static void
 note_shortage (plan_t *plan, gs_time_t now, unsigned spot_ready)
 {
-  double missing = highest_need (plan, SHORTAGE_SECONDS) - spot_ready;
+  double missing
+      = highest_need (plan, SHORTAGE_SECONDS) * SHORTAGE_PART - spot_ready;
 
   if (missing > 0 && (unsigned)ceil (missing) >= plan->fill_in)
     {
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -78,6 +78,15 @@
   return service;
 }
 
+resend_bounds_t
+traffic_resend_bounds (const traffic_t *traffic)
+{
+  const gs_deployment_t *deployment = traffic->options.deployment;
+
+  return (resend_bounds_t){ deployment->resend_ratio, deployment->resend_slack,
+                            traffic->members };
+}
+
 static void
 export_loads (const traffic_t *traffic, GArray *out)
 {
@@ -97,8 +106,9 @@
 }
 
 static void
-export_demand (const traffic_t *traffic, GArray *out)
+export_demand (const traffic_t *traffic, gs_time_t now, GArray *out)
 {
+  resend_bounds_t bounds = traffic_resend_bounds (traffic);
   GHashTableIter iter;
   gpointer value;
 
@@ -107,6 +117,8 @@
     {
       traffic_service_t *service = value;
 
+      service->demand.resends_left
+          = resend_budget_left (&service->budget, now, &bounds);
       service->demand.waiting = g_queue_get_length (&service->waiting);
       g_array_append_val (out, service->demand);
     }
@@ -129,7 +141,7 @@
   report->demand = g_array_new (FALSE, TRUE, sizeof (traffic_demand_t));
   report->limits = g_array_new (FALSE, TRUE, sizeof (gs_usage_row_t));
   export_loads (traffic, report->loads);
-  export_demand (traffic, report->demand);
+  export_demand (traffic, now, report->demand);
   usage_count_export (traffic->usage, gs_clock_wall (), report->usage);
   g_array_append_vals (report->limits, rows, (guint)count);
   traffic->options.on_report (traffic->options.context, report);
@@ -282,8 +294,7 @@
           = account->by_tokens ? GS_LIMIT_TOKENS : GS_LIMIT_REQUESTS;
 
       values.most[kind] = account->rate;
-      values.saved[kind]
-          = saved_amount (traffic->options.deployment, account);
+      values.saved[kind] = saved_amount (traffic->options.deployment, account);
       gs_limits_set (traffic->limits,
                      gs_limits_name ("account", account->name), &values);
     }
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -43,12 +43,13 @@
 {
   char service[GS_NAME_BYTES];
   uint64_t requests;
-  uint64_t refused;       /**< for want of room */
+  uint64_t refused;        /**< for want of room */
   uint64_t missing_tokens; /**< to be read, of those sent */
-  uint64_t output_tokens; /**< expected, of those sent */
-  uint64_t late;          /**< first events after the goal */
+  uint64_t output_tokens;  /**< expected, of those sent */
+  uint64_t late;           /**< first events after the goal */
   uint32_t in_flight;
   uint32_t waiting;
+  double resends_left; /**< of this node's budget; not told to others */
 } traffic_demand_t;
 
 /** What the traffic thread tells the control thread; freed with
@@ -70,8 +71,8 @@
 /** What one other node told. */
 typedef struct
 {
-  uint64_t node; /**< incarnation */
-  GArray *loads; /**< of traffic_load_t */
+  uint64_t node;  /**< incarnation */
+  GArray *loads;  /**< of traffic_load_t */
   GArray *limits; /**< of gs_usage_row_t */
 } traffic_peer_t;
 
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -45,12 +45,15 @@
   gs_time_t peers_at; /* when they were last told of */
   gs_time_t report_due;
   gs_time_t second_due;
-  gs_time_t leave_at;   /* when the process was told to end, 0 for not */
+  gs_time_t leave_at;    /* when the process was told to end, 0 for not */
   gs_time_t leave_until; /* when it is killed */
 };
 
 traffic_service_t *traffic_service (traffic_t *traffic, const char *name);
 
+/** What may be sent once more, as bounded over all nodes. */
+resend_bounds_t traffic_resend_bounds (const traffic_t *traffic);
+
 /** Take in a request; called on the traffic thread. */
 void relay_begin (traffic_t *traffic, gs_exchange_t *exchange);
 
--- a/src/gateway/usage_ledger.c
+++ b/src/gateway/usage_ledger.c
@@ -13,8 +13,8 @@
 void
 usage_ledger_init (usage_ledger_t *ledger, gs_time_t length, gs_time_t late)
 {
-  *ledger = (usage_ledger_t){ .length = length, .settle = SETTLE,
-                              .late = late };
+  *ledger
+      = (usage_ledger_t){ .length = length, .settle = SETTLE, .late = late };
 }
 
 void
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -32,10 +32,10 @@
 
 typedef struct
 {
-  gs_time_t length;  /**< of a window */
-  gs_time_t settle;  /**< from a window's end until all counts are in */
-  gs_time_t late;    /**< a report is of use so long after its window */
-  bool known;        /**< the record is as in the store */
+  gs_time_t length; /**< of a window */
+  gs_time_t settle; /**< from a window's end until all counts are in */
+  gs_time_t late;   /**< a report is of use so long after its window */
+  bool known;       /**< the record is as in the store */
   bool busy;
   bool sent;         /**< the record's window was taken by the platform */
   int64_t first;     /**< window to begin with when there is no record */
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -3,6 +3,7 @@
 #include "garnetstack/clock.h"
 #include "garnetstack/metrics.h"
 #include "util/flood.h"
+#include "util/log_sink.h"
 
 #include <log4c.h>
 #include <pthread.h>
@@ -10,6 +11,7 @@
 #include <stdio.h>
 #include <stdbool.h>
 #include <string.h>
+#include <unistd.h>
 #include <xxhash.h>
 
 #define LINE_BYTES 2048
@@ -24,6 +26,11 @@
 static char node_name[NODE_BYTES] = "-";
 static gs_flood_t flood;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static gs_log_sink_t *sink;
+/* Routine lines: what may be written in this second, and what was left out. */
+static int64_t routine_second;
+static unsigned routine_written;
+static unsigned routine_left_out;
 
 static const char *const level_names[] = { "error", "warn", "info", "debug" };
 
@@ -44,14 +51,21 @@
 append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
   (void)appender;
-  return fprintf (stderr, "%s\n", event->evt_rendered_msg);
+  gs_log_sink_write (sink, event->evt_rendered_msg);
+  return 0;
 }
 
 static const log4c_appender_type_t line_appender
-    = { "gs_stderr", NULL, append_line, NULL };
+    = { "gs_sink", NULL, append_line, NULL };
 
 gs_status_t
 gs_log_open (gs_log_level_t level, const char *node)
+{
+  return gs_log_open_on (level, node, STDOUT_FILENO);
+}
+
+gs_status_t
+gs_log_open_on (gs_log_level_t level, const char *node, int fd)
 {
   log4c_appender_t *appender;
 
@@ -66,6 +80,7 @@
     return gs_error_set (GS_EIO, "log4c gave no category");
   log4c_category_set_appender (category, appender);
   log4c_category_set_priority (category, log4c_levels[level]);
+  gs_log_sink_create (&sink, fd);
   threshold = level;
   snprintf (node_name, sizeof node_name, "%s", node);
   return GS_OK;
@@ -77,6 +92,8 @@
   pthread_mutex_lock (&lock);
   category = NULL;
   pthread_mutex_unlock (&lock);
+  gs_log_sink_destroy (sink);
+  sink = NULL;
   log4c_fini ();
 }
 
@@ -150,25 +167,40 @@
   log4c_category_log (category, log4c_levels[level], "%s", line);
 }
 
-void
-gs_log (gs_log_level_t level, const char *event, const char *format, ...)
+/* What was left out is itself told, before the next line that is written. */
+static void
+write_left_out (void)
+{
+  char body[HEAD_BYTES];
+  unsigned lost = gs_log_sink_lost (sink);
+
+  if (lost > 0)
+    {
+      snprintf (body, sizeof body, "reason=slow_reader lines=%u", lost);
+      write_line (GS_LOG_WARN, "log_left_out", body, 0);
+    }
+  if (routine_left_out > 0 && gs_clock_wall () / GS_SEC != routine_second)
+    {
+      snprintf (body, sizeof body, "reason=rate second=%lld lines=%u",
+                (long long)routine_second, routine_left_out);
+      write_line (GS_LOG_INFO, "log_left_out", body, 0);
+      routine_left_out = 0;
+    }
+}
+
+static void
+write_event (gs_log_level_t level, const char *event, char *body)
 {
-  char body[LINE_BYTES];
   unsigned suppressed;
   uint64_t hash;
-  va_list args;
 
-  if (level > threshold)
-    return;
-  va_start (args, format);
-  vsnprintf (body, sizeof body, format, args);
-  va_end (args);
   keep_one_line (body);
   hash = XXH3_64bits (body, strlen (body))
          ^ XXH3_64bits (event, strlen (event));
   pthread_mutex_lock (&lock);
   if (category != NULL)
     {
+      write_left_out ();
       if (gs_flood_pass (&flood, hash, gs_clock_wall () / GS_SEC, &suppressed))
         write_line (level, event, body, suppressed);
       else
@@ -176,3 +208,56 @@
     }
   pthread_mutex_unlock (&lock);
 }
+
+void
+gs_log (gs_log_level_t level, const char *event, const char *format, ...)
+{
+  char body[LINE_BYTES];
+  va_list args;
+
+  if (level > threshold)
+    return;
+  va_start (args, format);
+  vsnprintf (body, sizeof body, format, args);
+  va_end (args);
+  write_event (level, event, body);
+}
+
+/* @return whether this second has room for another routine line  */
+static bool
+take_routine (void)
+{
+  int64_t second = gs_clock_wall () / GS_SEC;
+  bool room;
+
+  pthread_mutex_lock (&lock);
+  if (second != routine_second && category != NULL)
+    {
+      write_left_out ();
+      routine_second = second;
+      routine_written = 0;
+    }
+  room = routine_written < GS_LOG_ROUTINE_PER_SEC;
+  if (room)
+    routine_written++;
+  else
+    routine_left_out++;
+  pthread_mutex_unlock (&lock);
+  if (!room)
+    gs_metric_add (GS_METRIC_LOG_LINES_SUPPRESSED, 1);
+  return room;
+}
+
+void
+gs_log_routine (const char *event, const char *format, ...)
+{
+  char body[LINE_BYTES];
+  va_list args;
+
+  if (threshold < GS_LOG_INFO || !take_routine ())
+    return;
+  va_start (args, format);
+  vsnprintf (body, sizeof body, format, args);
+  va_end (args);
+  write_event (GS_LOG_INFO, event, body);
+}
--- /dev/null
+++ b/src/util/log_sink.c
@@ -0,0 +1,151 @@
+#include "util/log_sink.h"
+
+#include "garnetstack/clock.h"
+#include "garnetstack/thread.h"
+
+#include <errno.h>
+#include <limits.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Some seconds of lines at the heaviest load; a small part of the memory of
+   the smallest node.  */
+#define BUFFER_BYTES ((gsize)1 << 20)
+/* How long an end waits for the reader.  */
+#define END_WAIT (300 * GS_MSEC)
+#define POLL_MS 100
+
+struct gs_log_sink
+{
+  int fd;
+  gs_thread_t *thread;
+  pthread_mutex_t lock;
+  pthread_cond_t wake;
+  GString *waiting; /* lines that the thread has not taken yet */
+  unsigned lost;
+  bool stopping;
+  gs_time_t stop_at; /* lines left then are given up */
+};
+
+static bool
+is_over (gs_log_sink_t *sink)
+{
+  bool over;
+
+  pthread_mutex_lock (&sink->lock);
+  over = sink->stopping && gs_clock_now () >= sink->stop_at;
+  pthread_mutex_unlock (&sink->lock);
+  return over;
+}
+
+/* The descriptor may block, as it is shared with other processes; poll(2)
+   says that a part of a line fits.  */
+static void
+write_out (gs_log_sink_t *sink, const GString *lines)
+{
+  gsize at = 0;
+
+  while (at < lines->len && !is_over (sink))
+    {
+      struct pollfd polled = { .fd = sink->fd, .events = POLLOUT };
+      gsize part = MIN (lines->len - at, PIPE_BUF);
+      gssize count;
+
+      if (poll (&polled, 1, POLL_MS) == 0)
+        continue;
+      count = write (sink->fd, lines->str + at, part);
+      if (count > 0)
+        at += (gsize)count;
+      else if (errno != EINTR && errno != EAGAIN)
+        return;
+    }
+}
+
+static void *
+run (void *context)
+{
+  gs_log_sink_t *sink = context;
+  GString *lines = g_string_new (NULL);
+  bool more = true;
+
+  while (more)
+    {
+      GString *taken;
+
+      pthread_mutex_lock (&sink->lock);
+      while (sink->waiting->len == 0 && !sink->stopping)
+        pthread_cond_wait (&sink->wake, &sink->lock);
+      more = !sink->stopping;
+      taken = sink->waiting;
+      sink->waiting = lines;
+      lines = taken;
+      pthread_mutex_unlock (&sink->lock);
+      write_out (sink, lines);
+      g_string_truncate (lines, 0);
+    }
+  g_string_free (lines, TRUE);
+  return NULL;
+}
+
+void
+gs_log_sink_create (gs_log_sink_t **out, int fd)
+{
+  gs_log_sink_t *sink = g_new0 (gs_log_sink_t, 1);
+
+  sink->fd = fd;
+  sink->waiting = g_string_new (NULL);
+  pthread_mutex_init (&sink->lock, NULL);
+  pthread_cond_init (&sink->wake, NULL);
+  gs_thread_start (&sink->thread, "log", run, sink);
+  *out = sink;
+}
+
+void
+gs_log_sink_write (gs_log_sink_t *sink, const char *line)
+{
+  gsize length = strlen (line);
+
+  pthread_mutex_lock (&sink->lock);
+  if (sink->waiting->len + length >= BUFFER_BYTES)
+    sink->lost++;
+  else
+    {
+      g_string_append_len (sink->waiting, line, (gssize)length);
+      g_string_append_c (sink->waiting, '\n');
+      if (sink->waiting->len == length + 1)
+        pthread_cond_signal (&sink->wake);
+    }
+  pthread_mutex_unlock (&sink->lock);
+}
+
+unsigned
+gs_log_sink_lost (gs_log_sink_t *sink)
+{
+  unsigned lost;
+
+  pthread_mutex_lock (&sink->lock);
+  lost = sink->lost;
+  sink->lost = 0;
+  pthread_mutex_unlock (&sink->lock);
+  return lost;
+}
+
+void
+gs_log_sink_destroy (gs_log_sink_t *sink)
+{
+  if (sink == NULL)
+    return;
+  pthread_mutex_lock (&sink->lock);
+  sink->stopping = true;
+  sink->stop_at = gs_clock_now () + END_WAIT;
+  pthread_cond_signal (&sink->wake);
+  pthread_mutex_unlock (&sink->lock);
+  gs_thread_join (sink->thread);
+  pthread_cond_destroy (&sink->wake);
+  pthread_mutex_destroy (&sink->lock);
+  g_string_free (sink->waiting, TRUE);
+  g_free (sink);
+}
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -45,9 +45,9 @@
   CURLM *multi;
   ck_ring_t ring;
   ck_ring_buffer_t *slots;
-  int epoll;       /* of all watched descriptors and libcurl's sockets */
-  int wake;        /* eventfd; written when a task is posted */
-  GArray *watches; /* fd -> watch_t */
+  int epoll;          /* of all watched descriptors and libcurl's sockets */
+  int wake;           /* eventfd; written when a task is posted */
+  GArray *watches;    /* fd -> watch_t */
   gs_time_t curl_due; /* libcurl's timer */
   gs_time_t tick_interval;
   gs_time_t tick_due;
@@ -271,14 +271,13 @@
 static void
 finish_call (gs_http_call_t *call, CURLcode code)
 {
-  gs_http_result_t result = { .status = transfer_status (call, code),
-                              .body = call->body->str,
-                              .body_length = call->body->len,
-                              .version = call->version,
-                              .content_type = "",
-                              .reason = code == CURLE_OK
-                                            ? ""
-                                            : curl_easy_strerror (code) };
+  gs_http_result_t result
+      = { .status = transfer_status (call, code),
+          .body = call->body->str,
+          .body_length = call->body->len,
+          .version = call->version,
+          .content_type = "",
+          .reason = code == CURLE_OK ? "" : curl_easy_strerror (code) };
   char *content_type = NULL;
 
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
--- a/src/util/server.c
+++ b/src/util/server.c
@@ -254,8 +254,8 @@
   if (g_ascii_strcasecmp (name, "Content-Length") == 0)
     {
       framing->lengths++;
-      framing->unclear |= *value == '\0'
-                          || strspn (value, "0123456789") != strlen (value);
+      framing->unclear
+          |= *value == '\0' || strspn (value, "0123456789") != strlen (value);
     }
   else if (g_ascii_strcasecmp (name, "Transfer-Encoding") == 0)
     {
@@ -487,9 +487,8 @@
   server->exchanges = g_hash_table_new (NULL, NULL);
   server->loop = options->loop;
   atomic_init (&server->idle_seconds, options->idle_seconds);
-  server->sweep
-      = gs_sweep_create ((gs_time_t)options->receive_seconds * GS_SEC,
-                         options->loop == NULL);
+  server->sweep = gs_sweep_create (
+      (gs_time_t)options->receive_seconds * GS_SEC, options->loop == NULL);
   /* A pool of one is refused by libmicrohttpd; it means no pool.  */
   server->daemon = MHD_start_daemon (
       flags, options->port, NULL, NULL, on_request, server,
--- /dev/null
+++ b/tests/test_explain_log.c
@@ -0,0 +1,114 @@
+#include "check.h"
+#include "cmd/explain_log.h"
+
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Lines of two nodes around the loss of a replica, in the order of time.  */
+static const char lines[]
+    = "ts=10.0 level=info node=n1 event=start version=1\n"
+      "ts=19.5 level=info node=n1 event=replica id=i-1 state=ready\n"
+      "ts=19.6 level=info node=n1 event=replica id=i-2 state=ready\n"
+      "ts=20.0 level=info node=n1 event=placed id=a replica=i-1 send=1\n"
+      "ts=20.1 level=info node=n2 event=placed id=b replica=i-2 send=1\n"
+      "ts=20.2 level=info node=n1 event=attempt id=a replica=i-1"
+      " outcome=unknown\n"
+      "ts=20.2 level=warn node=n1 event=replica_left_out id=i-1"
+      " reason=failures\n"
+      "ts=20.2 level=info node=n1 event=request id=a outcome=failed"
+      " status=502 reason=replica_lost\n"
+      "ts=20.3 level=info node=n2 event=request id=b outcome=answered"
+      " status=200 reason=replica_answered\n"
+      "ts=21.0 level=info node=n1 event=placed id=c replica=i-2 send=1\n"
+      "ts=21.5 level=info node=n2 event=placed id=d replica=i-2 send=1\n"
+      "ts=22.0 level=info node=n1 event=start version=1\n";
+
+static char *
+run (gs_status_t (*tell) (FILE *, const char *, const char *),
+     const char *argument, gs_status_t *status)
+{
+  char *path = NULL;
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+  int fd = g_file_open_tmp ("explain-XXXXXX", &path, NULL);
+
+  CU_ASSERT_FATAL (fd >= 0);
+  close (fd);
+  g_file_set_contents (path, lines, -1, NULL);
+  *status = tell (out, path, argument);
+  fclose (out);
+  g_unlink (path);
+  g_free (path);
+  return text;
+}
+
+static void
+a_failed_request_is_told_with_what_its_node_believed (void)
+{
+  gs_status_t status;
+  char *text = run (gs_explain_log, "a", &status);
+
+  CU_ASSERT_EQUAL (status, GS_OK);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "event=placed id=a"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "event=attempt id=a"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "reason=replica_lost"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "event=replica id=i-1"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "event=replica_left_out id=i-1"));
+  /* Of another node, another replica, or another time. */
+  CU_ASSERT_PTR_NULL (strstr (text, "id=b"));
+  CU_ASSERT_PTR_NULL (strstr (text, "id=i-2"));
+  CU_ASSERT_PTR_NULL (strstr (text, "ts=10.0"));
+  free (text);
+}
+
+static void
+a_request_without_lines_is_an_error (void)
+{
+  gs_status_t status;
+  char *text = run (gs_explain_log, "zz", &status);
+
+  CU_ASSERT_EQUAL (status, GS_ENOTFOUND);
+  CU_ASSERT_STRING_EQUAL (text, "");
+  free (text);
+}
+
+static gs_status_t
+unexplained (FILE *out, const char *path, const char *argument)
+{
+  unsigned count;
+  gs_status_t status = gs_explain_unexplained (out, path, &count);
+
+  (void)argument;
+  fprintf (out, "count=%u\n", count);
+  return status;
+}
+
+/* c was open when its node started again; nothing tells of the end of d.  */
+static void
+only_ends_without_a_cause_are_listed (void)
+{
+  gs_status_t status;
+  char *text = run (unexplained, NULL, &status);
+
+  CU_ASSERT_EQUAL (status, GS_OK);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "event=placed id=d"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "count=1\n"));
+  free (text);
+}
+
+static const check_case_t cases[] = {
+  { "a failed request is told with what its node believed",
+    a_failed_request_is_told_with_what_its_node_believed },
+  { "a request without lines is an error",
+    a_request_without_lines_is_an_error },
+  { "only ends without a cause are listed",
+    only_ends_without_a_cause_are_listed },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("explain_log", cases);
+}
