--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,301 @@
+#include "check.h"
+#include "platform/platform.h"
+#include "raw_http.h"
+
+#include <glib/gstdio.h>
+#include <math.h>
+#include <string.h>
+#include <unistd.h>
+
+/* What a request on the wire says of itself.  */
+static void
+take_request (void *context, gs_exchange_t *exchange)
+{
+  gs_platform_passing.read_request (context, exchange);
+  gs_exchange_reply (exchange, 200, NULL, NULL, "", 0);
+}
+
+static gs_passed_request_t
+read_request (const char *headers)
+{
+  gs_passed_request_t out;
+  gs_server_options_t options = GS_SERVER_OPTIONS_INIT;
+  gs_server_t *server;
+  raw_conn_t conn;
+
+  options.handler = take_request;
+  options.context = &out;
+  CU_ASSERT_EQUAL_FATAL (gs_server_create (&server, &options), GS_OK);
+  CU_ASSERT_TRUE_FATAL (raw_connect (&conn, gs_server_port (server)));
+  raw_printf (&conn, "GET /x HTTP/1.1\r\nHost: a\r\n%s\r\n", headers);
+  g_string_free (raw_read_all (&conn, GS_SEC, "\r\n\r\n"), TRUE);
+  raw_close (&conn);
+  gs_server_destroy (server);
+  return out;
+}
+
+static void
+a_prompts_parts_are_read_in_order (void)
+{
+  gs_passed_request_t request = read_request (
+      "X-Attempt-Id: abc\r\nX-Token-Counts: 13700,1122\r\n"
+      "X-Length-Hint: 400\r\nX-Deadline-Ms: 12000\r\nX-Api-Key: k\r\n"
+      "X-Prompt-Prefix: 4f975b232a5d:704,43f7fdf693ff:8230,"
+      "14aef4bb5e25:4766\r\n");
+
+  CU_ASSERT_STRING_EQUAL (request.id, "abc");
+  CU_ASSERT_STRING_EQUAL (request.key, "k");
+  CU_ASSERT_EQUAL (request.wait, 12 * GS_SEC);
+  CU_ASSERT_TRUE (request.has_token_counts);
+  CU_ASSERT_EQUAL (request.prompt_tokens, 13700);
+  CU_ASSERT_EQUAL (request.output_tokens_max, 1122);
+  CU_ASSERT_EQUAL (request.output_tokens_hint, 400);
+  CU_ASSERT_EQUAL_FATAL (request.part_count, 3);
+  CU_ASSERT_EQUAL (request.parts[0].id, 0x4f975b232a5d);
+  CU_ASSERT_EQUAL (request.parts[0].tokens, 704);
+  CU_ASSERT_EQUAL (request.parts[1].id, 0x43f7fdf693ff);
+  CU_ASSERT_EQUAL (request.parts[1].tokens, 8230);
+  CU_ASSERT_EQUAL (request.parts[2].tokens, 4766);
+}
+
+static void
+what_a_caller_garbles_counts_as_not_said (void)
+{
+  gs_passed_request_t request = read_request (
+      "X-Token-Counts: many\r\nX-Prompt-Prefix: ,,\r\n"
+      "X-Deadline-Ms: -5\r\nX-Length-Hint: 9999999999999999999999\r\n");
+
+  CU_ASSERT_STRING_EQUAL (request.id, "");
+  CU_ASSERT_EQUAL (request.wait, 0);
+  CU_ASSERT_FALSE (request.has_token_counts);
+  CU_ASSERT_EQUAL (request.part_count, 0);
+  CU_ASSERT_EQUAL (request.output_tokens_hint, 0);
+}
+
+static gs_status_t
+decode_replica (gs_replica_t *out, const char *text)
+{
+  json_t *value = json_loads (text, JSON_DECODE_ANY, NULL);
+  gs_object_t object = { .name = "i-1", .revision = 7, .value = value };
+  gs_status_t status = gs_platform_replica_decode (out, &object, 100 * GS_SEC);
+
+  json_decref (value);
+  return status;
+}
+
+static void
+replica_entries_become_replicas (void)
+{
+  gs_replica_t replica;
+
+  CU_ASSERT_EQUAL (
+      decode_replica (&replica,
+                      "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\","
+                      "\"zone\":\"z\",\"slots\":32,\"state\":\"draining\","
+                      "\"spot\":true,\"leaves_ms\":2500,\"born\":1234,"
+                      "\"cold_left_ms\":500,\"models\":[],\"new\":{}}"),
+      GS_OK);
+  CU_ASSERT_STRING_EQUAL (replica.id, "i-1");
+  CU_ASSERT_STRING_EQUAL (replica.address, "10.0.0.9:8080");
+  CU_ASSERT_EQUAL (replica.state, GS_REPLICA_DRAINING);
+  CU_ASSERT_TRUE (replica.spot);
+  CU_ASSERT_EQUAL (replica.slots, 32);
+  CU_ASSERT_EQUAL (replica.leaves_at, 102500 * GS_MSEC);
+  CU_ASSERT_EQUAL (replica.cold_until, 100500 * GS_MSEC);
+  CU_ASSERT_EQUAL (replica.born_ms, 1234);
+  CU_ASSERT_EQUAL (replica.revision, 7);
+}
+
+/* Entries of other writers name no replica to use.  */
+static void
+odd_entries_name_no_replica (void)
+{
+  static const char *const odd[] = {
+    "null",
+    "\"text\"",
+    "[]",
+    "{}",
+    "{\"service\":5,\"address\":\"1.2.3.4:1\",\"zone\":\"z\",\"slots\":1,"
+    "\"state\":\"ready\"}",
+    "{\"service\":\"s\",\"address\":\"1.2.3.4\",\"zone\":\"z\",\"slots\":1,"
+    "\"state\":\"ready\"}",
+    "{\"service\":\"s\",\"address\":\"1.2.3.4:99999\",\"zone\":\"z\","
+    "\"slots\":1,\"state\":\"ready\"}",
+    "{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"zone\":\"z\","
+    "\"slots\":\"many\",\"state\":\"ready\"}",
+    "{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"zone\":\"z\",\"slots\":-1,"
+    "\"state\":\"ready\"}",
+    "{\"service\":\"s\",\"address\":\"1.2.3.4:1\",\"zone\":\"z\",\"slots\":1,"
+    "\"state\":\"sleeping\"}",
+    "{\"service\":\"\",\"address\":\"1.2.3.4:1\",\"zone\":\"z\",\"slots\":1,"
+    "\"state\":\"ready\"}",
+  };
+  gs_replica_t replica;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    CU_ASSERT_EQUAL (decode_replica (&replica, odd[i]), GS_EINVAL);
+}
+
+static const char config_text[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+      "\"path_prefix\":\"/a/\",\"route_kind\":\"streaming\","
+      "\"timeout_ms\":12000,\"goal_ms\":500,\"priority\":1,"
+      "\"weighted_split\":[{\"service\":\"s\",\"weight\":90},"
+      "{\"service\":\"t\",\"weight\":10}],\"max_attempts\":2,"
+      "\"stream_resume\":true,\"gap_aim_ms\":400}],\"services\":["
+      "{\"name\":\"s\",\"max_conns\":240,\"engine\":{\"slots\":32,"
+      "\"kv_tokens\":944942},\"scale_limits\":{\"min\":1,\"max\":10,"
+      "\"boot_time_s\":4.0,\"spot_price\":0.22,\"zone_prices\":{\"z\":0.8}}},"
+      "{\"name\":\"t\"}],\"limits\":{\"max_body_bytes\":1000,"
+      "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"u\","
+      "\"api_keys\":[\"k1\",\"k2\"],\"priority\":1,\"unit\":\"token_count\","
+      "\"plain_tokens\":200,\"rate_per_s\":5000,\"burst\":6000}]}";
+
+static void
+a_configuration_becomes_routes (void)
+{
+  json_t *value = json_loads (config_text, 0, NULL);
+  gs_route_table_t *table;
+  const gs_path_route_t *route;
+  const gs_path_service_t *service;
+  const gs_client_account_t *account;
+
+  CU_ASSERT_EQUAL_FATAL (gs_platform_routes_decode (&table, value, 42), GS_OK);
+  CU_ASSERT_EQUAL (gs_route_table_revision (table), 42);
+  CU_ASSERT_EQUAL (gs_route_table_version (table), 7);
+  route = gs_route_table_match (table, "h", "/a/x");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_EQUAL (route->repeat, GS_REPEAT_RESUME);
+  CU_ASSERT_TRUE (route->streaming);
+  CU_ASSERT_EQUAL (route->runs_max, 2);
+  CU_ASSERT_EQUAL (route->timeout, 12 * GS_SEC);
+  CU_ASSERT_EQUAL (route->goal, 500 * GS_MSEC);
+  CU_ASSERT_EQUAL_FATAL (route->split_count, 2);
+  CU_ASSERT_EQUAL (route->splits[0].weight, 90);
+  service = gs_route_table_service (table, route->splits[0].service);
+  CU_ASSERT_STRING_EQUAL (service->name, "s");
+  CU_ASSERT_TRUE (service->engine);
+  CU_ASSERT_EQUAL (service->cache_tokens, 944942);
+  CU_ASSERT_TRUE (service->scale.present);
+  CU_ASSERT_EQUAL (service->scale.boot, 4 * GS_SEC);
+  CU_ASSERT_DOUBLE_EQUAL (service->scale.spot_price, 0.22, 1e-9);
+  CU_ASSERT_EQUAL_FATAL (gs_route_table_key (table, "k2"), 0);
+  account = gs_route_table_account (table, 0);
+  CU_ASSERT_TRUE (account->by_tokens);
+  CU_ASSERT_EQUAL (account->rate, 5000);
+  CU_ASSERT_EQUAL (account->burst, 6000);
+  CU_ASSERT_EQUAL (gs_route_table_limits (table)->idle_timeout, 15 * GS_SEC);
+  gs_route_table_unref (table);
+  json_decref (value);
+}
+
+static void
+a_configuration_that_cannot_hold_is_refused (void)
+{
+  static const char *const bad[] = {
+    "{}",
+    "{\"routes\":5}",
+    "{\"routes\":[{\"name\":\"r\"}]}",
+    "{\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/\","
+    "\"service\":\"none\"}],\"services\":[]}",
+    "{\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/\",\"service\":\"s\"},"
+    "{\"host\":\"H\",\"path_prefix\":\"/\",\"service\":\"s\"}],"
+    "\"services\":[{\"name\":\"s\"}]}",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      json_t *value = json_loads (bad[i], 0, NULL);
+      gs_route_table_t *table;
+
+      CU_ASSERT_EQUAL (gs_platform_routes_decode (&table, value, 1),
+                       GS_EINVAL);
+      CU_ASSERT_PTR_NULL (table);
+      json_decref (value);
+    }
+}
+
+static unsigned faults;
+
+static void
+count_fault (void *context, const char *file, const char *section,
+             const char *key, const char *reason)
+{
+  faults++;
+}
+
+static gs_status_t
+read_settings (gs_deployment_t *out, const char *text)
+{
+  char *path = NULL;
+  int fd = g_file_open_tmp ("settings-XXXXXX", &path, NULL);
+  gs_status_t status;
+
+  close (fd);
+  g_file_set_contents (path, text, -1, NULL);
+  faults = 0;
+  status = gs_platform_settings_read (out, path, count_fault, NULL);
+  g_unlink (path);
+  g_free (path);
+  return status;
+}
+
+#define GOOD_SETTINGS                                                         \
+  "node=n\nzone=z\nbind.front=10.1.0.14:8221\nbind.ready=10.1.0.14:8224\n"    \
+  "bind.control=10.1.0.14:8229\nplatform.address=10.200.1.7:8225\n"
+
+static void
+settings_are_read_and_what_is_new_is_passed_over (void)
+{
+  gs_deployment_t settings;
+
+  CU_ASSERT_EQUAL (
+      read_settings (&settings, GOOD_SETTINGS
+                     "seed_nodes=10.1.0.14:8229,odd,10.2.0.4:8229\n"
+                     "bounds.grace_s=8\nbounds.drain_ms=2000\n"
+                     "bounds.budget_ratio=0.2\nbounds.new_field=x\n"
+                     "a line without its sign\nregion=\n"),
+      GS_OK);
+  CU_ASSERT_EQUAL (faults, 0);
+  CU_ASSERT_STRING_EQUAL (settings.callers.host, "10.1.0.14");
+  CU_ASSERT_EQUAL (settings.callers.port, 8221);
+  CU_ASSERT_EQUAL (settings.seed_count, 2);
+  CU_ASSERT_EQUAL (settings.grace, 8 * GS_SEC);
+  CU_ASSERT_EQUAL (settings.drain, 2 * GS_SEC);
+  CU_ASSERT_DOUBLE_EQUAL (settings.resend_ratio, 0.2, 1e-9);
+}
+
+static void
+each_fault_of_the_settings_is_told (void)
+{
+  gs_deployment_t settings;
+
+  CU_ASSERT_EQUAL (read_settings (&settings, "node=n\nzone=z\n"), GS_EINVAL);
+  CU_ASSERT_EQUAL (faults, 4);
+  CU_ASSERT_EQUAL (read_settings (&settings,
+                                  GOOD_SETTINGS "bounds.grace_s=soon\n"
+                                                "bounds.drain_ms=-1\n"
+                                                "provider.address=nowhere\n"),
+                   GS_EINVAL);
+  CU_ASSERT_EQUAL (faults, 3);
+}
+
+static const check_case_t cases[] = {
+  { "a prompt's parts are read in order", a_prompts_parts_are_read_in_order },
+  { "what a caller garbles counts as not said",
+    what_a_caller_garbles_counts_as_not_said },
+  { "replica entries become replicas", replica_entries_become_replicas },
+  { "odd entries name no replica", odd_entries_name_no_replica },
+  { "a configuration becomes routes", a_configuration_becomes_routes },
+  { "a configuration that cannot hold is refused",
+    a_configuration_that_cannot_hold_is_refused },
+  { "settings are read and what is new is passed over",
+    settings_are_read_and_what_is_new_is_passed_over },
+  { "each fault of the settings is told", each_fault_of_the_settings_is_told },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("platform", cases);
+}
