gateway: in a large fleet a few nodes follow the store for all

Change: four nodes follow the store, the others copy what changed from a peer that is ahead; three ask for the lease; digests come less often in proportion to the fleet, and at once when a configuration comes. Fleets of up to six nodes follow as before. Ruled out: longer watches for all (each change wakes all of them anyway).

--- a/src/gateway/digest.c
+++ b/src/gateway/digest.c
@@ -3,8 +3,8 @@
 #include <msgpack.h>
 #include <string.h>
 
-#define FORMAT 1
-#define FIELDS 14
+#define FORMAT 2
+#define FIELDS 15
 
 static traffic_report_t *
 report_new (void)
@@ -148,6 +148,7 @@
   msgpack_pack_uint64 (&out, digest->config_revision);
   msgpack_pack_uint64 (&out, digest->replicas_revision);
   msgpack_pack_int (&out, digest->store_lost);
+  msgpack_pack_int (&out, digest->follows);
   msgpack_pack_uint32 (&out, digest->report->open);
   pack_loads (&out, digest->report->loads);
   pack_usage (&out, digest->report->usage);
@@ -356,6 +357,7 @@
       out->config_revision = take_number (&fields);
       out->replicas_revision = take_number (&fields);
       out->store_lost = take_number (&fields) != 0;
+      out->follows = take_number (&fields) != 0;
       out->report->open = (unsigned)take_number (&fields);
       take_loads (&fields, out->report->loads);
       take_usage (&fields, out->report->usage);
--- a/src/gateway/digest.h
+++ b/src/gateway/digest.h
@@ -28,6 +28,7 @@
   uint64_t config_revision;
   uint64_t replicas_revision;
   bool store_lost;
+  bool follows;             /**< it follows the store itself */
   traffic_report_t *report; /**< never NULL in a decoded digest */
   GArray *members;          /**< of digest_member_t: nodes that it knows */
 } digest_t;
--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -351,6 +351,7 @@
 {
   const char *service;
   gs_time_t now;
+  gs_time_t silence; /* a node counts as present for so long */
   uint64_t requests;
   uint64_t missing_tokens;
   double in_flight;
@@ -380,13 +381,15 @@
   demand_sum_t *sum = context;
 
   add_demand (sum, digest->report->demand,
-              sum->now <= heard_at + PEERS_SILENT);
+              sum->now <= heard_at + sum->silence);
 }
 
 static scaler_load_t
 measure_load (duties_t *duties, gs_time_t now, const char *service)
 {
-  demand_sum_t sum = { .service = service, .now = now };
+  demand_sum_t sum = { .service = service,
+                       .now = now,
+                       .silence = peers_silence (duties->options.peers) };
   meter_t *meter = g_hash_table_lookup (duties->meters, service);
   double passed = (double)(now - duties->scaled_at);
   double part = exp2 (-passed / (double)LOAD_HALF_LIFE);
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -2,6 +2,7 @@
 
 #include "garnetstack/log.h"
 #include "garnetstack/metrics.h"
+#include "garnetstack/settings.h"
 
 #include <glib.h>
 #include <string.h>
@@ -18,6 +19,9 @@
    below the two seconds in which a change must take effect.  */
 #define RETRY_FIRST (100 * GS_MSEC)
 #define RETRY_MOST (400 * GS_MSEC)
+/* Objects that are gone and still told of; others that are further behind get
+   the whole list.  */
+#define GONE_MAX 256
 
 typedef struct
 {
@@ -26,6 +30,13 @@
   json_t *value;
 } held_t;
 
+/* An object that is gone, kept so that others can be told.  */
+typedef struct
+{
+  char name[GS_NAME_BYTES];
+  uint64_t revision; /* it was gone by then */
+} gone_t;
+
 struct feed
 {
   const gs_object_store_t *store;
@@ -33,6 +44,8 @@
   feed_listener_t listener;
   gs_rng_t rng;
   GHashTable *held;       /* name -> held_t */
+  GQueue gone;            /* of gone_t, the oldest first */
+  uint64_t forgotten;     /* what was gone up to it is not known any more */
   uint64_t revision;      /* followed to */
   uint64_t list_revision; /* of the list that is being read */
   char *list_after;       /* name after which it goes on, NULL for its begin */
@@ -77,6 +90,7 @@
 {
   if (feed == NULL)
     return;
+  g_queue_clear_full (&feed->gone, g_free);
   g_hash_table_unref (feed->listed);
   g_hash_table_unref (feed->held);
   g_free (feed->list_after);
@@ -117,12 +131,31 @@
 }
 
 static void
-keep (feed_t *feed, const gs_object_t *object)
+note_gone (feed_t *feed, const char *name, uint64_t revision)
+{
+  gone_t *gone = g_new (gone_t, 1);
+
+  if (g_strlcpy (gone->name, name, sizeof gone->name) >= sizeof gone->name)
+    feed->forgotten = MAX (feed->forgotten, revision);
+  gone->revision = revision;
+  g_queue_push_tail (&feed->gone, gone);
+  if (g_queue_get_length (&feed->gone) > GONE_MAX)
+    {
+      gone = g_queue_pop_head (&feed->gone);
+      feed->forgotten = MAX (feed->forgotten, gone->revision);
+      g_free (gone);
+    }
+}
+
+/* @param revision up to which the news goes  */
+static void
+keep (feed_t *feed, const gs_object_t *object, uint64_t revision)
 {
   held_t *held;
 
   if (object->removed)
     {
+      note_gone (feed, object->name, revision);
       g_hash_table_remove (feed->held, object->name);
       return;
     }
@@ -136,13 +169,16 @@
 /* An object that is older than what is known of it says nothing new: two
    sources may be read in any order.  */
 static void
-take_object (feed_t *feed, gs_time_t now, const gs_object_t *object)
+take_object (feed_t *feed, gs_time_t now, const gs_object_t *object,
+             uint64_t revision)
 {
   const held_t *held = g_hash_table_lookup (feed->held, object->name);
 
   if (held != NULL && object->revision < held->revision)
     return;
-  keep (feed, object);
+  if (held == NULL && object->removed)
+    return;
+  keep (feed, object, revision);
   feed->listener.on_object (feed->listener.context, now, object);
 }
 
@@ -161,6 +197,7 @@
       if (g_hash_table_contains (feed->listed, name))
         continue;
       feed->listener.on_object (feed->listener.context, now, &gone);
+      note_gone (feed, name, feed->revision);
       g_hash_table_iter_remove (&iter);
     }
   g_hash_table_remove_all (feed->listed);
@@ -198,7 +235,7 @@
   for (unsigned i = 0; i < result->count; i++)
     {
       g_hash_table_add (feed->listed, g_strdup (result->objects[i].name));
-      take_object (feed, now, &result->objects[i]);
+      take_object (feed, now, &result->objects[i], result->revision);
     }
   if (result->more && result->count > 0)
     {
@@ -234,14 +271,14 @@
     }
   note_back (feed, now);
   for (unsigned i = 0; i < result->count; i++)
-    take_object (feed, now, &result->objects[i]);
+    take_object (feed, now, &result->objects[i], result->revision);
   feed->revision = MAX (feed->revision, result->revision);
 }
 
 void
-feed_tick (feed_t *feed, gs_time_t now)
+feed_tick (feed_t *feed, gs_time_t now, bool follow)
 {
-  if (feed->busy || now < feed->due)
+  if (feed->busy || now < feed->due || !follow)
     return;
   feed->busy = true;
   gs_metric_add (GS_METRIC_STORE_READS, 1);
@@ -265,47 +302,110 @@
   return feed->lost_at;
 }
 
-char *
-feed_export (const feed_t *feed)
+static json_t *
+export_held (const feed_t *feed, uint64_t above)
 {
   json_t *objects = json_array ();
-  json_t *root;
   GHashTableIter iter;
   gpointer value;
-  char *dumped;
-  char *text;
 
   g_hash_table_iter_init (&iter, feed->held);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const held_t *held = value;
 
-      json_array_append_new (objects,
-                             json_pack ("{s:s, s:I, s:O}", "name", held->name,
-                                        "revision", (json_int_t)held->revision,
-                                        "value", held->value));
+      if (held->revision > above)
+        json_array_append_new (objects, json_pack ("{s:s, s:I, s:O}", "name",
+                                                   held->name, "revision",
+                                                   (json_int_t)held->revision,
+                                                   "value", held->value));
     }
-  root = json_pack ("{s:I, s:o}", "revision", (json_int_t)feed->revision,
-                    "objects", objects);
-  dumped = json_dumps (root, JSON_COMPACT);
-  text = g_strdup (dumped);
+  return objects;
+}
+
+static json_t *
+export_gone (const feed_t *feed, uint64_t above)
+{
+  json_t *names = json_array ();
+
+  for (GList *link = feed->gone.head; link != NULL; link = link->next)
+    if (((const gone_t *)link->data)->revision > above)
+      json_array_append_new (names,
+                             json_string (((const gone_t *)link->data)->name));
+  return names;
+}
+
+char *
+feed_export (const feed_t *feed, uint64_t above)
+{
+  bool whole = above == 0 || above < feed->forgotten;
+  json_t *root = json_pack (
+      "{s:I, s:b, s:o, s:o}", "revision", (json_int_t)feed->revision, "whole",
+      whole, "objects", export_held (feed, whole ? 0 : above), "gone",
+      whole ? json_array () : export_gone (feed, above));
+  char *dumped = json_dumps (root, JSON_COMPACT);
+  char *text = g_strdup (dumped);
+
   free (dumped);
   json_decref (root);
   return text;
 }
 
+static void
+import_gone (feed_t *feed, gs_time_t now, const json_t *names,
+             uint64_t revision)
+{
+  size_t i;
+  json_t *name;
+
+  json_array_foreach (names, i, name)
+  {
+    gs_object_t gone = { .name = json_string_value (name), .removed = true };
+    const held_t *held = gone.name != NULL
+                             ? g_hash_table_lookup (feed->held, gone.name)
+                             : NULL;
+
+    if (held == NULL)
+      continue;
+    gone.revision = held->revision;
+    take_object (feed, now, &gone, revision);
+  }
+}
+
+static void
+import_objects (feed_t *feed, gs_time_t now, const json_t *objects,
+                uint64_t revision)
+{
+  size_t i;
+  json_t *from;
+
+  json_array_foreach (objects, i, from)
+  {
+    gs_object_t object
+        = { .name = json_string_value (json_object_get (from, "name")),
+            .revision = (uint64_t)json_integer_value (
+                json_object_get (from, "revision")),
+            .value = json_object_get (from, "value") };
+
+    if (object.name == NULL || object.value == NULL)
+      continue;
+    g_hash_table_add (feed->listed, g_strdup (object.name));
+    take_object (feed, now, &object, revision);
+  }
+}
+
 gs_status_t
 feed_import (feed_t *feed, gs_time_t now, const char *text, size_t length)
 {
   json_t *root = json_loadb (text, length, 0, NULL);
   const json_t *objects = json_object_get (root, "objects");
+  bool whole = json_is_true (json_object_get (root, "whole"));
   uint64_t revision
       = (uint64_t)json_integer_value (json_object_get (root, "revision"));
   gs_status_t status = GS_OK;
-  size_t i;
-  json_t *from;
 
-  if (!json_is_array (objects) || revision == 0)
+  if (!json_is_array (objects) || revision == 0
+      || (!whole && feed->revision == 0))
     {
       status = gs_error_set (GS_EINVAL, "a node's copy of %s is malformed",
                              feed->kind);
@@ -315,25 +415,18 @@
     goto cleanup;
   g_clear_pointer (&feed->list_after, g_free);
   g_hash_table_remove_all (feed->listed);
-  json_array_foreach (objects, i, from)
-  {
-    gs_object_t object
-        = { .name = json_string_value (json_object_get (from, "name")),
-            .revision = (uint64_t)json_integer_value (
-                json_object_get (from, "revision")),
-            .value = json_object_get (from, "value") };
-
-    if (object.name == NULL || object.value == NULL)
-      continue;
-    g_hash_table_add (feed->listed, g_strdup (object.name));
-    take_object (feed, now, &object);
-  }
-  end_list (feed, now, revision);
+  /* A name that is gone may be there again: the objects come after.  */
+  import_gone (feed, now, json_object_get (root, "gone"), revision);
+  import_objects (feed, now, objects, revision);
+  if (whole)
+    end_list (feed, now, revision);
+  else
+    feed->revision = revision;
   feed->listing = false;
-  gs_log (GS_LOG_INFO, "feed_taken_over",
-          "kind=%s revision=%llu objects=%u store_lost=%d", feed->kind,
-          (unsigned long long)revision, g_hash_table_size (feed->held),
-          feed->lost_at != 0);
+  gs_log (GS_LOG_DEBUG, "feed_taken_over",
+          "kind=%s revision=%llu objects=%u whole=%d store_lost=%d",
+          feed->kind, (unsigned long long)revision,
+          g_hash_table_size (feed->held), whole, feed->lost_at != 0);
 
 cleanup:
   json_decref (root);
--- a/src/gateway/feed.h
+++ b/src/gateway/feed.h
@@ -1,9 +1,9 @@
 /**
  * @file feed.h
  * Follows the objects of one kind in the store: lists them, then watches for
- * changes, and starts over when the history is gone.  While the store does
- * not answer it can take in what another node has followed.  Runs on the
- * control thread.
+ * changes, and starts over when the history is gone.  It can also take in what
+ * another node has followed: while the store does not answer, or because in a
+ * large fleet only some nodes follow the store.  Runs on the control thread.
  */
 #ifndef GS_GATEWAY_FEED_H
 #define GS_GATEWAY_FEED_H
@@ -33,8 +33,10 @@
 /** To be called once no call of the store is open. */
 void feed_destroy (feed_t *feed);
 
-/** Make the next call when it is due; called often. */
-void feed_tick (feed_t *feed, gs_time_t now);
+/** Make the next call when it is due; called often.
+    @param follow this node follows the store itself; without it the feed only
+    takes in what others export */
+void feed_tick (feed_t *feed, gs_time_t now, bool follow);
 
 /** @return store revision that the feed has followed to; 0 before the first
     list. */
@@ -44,8 +46,10 @@
     does. */
 gs_time_t feed_lost_at (const feed_t *feed);
 
-/** @return all that the feed knows, as JSON; freed with g_free() */
-char *feed_export (const feed_t *feed);
+/** @param above revision that the other side has followed to; 0 for none
+    @return what has changed since, as JSON, or all when that is not known any
+    more; freed with g_free() */
+char *feed_export (const feed_t *feed, uint64_t above);
 
 /**
  * Take in what another node exported, if it is ahead of this feed.
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -33,6 +33,12 @@
 #define LEAVE_LEAST (4 * GS_SEC)
 #define LEAVE_POLL_NSEC 20000000
 #define CONTROL_CONNECTIONS 256
+/* In fleets up to this size each node follows the store.  */
+#define ALL_FOLLOW 6
+/* Nodes of larger fleets that do: one may be cut off and another restart.  */
+#define FOLLOWERS 4
+/* Nodes that ask for the lease of the duties.  */
+#define CANDIDATES 3
 #define PEER_BODY_BYTES ((size_t)4 << 20)
 
 struct gateway
@@ -59,6 +65,7 @@
   gs_time_t config_copy_due;
   gs_time_t replica_copy_due;
   bool leaving;
+  bool follows;            /* the store; in a large fleet only some nodes do */
   gs_server_t *servers[4]; /* readiness, addresses, peers, metrics */
   atomic_uint open;        /* exchanges of callers, as last reported */
 };
@@ -123,7 +130,9 @@
 static void
 reply_feed (gs_exchange_t *exchange, const feed_t *feed)
 {
-  char *text = feed_export (feed);
+  const char *above = gs_exchange_query (exchange, "above");
+  char *text = feed_export (
+      feed, above != NULL ? g_ascii_strtoull (above, NULL, 10) : 0);
 
   gs_exchange_reply (exchange, 200, "application/json", NULL, text,
                      strlen (text));
@@ -284,6 +293,8 @@
   gateway->table = table;
   gateway->table_at = now;
   duties_set_routes (gateway->duties, table);
+  if (gateway->follows)
+    peers_hurry (gateway->peers, now);
   traffic_set_routes (gateway->traffic, gs_route_table_ref (table));
 }
 
@@ -352,6 +363,7 @@
   digest->config_revision
       = gateway->table != NULL ? gs_route_table_revision (gateway->table) : 0;
   digest->replicas_revision = feed_revision (gateway->replica_feed);
+  digest->follows = gateway->follows;
   digest->store_lost = feed_lost_at (gateway->replica_feed) != 0;
   if (report == NULL)
     return;
@@ -395,8 +407,9 @@
 {
   gs_http_request_t request = GS_HTTP_REQUEST_INIT;
   copy_t *copy = g_new (copy_t, 1);
-  char *url = g_strdup_printf ("http://%s:%u%s", digest->self.peers.host,
-                               digest->self.peers.port, path);
+  char *url = g_strdup_printf (
+      "http://%s:%u%s?above=%llu", digest->self.peers.host,
+      digest->self.peers.port, path, (unsigned long long)feed_revision (feed));
 
   *copy = (copy_t){ gateway, feed };
   request.url = url;
@@ -409,10 +422,9 @@
   g_free (url);
 }
 
-/* A peer that is ahead is copied from: the store may turn this node away, and
-   a watch may have fallen silent.  Replicas change all the time, and a watch
-   brings the news a moment later; they are copied only while the store does
-   not answer.  */
+/* A peer that is ahead is copied from: the store may turn this node away, a
+   watch may have fallen silent, or this node does not follow the store.  To a
+   node that does, its own watch brings news of replicas a moment later.  */
 static void
 on_digest (void *context, gs_time_t now, const digest_t *digest)
 {
@@ -425,7 +437,7 @@
       gateway->config_copy_due = now + COPY_INTERVAL;
       copy_from (gateway, now, digest, gateway->config_feed, "/config");
     }
-  if ((feed_lost_at (gateway->replica_feed) != 0
+  if ((feed_lost_at (gateway->replica_feed) != 0 || !gateway->follows
        || feed_revision (gateway->replica_feed) == 0)
       && digest->replicas_revision > feed_revision (gateway->replica_feed)
       && now >= gateway->replica_copy_due)
@@ -467,19 +479,34 @@
     }
 }
 
+/* Calls to the store are priced and bounded, so a few nodes follow it for all;
+   the others follow it themselves as long as they hear of none for whom it
+   answers.  */
+static void
+decide_follows (gateway_t *gateway, gs_time_t now)
+{
+  gateway->follows = peers_members (gateway->peers, now) <= ALL_FOLLOW
+                     || feed_revision (gateway->replica_feed) == 0
+                     || peers_before (gateway->peers, now) < FOLLOWERS
+                     || !peers_follower_heard (gateway->peers, now);
+}
+
 static void
 on_tick (void *context)
 {
   gateway_t *gateway = context;
   gs_time_t now = gs_clock_now ();
 
-  feed_tick (gateway->config_feed, now);
-  feed_tick (gateway->replica_feed, now);
-  membership_tick (gateway->membership, now);
+  decide_follows (gateway, now);
+  feed_tick (gateway->config_feed, now, gateway->follows);
+  feed_tick (gateway->replica_feed, now, gateway->follows);
+  membership_tick (gateway->membership, now, gateway->follows);
   peers_tick (gateway->peers, now);
   roster_tick (gateway->roster, now);
   publish_replicas (gateway);
-  duties_tick (gateway->duties, now, is_ready (gateway));
+  duties_tick (gateway->duties, now,
+               is_ready (gateway)
+                   && peers_before (gateway->peers, now) < CANDIDATES);
   if (now >= gateway->view_due)
     {
       gateway->view_due = now + VIEW_INTERVAL;
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -116,12 +116,13 @@
 }
 
 void
-membership_tick (membership_t *membership, gs_time_t now)
+membership_tick (membership_t *membership, gs_time_t now, bool follow)
 {
   const gs_object_store_t *store = membership->store;
 
   if (!membership->leaving)
-    feed_tick (membership->feed, now);
+    feed_tick (membership->feed, now,
+               follow || feed_revision (membership->feed) == 0);
   if (membership->busy || now < membership->due)
     return;
   if (!membership->leaving && membership->entry == ENTRY_ABSENT)
@@ -145,5 +146,5 @@
 membership_leave (membership_t *membership, gs_time_t now)
 {
   membership->leaving = true;
-  membership_tick (membership, now);
+  membership_tick (membership, now, false);
 }
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -19,8 +19,9 @@
                         uint64_t seed);
 void membership_destroy (membership_t *membership);
 
-/** Make the calls that are due; called often. */
-void membership_tick (membership_t *membership, gs_time_t now);
+/** Make the calls that are due; called often.
+    @param follow this node follows the entries of the others */
+void membership_tick (membership_t *membership, gs_time_t now, bool follow);
 
 /** Remove this node's entry, as the process is about to end. */
 void membership_leave (membership_t *membership, gs_time_t now);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -4,6 +4,7 @@
 #include "garnetstack/rng.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define DIGEST_PATH "/digest"
 /* Within a region an answer takes some milliseconds; a node that is slowed
@@ -84,6 +85,21 @@
   g_free (peers);
 }
 
+static gs_time_t
+interval (const peers_t *peers)
+{
+  unsigned nodes = g_hash_table_size (peers->by_name) + 1;
+
+  return nodes <= PEERS_FEW ? PEERS_INTERVAL
+                            : PEERS_INTERVAL * nodes / PEERS_FEW;
+}
+
+gs_time_t
+peers_silence (const peers_t *peers)
+{
+  return (gs_time_t)(PEERS_MISSED * (double)interval (peers));
+}
+
 static bool
 is_self (const peers_t *peers, const char *name)
 {
@@ -116,7 +132,7 @@
   peer->listed = listed;
   /* A node may come back under its name at another address.  */
   if (listed && peer->member.incarnation != member->incarnation
-      && gs_clock_now () > peer->heard_at + PEERS_SILENT)
+      && gs_clock_now () > peer->heard_at + peers_silence (peers))
     peer->member = *member;
 }
 
@@ -194,8 +210,9 @@
   peer->silent = false;
   peer->member = digest.self;
   peer->heard_at = now;
-  peer->due = now + PEERS_INTERVAL
-              + (gs_time_t)gs_rng_below (&peers->rng, PEERS_INTERVAL / 3);
+  peer->due = now + interval (peers)
+              + (gs_time_t)gs_rng_below (&peers->rng,
+                                         (uint64_t)interval (peers) / 3);
   for (guint i = 0; i < digest.members->len; i++)
     {
       peer_t *named = ensure_peer (
@@ -240,8 +257,9 @@
     {
       peer->busy = false;
       peer->due = now
-                  + (now > peer->heard_at + PEERS_SILENT ? SILENT_INTERVAL
-                                                         : PEERS_INTERVAL);
+                  + (now > peer->heard_at + peers_silence (peers)
+                         ? MAX (SILENT_INTERVAL, interval (peers))
+                         : interval (peers));
     }
   if (whole
       && take_digest (peers, now, result->body, result->body_length) != GS_OK)
@@ -307,9 +325,9 @@
 }
 
 static void
-note_silent (peer_t *peer, gs_time_t now)
+note_silent (const peers_t *peers, peer_t *peer, gs_time_t now)
 {
-  if (peer->silent || now <= peer->heard_at + PEERS_SILENT)
+  if (peer->silent || now <= peer->heard_at + peers_silence (peers))
     return;
   peer->silent = true;
   gs_log (GS_LOG_WARN, "peer_silent", "peer=%s silent_ms=%lld",
@@ -328,7 +346,7 @@
     {
       peer_t *peer = value;
 
-      note_silent (peer, now);
+      note_silent (peers, peer, now);
       if (!peer->listed && !peer->busy
           && now > MAX (peer->heard_at, peer->known_at) + FORGET_AFTER)
         {
@@ -374,9 +392,9 @@
 }
 
 static bool
-is_heard (const peer_t *peer, gs_time_t now)
+is_heard (const peers_t *peers, const peer_t *peer, gs_time_t now)
 {
-  return peer->heard_at != 0 && now <= peer->heard_at + PEERS_SILENT;
+  return peer->heard_at != 0 && now <= peer->heard_at + peers_silence (peers);
 }
 
 unsigned
@@ -388,7 +406,7 @@
 
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    count += is_heard (value, now);
+    count += is_heard (peers, value, now);
   return count;
 }
 
@@ -401,6 +419,52 @@
   return process != NULL ? &process->digest : NULL;
 }
 
+/* A hash spreads what the first nodes do over the data centres, whose nodes'
+   names sort together.  */
+static uint64_t
+order_of (const char *name)
+{
+  return XXH3_64bits (name, strlen (name));
+}
+
+unsigned
+peers_before (const peers_t *peers, gs_time_t now)
+{
+  uint64_t own = order_of (peers->self.name);
+  unsigned count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const peer_t *peer = value;
+      const digest_t *digest = digest_of (peers, peer);
+
+      count += is_heard (peers, peer, now) && digest != NULL && digest->ready
+               && !digest->leaving && order_of (peer->member.name) < own;
+    }
+  return count;
+}
+
+bool
+peers_follower_heard (const peers_t *peers, gs_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const digest_t *digest = digest_of (peers, value);
+
+      if (is_heard (peers, value, now) && digest != NULL && digest->follows
+          && !digest->store_lost && !digest->leaving)
+        return true;
+    }
+  return false;
+}
+
 unsigned
 peers_addresses (const peers_t *peers, gs_time_t now, gs_endpoint_t *out,
                  unsigned max)
@@ -415,7 +479,7 @@
       const peer_t *peer = value;
       const digest_t *digest = digest_of (peers, peer);
 
-      if (is_heard (peer, now) && digest != NULL && digest->ready
+      if (is_heard (peers, peer, now) && digest != NULL && digest->ready
           && !digest->leaving)
         out[count++] = peer->member.callers;
     }
@@ -438,7 +502,7 @@
       const digest_t *digest = digest_of (peers, peer);
       traffic_peer_t row;
 
-      if (!is_heard (peer, now) || digest == NULL)
+      if (!is_heard (peers, peer, now) || digest == NULL)
         continue;
       row.node = peer->member.incarnation;
       row.loads = g_array_copy (digest->report->loads);
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -11,10 +11,13 @@
 #include "garnetstack/object_store.h"
 #include "gateway/digest.h"
 
-/** Time between two exchanges of a pair. */
+/** Time between two exchanges of a pair, in a fleet of PEERS_FEW nodes or
+    fewer; in larger ones longer in proportion, so that what a node sends does
+    not grow with the fleet. */
 #define PEERS_INTERVAL (300 * GS_MSEC)
-/** A node that is silent for so long is not named to callers. */
-#define PEERS_SILENT (1100 * GS_MSEC)
+#define PEERS_FEW 10
+/** A node that misses so many exchanges is not named to callers. */
+#define PEERS_MISSED 3.6
 /** What a node reported is used for so long after it was last heard, for
     usage reports. */
 #define PEERS_REMEMBERED (30 * GS_SEC)
@@ -55,6 +58,18 @@
 /** @return nodes that share what must hold over all, this one included. */
 unsigned peers_members (const peers_t *peers, gs_time_t now);
 
+/** @return how long a node may be silent and still counts as heard. */
+gs_time_t peers_silence (const peers_t *peers);
+
+/** @return nodes heard that take requests and come before this one in an
+    order that all nodes share; those that come first do what a few do for
+    all. */
+unsigned peers_before (const peers_t *peers, gs_time_t now);
+
+/** @return whether a node that was heard follows the store, and the store
+    answers it. */
+bool peers_follower_heard (const peers_t *peers, gs_time_t now);
+
 /** @return nodes heard lately, without this one. */
 unsigned peers_heard (const peers_t *peers, gs_time_t now);
 
