--- a/src/cmd/cmd_explain.c
+++ b/src/cmd/cmd_explain.c
@@ -149,7 +149,7 @@
         result = list_unexplained (log);
       else if (argc == 2 && log != NULL && !all)
         result = explain_from_log (log, argv[1]);
-      else if (argc == 2 && !all)
+      else if (argc == 2 && !all && options.nodes != NULL)
         result = explain (argv[1], &options);
       else
         {
--- a/src/cmd/explain_log.c
+++ b/src/cmd/explain_log.c
@@ -119,7 +119,7 @@
 static void
 find_request (story_t *story, const char *id)
 {
-  for (char **line = story->lines; *line != NULL; line++)
+  for (char **line = story->lines; line != NULL && *line != NULL; line++)
     if (is_of_request (*line, id))
       {
         double time = time_of (*line);
@@ -193,14 +193,16 @@
 {
   GHashTable *open_requests
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  char **lines;
+  char **lines = NULL;
   gs_status_t status = read_lines (&lines, path);
   GHashTableIter iter;
   gpointer id;
   gpointer node;
 
   *count = 0;
-  for (char **line = lines; status == GS_OK && *line != NULL; line++)
+  if (status != GS_OK)
+    goto cleanup;
+  for (char **line = lines; line != NULL && *line != NULL; line++)
     {
       char *event = value_of (*line, "event");
       char *name = value_of (*line, "id");
@@ -223,13 +225,14 @@
       g_free (event);
     }
   g_hash_table_iter_init (&iter, open_requests);
-  while (status == GS_OK && g_hash_table_iter_next (&iter, &id, &node))
+  while (g_hash_table_iter_next (&iter, &id, &node))
     {
       char *name = value_of (node, "node");
       double time = time_of (node);
       bool explained = false;
 
-      for (char **line = lines; *line != NULL && !explained; line++)
+      for (char **line = lines; line != NULL && *line != NULL && !explained;
+           line++)
         explained = tells_of_end (*line, name, time);
       if (!explained)
         {
@@ -238,8 +241,9 @@
         }
       g_free (name);
     }
+
+cleanup:
   g_hash_table_unref (open_requests);
-  if (status == GS_OK)
-    g_strfreev (lines);
+  g_strfreev (lines);
   return status;
 }
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -100,7 +100,8 @@
 static void
 retry_later (gs_lease_t *lease, gs_time_t now)
 {
-  gs_time_t pause = lease->times.retry << MIN (lease->failures, RETRY_SHIFT_MAX);
+  gs_time_t pause = lease->times.retry
+                    << MIN (lease->failures, RETRY_SHIFT_MAX);
 
   lease->failures++;
   lease->due = now + pause + (gs_time_t)(lease->incarnation % pause);
@@ -111,9 +112,8 @@
 static void
 hold (gs_lease_t *lease)
 {
-  lease->act_deadline
-      = lease->tried_at + lease->times.term - drift (lease)
-        - lease->times.pause;
+  lease->act_deadline = lease->tried_at + lease->times.term - drift (lease)
+                        - lease->times.pause;
 }
 
 void
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -123,13 +123,25 @@
                           / (double)(relay->events.count - 1));
 }
 
+/* @return this node's present part of the account's limit, 0 without one  */
+static double
+share_of (const relay_t *relay, gs_time_t now)
+{
+  const gs_client_account_t *account = relay->account;
+
+  if (account == NULL || relay->tokens == 0)
+    return 0;
+  return gs_limits_share (relay->traffic->limits, now, relay->limit_row,
+                          account->by_tokens ? GS_LIMIT_TOKENS
+                                             : GS_LIMIT_REQUESTS);
+}
+
 /* Why a request ended as it did.  Only what is not the usual course is never
    left out.  */
 static void
 log_end (const relay_t *relay, gs_time_t now, const char *outcome,
          unsigned status, const char *reason)
 {
-  const traffic_t *traffic = relay->traffic;
   gs_log_value_t id;
   char line[512];
 
@@ -148,11 +160,7 @@
       msec (relay->arrived_at, relay->first_at), msec (relay->arrived_at, now),
       msec (now, relay->deadline), relay->tokens,
       relay->account != NULL ? (unsigned long long)relay->account->rate : 0ULL,
-      relay->tokens > 0 ? gs_limits_share (
-          traffic->limits, now, relay->limit_row,
-          relay->account->by_tokens ? GS_LIMIT_TOKENS : GS_LIMIT_REQUESTS)
-                        : 0,
-      (unsigned long long)relay->events.count,
+      share_of (relay, now), (unsigned long long)relay->events.count,
       relay->service != NULL ? g_queue_get_length (&relay->service->waiting)
                              : 0);
   if (strcmp (outcome, "answered") == 0)
--- a/src/gateway/scaler.c
+++ b/src/gateway/scaler.c
@@ -267,7 +267,7 @@
       by_price[i] = &plan->places[i];
       by_price[i]->kept_wanted = 0;
     }
-  qsort (by_price, plan->place_count, sizeof *by_price, compare_price);
+  qsort (by_price, plan->place_count, sizeof (place_t *), compare_price);
   while (left > 0 && dealt)
     {
       dealt = false;
--- a/src/routing/limits.c
+++ b/src/routing/limits.c
@@ -209,8 +209,7 @@
 
   for (int kind = 0; kind < GS_LIMIT_IN_FLIGHT; kind++)
     {
-      double saved
-          = (double)state->limits.saved[kind] / limits->member_count;
+      double saved = (double)state->limits.saved[kind] / limits->member_count;
       double most = MAX (shares[kind] * BURST_SEC + saved, 1);
 
       state->level[kind]
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -165,6 +165,8 @@
   CU_ASSERT_EQUAL (gs_route_table_version (table), 7);
   route = gs_route_table_match (table, "h", "/a/x");
   CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  if (route == NULL)
+    return;
   CU_ASSERT_EQUAL (route->repeat, GS_REPEAT_RESUME);
   CU_ASSERT_TRUE (route->streaming);
   CU_ASSERT_EQUAL (route->runs_max, 2);
--- a/tests/test_roster.c
+++ b/tests/test_roster.c
@@ -115,6 +115,8 @@
   roster_put (roster, GS_SEC, &replica);
   list = roster_export (roster);
   CU_ASSERT_PTR_NOT_NULL_FATAL (list);
+  if (list == NULL)
+    return;
   CU_ASSERT_EQUAL (list->count, 1);
   gs_replica_list_unref (list);
   roster_put (roster, 2 * GS_SEC, &replica);
