--- a/src/cmd/explain_log.c
+++ b/src/cmd/explain_log.c
@@ -166,7 +166,8 @@
   if (story.first < 0)
     status
         = gs_error_set (GS_ENOTFOUND, "%s: no line of request %s", path, id);
-  for (char **line = story.lines; status == GS_OK && *line != NULL; line++)
+  for (char **line = story.lines;
+       status == GS_OK && line != NULL && *line != NULL; line++)
     if (is_of_request (*line, id) || is_belief (&story, *line))
       fprintf (out, "%s\n", *line);
   g_hash_table_unref (story.nodes);
--- /dev/null
+++ b/tests/test_feed.c
@@ -0,0 +1,369 @@
+#include "check.h"
+#include "gateway/feed.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+/* A store whose calls a test answers by hand.  */
+typedef struct
+{
+  gs_object_store_t port;
+  gs_object_cb_t callback; /* of the open call, NULL for none */
+  void *argument;
+  bool is_watch;
+  uint64_t above; /* of a watch */
+  char *after;    /* of a list */
+  unsigned calls;
+} store_t;
+
+/* What a listener was told, as text: "+a5 -b ". */
+typedef struct
+{
+  GString *told;
+  unsigned listed;
+  unsigned lost;
+} ear_t;
+
+static void
+take_list (void *context, const char *kind, const char *after,
+           gs_time_t deadline, gs_object_cb_t callback, void *argument)
+{
+  store_t *store = context;
+
+  store->is_watch = false;
+  g_free (store->after);
+  store->after = g_strdup (after);
+  store->callback = callback;
+  store->argument = argument;
+  store->calls++;
+}
+
+static void
+take_watch (void *context, const char *kind, uint64_t above,
+            gs_time_t deadline, gs_object_cb_t callback, void *argument)
+{
+  store_t *store = context;
+
+  store->is_watch = true;
+  store->above = above;
+  store->callback = callback;
+  store->argument = argument;
+  store->calls++;
+}
+
+static void
+answer (store_t *store, const gs_object_result_t *result)
+{
+  gs_object_cb_t callback = store->callback;
+
+  store->callback = NULL;
+  callback (store->argument, result);
+}
+
+/* Answer with objects written as "a5" for one and "-a5" for a removal.  */
+static void
+answer_objects (store_t *store, uint64_t revision, bool more, const char *text)
+{
+  gs_object_t objects[16] = { { .name = NULL } };
+  gs_object_result_t result = {
+    .status = GS_OK, .revision = revision, .more = more, .objects = objects
+  };
+  char **words = g_strsplit (text, " ", -1);
+  json_t *value = json_object ();
+
+  for (char **word = words; *word != NULL && **word != '\0'; word++)
+    {
+      gs_object_t *object = &objects[result.count++];
+      char *name = **word == '-' ? *word + 1 : *word;
+      char *number = name + strcspn (name, "0123456789");
+
+      object->removed = **word == '-';
+      object->revision = g_ascii_strtoull (number, NULL, 10);
+      *number = '\0';
+      object->name = name;
+      object->value = object->removed ? NULL : value;
+    }
+  answer (store, &result);
+  json_decref (value);
+  g_strfreev (words);
+}
+
+static void
+answer_status (store_t *store, gs_status_t status)
+{
+  gs_object_result_t result = { .status = status };
+
+  answer (store, &result);
+}
+
+static void
+hear_object (void *context, gs_time_t now, const gs_object_t *object)
+{
+  ear_t *ear = context;
+
+  if (object->removed)
+    g_string_append_printf (ear->told, "-%s ", object->name);
+  else
+    g_string_append_printf (ear->told, "+%s%llu ", object->name,
+                            (unsigned long long)object->revision);
+}
+
+static void
+hear_listed (void *context, gs_time_t now)
+{
+  ((ear_t *)context)->listed++;
+}
+
+static void
+hear_lost (void *context, gs_time_t now)
+{
+  ((ear_t *)context)->lost++;
+}
+
+static void
+hear_back (void *context, gs_time_t now)
+{
+}
+
+static void
+start (feed_t **feed, store_t *store, ear_t *ear)
+{
+  feed_listener_t listener
+      = { ear, hear_object, hear_listed, hear_lost, hear_back };
+
+  *store = (store_t){ .port = { .list = take_list, .watch = take_watch } };
+  store->port.context = store;
+  *ear = (ear_t){ .told = g_string_new (NULL) };
+  feed_create (feed, &store->port, "kind", &listener, 1);
+}
+
+static void
+stop (feed_t *feed, store_t *store, ear_t *ear)
+{
+  feed_destroy (feed);
+  g_free (store->after);
+  g_string_free (ear->told, TRUE);
+}
+
+static void
+tick (feed_t *feed, bool follow)
+{
+  feed_tick (feed, gs_clock_now () + GS_SEC, follow);
+}
+
+static void
+pages_are_read_whole_and_watched_from_the_first (void)
+{
+  feed_t *feed;
+  store_t store;
+  ear_t ear;
+
+  start (&feed, &store, &ear);
+  tick (feed, true);
+  answer_objects (&store, 10, true, "a5 b7");
+  CU_ASSERT_EQUAL (ear.listed, 0);
+  tick (feed, true);
+  CU_ASSERT_STRING_EQUAL (store.after, "b");
+  answer_objects (&store, 12, false, "c9");
+  CU_ASSERT_EQUAL (ear.listed, 1);
+  CU_ASSERT_STRING_EQUAL (ear.told->str, "+a5 +b7 +c9 ");
+  tick (feed, true);
+  /* What changed while the pages were read is not missed. */
+  CU_ASSERT_TRUE (store.is_watch);
+  CU_ASSERT_EQUAL (store.above, 10);
+  answer_objects (&store, 14, false, "a13 -b14");
+  CU_ASSERT_STRING_EQUAL (ear.told->str, "+a5 +b7 +c9 +a13 -b ");
+  CU_ASSERT_EQUAL (feed_revision (feed), 14);
+  stop (feed, &store, &ear);
+}
+
+static void
+a_lost_history_leads_to_a_list_that_tells_what_is_gone (void)
+{
+  feed_t *feed;
+  store_t store;
+  ear_t ear;
+
+  start (&feed, &store, &ear);
+  tick (feed, true);
+  answer_objects (&store, 10, false, "a5 b7");
+  tick (feed, true);
+  answer_status (&store, GS_ELIMIT);
+  CU_ASSERT_EQUAL (ear.lost, 0);
+  tick (feed, true);
+  CU_ASSERT_FALSE (store.is_watch);
+  answer_objects (&store, 30, false, "b7 c20");
+  CU_ASSERT_STRING_EQUAL (ear.told->str, "+a5 +b7 +b7 +c20 -a ");
+  stop (feed, &store, &ear);
+}
+
+static void
+a_store_that_fails_is_asked_again_and_nothing_goes_back (void)
+{
+  feed_t *feed;
+  store_t store;
+  ear_t ear;
+
+  start (&feed, &store, &ear);
+  tick (feed, true);
+  answer_objects (&store, 10, false, "a5");
+  for (unsigned i = 0; i < 5; i++)
+    {
+      tick (feed, true);
+      answer_status (&store, i % 2 ? GS_ETIMEOUT : GS_EREFUSED);
+    }
+  CU_ASSERT_EQUAL (ear.lost, 1);
+  CU_ASSERT (feed_lost_at (feed) != 0);
+  tick (feed, true);
+  CU_ASSERT_EQUAL (store.above, 10);
+  answer_objects (&store, 11, false, "a4");
+  CU_ASSERT_EQUAL (feed_lost_at (feed), 0);
+  CU_ASSERT_STRING_EQUAL (ear.told->str, "+a5 ");
+  stop (feed, &store, &ear);
+}
+
+/* What one feed exports brings another to the same state, in part or whole. */
+static void
+a_copy_of_what_changed_is_as_good_as_a_list (void)
+{
+  feed_t *ahead;
+  feed_t *behind;
+  store_t stores[2];
+  ear_t ears[2];
+  char *text;
+
+  start (&ahead, &stores[0], &ears[0]);
+  start (&behind, &stores[1], &ears[1]);
+  tick (ahead, true);
+  answer_objects (&stores[0], 10, false, "a5 b7");
+  /* A feed that does not follow makes no call. */
+  tick (behind, false);
+  CU_ASSERT_EQUAL (stores[1].calls, 0);
+  text = feed_export (ahead, feed_revision (behind));
+  CU_ASSERT_EQUAL (feed_import (behind, GS_SEC, text, strlen (text)), GS_OK);
+  g_free (text);
+  CU_ASSERT_EQUAL (feed_revision (behind), 10);
+  CU_ASSERT_EQUAL (ears[1].listed, 1);
+  tick (ahead, true);
+  answer_objects (&stores[0], 15, false, "a12 -b13 c15");
+  text = feed_export (ahead, feed_revision (behind));
+  g_string_truncate (ears[1].told, 0);
+  CU_ASSERT_EQUAL (feed_import (behind, GS_SEC, text, strlen (text)), GS_OK);
+  CU_ASSERT_EQUAL (feed_revision (behind), 15);
+  CU_ASSERT_PTR_NOT_NULL (strstr (ears[1].told->str, "+a12 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (ears[1].told->str, "+c15 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (ears[1].told->str, "-b "));
+  /* The same again, and what is older, changes nothing. */
+  g_string_truncate (ears[1].told, 0);
+  CU_ASSERT_EQUAL (feed_import (behind, GS_SEC, text, strlen (text)), GS_OK);
+  CU_ASSERT_STRING_EQUAL (ears[1].told->str, "");
+  g_free (text);
+  stop (ahead, &stores[0], &ears[0]);
+  stop (behind, &stores[1], &ears[1]);
+}
+
+/* A name that was removed and came back between two copies is there.  */
+static void
+what_came_back_is_there (void)
+{
+  feed_t *ahead;
+  feed_t *behind;
+  store_t stores[2];
+  ear_t ears[2];
+  char *text;
+
+  start (&ahead, &stores[0], &ears[0]);
+  start (&behind, &stores[1], &ears[1]);
+  tick (ahead, true);
+  answer_objects (&stores[0], 10, false, "a5");
+  text = feed_export (ahead, 0);
+  feed_import (behind, GS_SEC, text, strlen (text));
+  g_free (text);
+  tick (ahead, true);
+  answer_objects (&stores[0], 12, false, "-a11 a12");
+  text = feed_export (ahead, feed_revision (behind));
+  feed_import (behind, GS_SEC, text, strlen (text));
+  CU_ASSERT_TRUE (g_str_has_suffix (ears[1].told->str, "+a12 "));
+  g_free (text);
+  stop (ahead, &stores[0], &ears[0]);
+  stop (behind, &stores[1], &ears[1]);
+}
+
+/* Far behind, the names that are gone are not known any more: all is told. */
+static void
+a_feed_far_behind_gets_all (void)
+{
+  feed_t *ahead;
+  feed_t *behind;
+  store_t stores[2];
+  ear_t ears[2];
+  char *text;
+
+  start (&ahead, &stores[0], &ears[0]);
+  start (&behind, &stores[1], &ears[1]);
+  tick (ahead, true);
+  answer_objects (&stores[0], 10, false, "a5 b7");
+  text = feed_export (ahead, 0);
+  feed_import (behind, GS_SEC, text, strlen (text));
+  g_free (text);
+  tick (ahead, true);
+  answer_objects (&stores[0], 11, false, "-b11");
+  for (unsigned i = 0; i < 1000; i++)
+    {
+      char *pair = g_strdup_printf ("n%u -n%u", 12 + 2 * i, 13 + 2 * i);
+
+      tick (ahead, true);
+      answer_objects (&stores[0], 13 + 2 * i, false, pair);
+      g_free (pair);
+    }
+  text = feed_export (ahead, feed_revision (behind));
+  g_string_truncate (ears[1].told, 0);
+  feed_import (behind, GS_SEC, text, strlen (text));
+  CU_ASSERT_PTR_NOT_NULL (strstr (ears[1].told->str, "-b "));
+  CU_ASSERT_EQUAL (feed_revision (behind), feed_revision (ahead));
+  g_free (text);
+  stop (ahead, &stores[0], &ears[0]);
+  stop (behind, &stores[1], &ears[1]);
+}
+
+static void
+malformed_copies_are_refused (void)
+{
+  static const char *const bad[]
+      = { "",
+          "null",
+          "{}",
+          "{\"revision\":5}",
+          "{\"revision\":0,\"objects\":[]}",
+          "{\"revision\":5,\"whole\":false,\"objects\":[]}" };
+  feed_t *feed;
+  store_t store;
+  ear_t ear;
+
+  start (&feed, &store, &ear);
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    CU_ASSERT_EQUAL (feed_import (feed, GS_SEC, bad[i], strlen (bad[i])),
+                     GS_EINVAL);
+  CU_ASSERT_EQUAL (feed_revision (feed), 0);
+  stop (feed, &store, &ear);
+}
+
+static const check_case_t cases[] = {
+  { "pages are read whole and watched from the first",
+    pages_are_read_whole_and_watched_from_the_first },
+  { "a lost history leads to a list that tells what is gone",
+    a_lost_history_leads_to_a_list_that_tells_what_is_gone },
+  { "a store that fails is asked again and nothing goes back",
+    a_store_that_fails_is_asked_again_and_nothing_goes_back },
+  { "a copy of what changed is as good as a list",
+    a_copy_of_what_changed_is_as_good_as_a_list },
+  { "what came back is there", what_came_back_is_there },
+  { "a feed far behind gets all", a_feed_far_behind_gets_all },
+  { "malformed copies are refused", malformed_copies_are_refused },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("feed", cases);
+}
