tests: a seeded soak of real processes under faults from outside

Change: three gateways, three replicas behind proxies that delay, silence, cut one way and reset; signals that pause, kill, end and reload; the store's ways to fail, for all or for one node; configurations, drains and lost history, up to three at once. Checked from what callers and replicas see: once at most, refusals true, whole answers, nothing proper denied, all ready again.

--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -686,6 +686,7 @@
       replica->index = i;
       g_snprintf (replica->id, sizeof replica->id, "i-%u", i);
       raw_server_create (&replica->server, serve_replica, replica);
+      replica->port = raw_server_port (replica->server);
       gw_list_replica (world, i, "ready");
     }
 }
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -48,7 +48,7 @@
   raw_server_t *server;
   unsigned index;
   char id[32];
-  bool listed;
+  uint16_t port; /* that its entry names */
 } world_replica_t;
 
 /** The store as one node reaches it. */
--- /dev/null
+++ b/tests/raw_proxy.c
@@ -0,0 +1,105 @@
+#include "raw_proxy.h"
+
+#include <poll.h>
+#include <stdatomic.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define POLL_MS 20
+#define DELAY_USEC 30000
+#define BLOCK 16384
+
+struct raw_proxy
+{
+  raw_server_t *server;
+  uint16_t target;
+  atomic_int mode;
+  atomic_bool stopping;
+};
+
+/* @return false when the connection has ended  */
+static bool
+pump (raw_proxy_t *proxy, raw_conn_t *from, raw_conn_t *to, bool answers)
+{
+  char block[BLOCK];
+  int mode = atomic_load (&proxy->mode);
+  ssize_t count;
+
+  if (mode == PROXY_SILENT)
+    return true;
+  count = recv (from->fd, block, sizeof block, 0);
+  if (count <= 0)
+    return false;
+  if (mode == PROXY_DELAY)
+    g_usleep (DELAY_USEC);
+  if (mode != PROXY_NO_ANSWERS || !answers)
+    raw_send (to, block, (size_t)count);
+  return true;
+}
+
+static void
+pass_on (void *context, raw_conn_t *near)
+{
+  raw_proxy_t *proxy = context;
+  raw_conn_t far;
+  bool open = true;
+
+  if (!raw_connect (&far, proxy->target))
+    return;
+  while (open && !atomic_load (&proxy->stopping))
+    {
+      struct pollfd polled[] = { { .fd = near->fd, .events = POLLIN },
+                                 { .fd = far.fd, .events = POLLIN } };
+      int mode = atomic_load (&proxy->mode);
+
+      if (mode == PROXY_RESET)
+        {
+          raw_set_reset (near);
+          break;
+        }
+      if (mode == PROXY_SILENT)
+        {
+          g_usleep (POLL_MS * 1000);
+          continue;
+        }
+      poll (polled, 2, POLL_MS);
+      if (polled[0].revents != 0)
+        open = pump (proxy, near, &far, false);
+      if (open && polled[1].revents != 0)
+        open = pump (proxy, &far, near, true);
+    }
+  raw_close (&far);
+}
+
+void
+raw_proxy_create (raw_proxy_t **out, uint16_t target)
+{
+  raw_proxy_t *proxy = g_new0 (raw_proxy_t, 1);
+
+  proxy->target = target;
+  atomic_init (&proxy->mode, PROXY_PASS);
+  raw_server_create (&proxy->server, pass_on, proxy);
+  *out = proxy;
+}
+
+uint16_t
+raw_proxy_port (const raw_proxy_t *proxy)
+{
+  return raw_server_port (proxy->server);
+}
+
+void
+raw_proxy_set (raw_proxy_t *proxy, proxy_mode_t mode)
+{
+  atomic_store (&proxy->mode, (int)mode);
+}
+
+void
+raw_proxy_destroy (raw_proxy_t *proxy)
+{
+  if (proxy == NULL)
+    return;
+  atomic_store (&proxy->stopping, true);
+  raw_server_destroy (proxy->server);
+  g_free (proxy);
+}
--- /dev/null
+++ b/tests/test_process_soak.c
@@ -0,0 +1,433 @@
+#include "check.h"
+#include "garnetstack/rng.h"
+#include "gateway_world.h"
+#include "raw_proxy.h"
+
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+/* A randomized soak: gateway processes are stopped, paused, killed and
+   restarted by signals, connections to replicas are delayed, cut or silenced
+   by proxies, the store fails in its ways, and configurations and replicas
+   change meanwhile, all overlapping.  What callers and replicas see is checked
+   against what the system promises.  GS_SOAK_SEED and GS_SOAK_SECONDS play
+   other seeds and longer.  */
+
+#define GATEWAYS 3
+#define REPLICAS 3
+#define CALLERS 8
+#define SECONDS_DEFAULT 12
+#define FAULTS_OPEN_MAX 3
+#define ANSWER_WAIT (6 * GS_SEC)
+/* After the last fault each node takes requests again.  */
+#define RECOVER_BOUND (12 * GS_SEC)
+
+/* Seeds that once failed, each with its cause; then a fixed one.  */
+static const uint64_t seeds[] = { 1, 2 };
+
+typedef struct
+{
+  const char *path; /* below the prefix */
+  bool once;        /* may run once at most */
+  bool stream;
+  bool runs; /* an arrival there is a run */
+} call_kind_t;
+
+static const call_kind_t kinds[] = {
+  { "never/good", true, false, true },
+  { "free/good", false, false, true },
+  { "never/die", true, false, true },
+  { "free/die-once", false, false, true },
+  { "never/fails", true, false, true },
+  { "free/fails-once", false, false, true },
+  { "never/full", true, false, false },
+  { "never/short", true, false, true },
+  { "never/unframed-reset", true, false, true },
+  { "free/late-extra", false, false, true },
+  { "free/foreign-once", false, false, true },
+  { "stream/once/good", true, true, true },
+  { "stream/once/torn", true, true, true },
+  { "stream/resume/torn-once", false, true, true },
+};
+
+typedef struct
+{
+  char id[32];
+  const call_kind_t *kind;
+  unsigned status; /* 0: no answer */
+  char *answer;
+} call_t;
+
+typedef struct
+{
+  gateway_world_t world;
+  raw_proxy_t *proxies[REPLICAS];
+  uint64_t seed;
+  atomic_bool stopping;
+  pthread_mutex_t lock;
+  GPtrArray *calls; /* of call_t */
+  unsigned faults;
+} soak_t;
+
+typedef struct
+{
+  soak_t *soak;
+  unsigned number;
+} caller_t;
+
+static void
+call_free (gpointer data)
+{
+  call_t *call = data;
+
+  g_free (call->answer);
+  g_free (call);
+}
+
+static void *
+run_caller (void *context)
+{
+  caller_t *caller = context;
+  soak_t *soak = caller->soak;
+  gs_rng_t rng;
+
+  gs_rng_seed (&rng, soak->seed * 100 + caller->number);
+  for (unsigned i = 0; !atomic_load (&soak->stopping); i++)
+    {
+      call_t *call = g_new0 (call_t, 1);
+      char *target;
+
+      call->kind = &kinds[gs_rng_below (&rng, G_N_ELEMENTS (kinds))];
+      g_snprintf (call->id, sizeof call->id, "s%llu-%u-%u",
+                  (unsigned long long)soak->seed, caller->number, i);
+      target = g_strconcat ("/a/", call->kind->path, NULL);
+      call->answer
+          = gw_ask (&soak->world, (unsigned)gs_rng_below (&rng, GATEWAYS),
+                    "POST", target, call->id, "", "x");
+      if (g_str_has_prefix (call->answer, "HTTP/1.1 "))
+        call->status = (unsigned)strtoul (call->answer + strlen ("HTTP/1.1 "),
+                                          NULL, 10);
+      g_free (target);
+      pthread_mutex_lock (&soak->lock);
+      g_ptr_array_add (soak->calls, call);
+      pthread_mutex_unlock (&soak->lock);
+      g_usleep (10000 + gs_rng_below (&rng, 20000));
+    }
+  return NULL;
+}
+
+/* A fault and its end.  */
+typedef enum
+{
+  FAULT_PAUSE,
+  FAULT_KILL,
+  FAULT_TERM,
+  FAULT_HUP,
+  FAULT_STORE,
+  FAULT_STORE_OF_ONE,
+  FAULT_COMPACT,
+  FAULT_PROXY,
+  FAULT_CONFIG,
+  FAULT_DRAIN,
+  FAULT_KINDS
+} fault_kind_t;
+
+typedef struct
+{
+  fault_kind_t kind;
+  unsigned which;
+  gs_time_t ends_at; /* 0 when not open */
+} fault_t;
+
+static bool
+is_running (soak_t *soak, unsigned gateway)
+{
+  return soak->world.gateways[gateway].pid != 0;
+}
+
+static void
+begin_fault (soak_t *soak, gs_rng_t *rng, fault_t *fault)
+{
+  gateway_world_t *world = &soak->world;
+  store_mode_t mode = (store_mode_t)(1 + gs_rng_below (rng, STORE_LOSES));
+  gs_time_t length
+      = 200 * GS_MSEC + (gs_time_t)gs_rng_below (rng, 1500 * GS_MSEC);
+
+  fault->kind = (fault_kind_t)gs_rng_below (rng, FAULT_KINDS);
+  fault->which = (unsigned)gs_rng_below (rng, GATEWAYS);
+  fault->ends_at = gs_clock_now () + length;
+  soak->faults++;
+  switch (fault->kind)
+    {
+    case FAULT_PAUSE:
+      gw_signal (world, fault->which, SIGSTOP);
+      break;
+    case FAULT_KILL:
+      gw_signal (world, fault->which, SIGKILL);
+      break;
+    case FAULT_TERM:
+      gw_signal (world, fault->which, SIGTERM);
+      fault->ends_at += 9 * GS_SEC;
+      break;
+    case FAULT_HUP:
+      gw_signal (world, fault->which, SIGHUP);
+      break;
+    case FAULT_STORE:
+      gw_set_store (world, mode);
+      break;
+    case FAULT_STORE_OF_ONE:
+      gw_set_store_of (world, fault->which, mode);
+      break;
+    case FAULT_COMPACT:
+      gw_compact (world);
+      break;
+    case FAULT_PROXY:
+      raw_proxy_set (soak->proxies[fault->which],
+                     (proxy_mode_t)(1 + gs_rng_below (rng, PROXY_MODES - 1)));
+      break;
+    case FAULT_CONFIG:
+      gw_configure (world, soak->faults + 1, "/a/", WORLD_KEY);
+      break;
+    case FAULT_DRAIN:
+    case FAULT_KINDS:
+      gw_list_replica (world, fault->which, "draining");
+      break;
+    }
+}
+
+static void
+end_fault (soak_t *soak, fault_t *fault)
+{
+  gateway_world_t *world = &soak->world;
+
+  fault->ends_at = 0;
+  switch (fault->kind)
+    {
+    case FAULT_PAUSE:
+      gw_signal (world, fault->which, SIGCONT);
+      break;
+    case FAULT_KILL:
+    case FAULT_TERM:
+      gw_signal (world, fault->which, SIGKILL);
+      gw_start (world, fault->which, false);
+      break;
+    case FAULT_STORE:
+      gw_set_store (world, STORE_GOOD);
+      break;
+    case FAULT_STORE_OF_ONE:
+      gw_set_store_of (world, fault->which, STORE_GOOD);
+      break;
+    case FAULT_PROXY:
+      raw_proxy_set (soak->proxies[fault->which], PROXY_PASS);
+      break;
+    case FAULT_DRAIN:
+      gw_list_replica (world, fault->which, "ready");
+      break;
+    default:
+      break;
+    }
+}
+
+/* Two signals to one process must not overlap, or the end of one would undo
+   the other.  */
+static bool
+is_free (const fault_t *faults, const fault_t *wanted)
+{
+  for (unsigned i = 0; i < FAULTS_OPEN_MAX; i++)
+    if (&faults[i] != wanted && faults[i].ends_at != 0
+        && faults[i].which == wanted->which
+        && (faults[i].kind <= FAULT_TERM) == (wanted->kind <= FAULT_TERM))
+      return false;
+  return true;
+}
+
+static void
+play_faults (soak_t *soak, gs_time_t until)
+{
+  fault_t faults[FAULTS_OPEN_MAX] = { { .ends_at = 0 } };
+  gs_rng_t rng;
+
+  gs_rng_seed (&rng, soak->seed);
+  while (gs_clock_now () < until)
+    {
+      for (unsigned i = 0; i < FAULTS_OPEN_MAX; i++)
+        {
+          fault_t *fault = &faults[i];
+          fault_t planned = { .kind = FAULT_HUP };
+
+          if (fault->ends_at != 0 && gs_clock_now () >= fault->ends_at)
+            end_fault (soak, fault);
+          if (fault->ends_at != 0 || gs_rng_below (&rng, 8) != 0)
+            continue;
+          /* Look ahead with a copy, so that the draw is the same. */
+          gs_rng_t ahead = rng;
+          gs_rng_below (&ahead, STORE_LOSES);
+          gs_rng_below (&ahead, 1500 * GS_MSEC);
+          planned.kind = (fault_kind_t)gs_rng_below (&ahead, FAULT_KINDS);
+          planned.which = (unsigned)gs_rng_below (&ahead, GATEWAYS);
+          if (is_free (faults, &planned)
+              && (planned.kind > FAULT_HUP
+                  || is_running (soak, planned.which)))
+            begin_fault (soak, &rng, fault);
+          else
+            gs_rng_next (&rng);
+        }
+      g_usleep (50000);
+    }
+  for (unsigned i = 0; i < FAULTS_OPEN_MAX; i++)
+    if (faults[i].ends_at != 0)
+      end_fault (soak, &faults[i]);
+}
+
+static bool
+is_whole_stream (const char *answer)
+{
+  const char *at = answer;
+  unsigned events = 0;
+
+  while ((at = strstr (at, "data: event ")) != NULL)
+    {
+      at += strlen ("data: event ");
+      if (strtoul (at, NULL, 10) != ++events)
+        return false;
+    }
+  return events == 6;
+}
+
+/* @return what is broken, NULL when all holds  */
+static const char *
+find_breach (soak_t *soak, const call_t *call)
+{
+  unsigned arrivals = gw_arrivals (&soak->world, call->id);
+  const char *body = strstr (call->answer, "\r\n\r\n");
+  bool ended = strstr (call->answer, "\r\n0\r\n\r\n") != NULL;
+
+  if (call->kind->once && call->kind->runs && arrivals > 1)
+    return "ran twice";
+  if ((call->status == 503 || call->status == 429) && call->kind->runs
+      && arrivals > 0)
+    return "refused though it ran";
+  if (call->status == 401 || call->status == 403 || call->status == 404)
+    return "denied though it is proper";
+  if (call->status == 200 && call->kind->stream && ended
+      && !is_whole_stream (call->answer))
+    return "a stream that is not whole looks so";
+  if (call->status == 200 && !call->kind->stream
+      && (body == NULL || strcmp (body + 4, call->id) != 0))
+    return "another body";
+  return NULL;
+}
+
+static unsigned
+count_breaches (soak_t *soak)
+{
+  unsigned breaches = 0;
+  unsigned by_class[6] = { 0 };
+
+  for (guint i = 0; i < soak->calls->len; i++)
+    {
+      const call_t *call = soak->calls->pdata[i];
+      const char *breach = find_breach (soak, call);
+
+      by_class[MIN (call->status / 100, 5)]++;
+      if (breach == NULL)
+        continue;
+      breaches++;
+      printf ("\n  seed=%llu id=%s path=%s %s: %.200s\n",
+              (unsigned long long)soak->seed, call->id, call->kind->path,
+              breach, call->answer);
+    }
+  printf ("\n  soak seed=%llu faults=%u calls=%u ok=%u refused_or_failed=%u"
+          " no_answer=%u breaches=%u\n",
+          (unsigned long long)soak->seed, soak->faults, soak->calls->len,
+          by_class[2], by_class[4] + by_class[5], by_class[0], breaches);
+  return breaches;
+}
+
+static bool
+all_are_ready (void *context)
+{
+  soak_t *soak = context;
+
+  for (unsigned i = 0; i < GATEWAYS; i++)
+    if (!gw_is_ready (&soak->world, i))
+      return false;
+  return true;
+}
+
+static void
+list_by_proxy (soak_t *soak)
+{
+  for (unsigned i = 0; i < REPLICAS; i++)
+    {
+      raw_proxy_create (&soak->proxies[i],
+                        raw_server_port (soak->world.replicas[i].server));
+      soak->world.replicas[i].port = raw_proxy_port (soak->proxies[i]);
+      gw_list_replica (&soak->world, i, "ready");
+    }
+}
+
+static void
+soak_seed (uint64_t seed, unsigned seconds)
+{
+  soak_t *soak = g_new0 (soak_t, 1);
+  pthread_t threads[CALLERS];
+  caller_t callers[CALLERS];
+
+  soak->seed = seed;
+  soak->calls = g_ptr_array_new_with_free_func (call_free);
+  pthread_mutex_init (&soak->lock, NULL);
+  gw_create (&soak->world, REPLICAS);
+  list_by_proxy (soak);
+  gw_configure (&soak->world, 1, "/a/", WORLD_KEY);
+  for (unsigned i = 0; i < GATEWAYS; i++)
+    gw_start (&soak->world, i, true);
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      callers[i] = (caller_t){ soak, i };
+      pthread_create (&threads[i], NULL, run_caller, &callers[i]);
+    }
+  play_faults (soak, gs_clock_now () + (gs_time_t)seconds * GS_SEC);
+  CU_ASSERT_TRUE (gw_wait (all_are_ready, soak, RECOVER_BOUND));
+  atomic_store (&soak->stopping, true);
+  for (unsigned i = 0; i < CALLERS; i++)
+    pthread_join (threads[i], NULL);
+  CU_ASSERT_EQUAL (count_breaches (soak), 0);
+  CU_ASSERT (soak->calls->len > 0);
+  gw_destroy (&soak->world);
+  for (unsigned i = 0; i < REPLICAS; i++)
+    raw_proxy_destroy (soak->proxies[i]);
+  g_ptr_array_unref (soak->calls);
+  pthread_mutex_destroy (&soak->lock);
+  g_free (soak);
+}
+
+static void
+promises_hold_under_faults_of_all_kinds (void)
+{
+  const char *seed = getenv ("GS_SOAK_SEED");
+  const char *text = getenv ("GS_SOAK_SECONDS");
+  unsigned seconds
+      = text != NULL ? (unsigned)strtoul (text, NULL, 10) : SECONDS_DEFAULT;
+
+  if (seed != NULL)
+    {
+      soak_seed (strtoull (seed, NULL, 10), seconds);
+      return;
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (seeds); i++)
+    soak_seed (seeds[i], seconds);
+}
+
+static const check_case_t cases[] = {
+  { "promises hold under faults of all kinds",
+    promises_hold_under_faults_of_all_kinds },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("process_soak", cases);
+}
