thread: threads of the program take no signals

The thread that writes the log starts before the signals are blocked, so one that the waiting thread did not take at that moment met it and ended the process, a SIGTERM likewise. Ruled out: memory (no finding under the address sanitizer, no core), the listening address (the process was never started again). Change: each thread starts with all signals blocked. Windows of usage follow the time of day as of the start, so its jumps move none.

--- a/include/garnetstack/clock.h
+++ b/include/garnetstack/clock.h
@@ -23,4 +23,9 @@
     that leave the machine, never for deadlines kept inside it. */
 int64_t gs_clock_wall (void);
 
+/** @return microseconds since the Unix epoch as the time of day was at the
+    first call, carried on by the monotonic clock: jumps of the time of day
+    after that don't count. */
+int64_t gs_clock_carried_wall (void);
+
 #endif
--- a/include/garnetstack/thread.h
+++ b/include/garnetstack/thread.h
@@ -12,7 +12,8 @@
 typedef struct gs_thread gs_thread_t;
 
 /**
- * Start a thread.
+ * Start a thread.  It takes no signals, whatever its creator blocks: signals
+ * are for the thread that waits for them.
  * @param name at most 15 bytes, shown by the system and in metrics; copied
  * @return GS_OK or GS_EIO; ended with gs_thread_join()
  */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -604,6 +604,8 @@
 
   *out = NULL;
   gateway->settings = *settings;
+  /* From here on jumps of the time of day move no window of usage.  */
+  gs_clock_carried_wall ();
   gateway->incarnation = gs_rng_entropy ();
   gateway->self.incarnation = gateway->incarnation;
   gateway->self.callers = settings->callers;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -363,7 +363,7 @@
         relay->service->demand.late++;
     }
   if (!relay->counted && relay->account != NULL)
-    usage_count_note (relay->traffic->usage, gs_clock_wall (),
+    usage_count_note (relay->traffic->usage, gs_clock_carried_wall (),
                       relay->account->name);
   relay->counted = true;
 }
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -142,7 +142,7 @@
   report->limits = g_array_new (FALSE, TRUE, sizeof (gs_usage_row_t));
   export_loads (traffic, report->loads);
   export_demand (traffic, now, report->demand);
-  usage_count_export (traffic->usage, gs_clock_wall (), report->usage);
+  usage_count_export (traffic->usage, gs_clock_carried_wall (), report->usage);
   g_array_append_vals (report->limits, rows, (guint)count);
   traffic->options.on_report (traffic->options.context, report);
 }
--- a/src/util/clock.c
+++ b/src/util/clock.c
@@ -1,7 +1,11 @@
 #include "garnetstack/clock.h"
 
+#include <pthread.h>
 #include <time.h>
 
+static pthread_once_t carried_once = PTHREAD_ONCE_INIT;
+static int64_t carried_offset; /* wall clock less monotonic clock */
+
 static int64_t
 read_clock (clockid_t id)
 {
@@ -22,3 +26,16 @@
 {
   return read_clock (CLOCK_REALTIME);
 }
+
+static void
+set_offset (void)
+{
+  carried_offset = gs_clock_wall () - gs_clock_now ();
+}
+
+int64_t
+gs_clock_carried_wall (void)
+{
+  pthread_once (&carried_once, set_offset);
+  return gs_clock_now () + carried_offset;
+}
--- a/src/util/thread.c
+++ b/src/util/thread.c
@@ -1,6 +1,7 @@
 #include "garnetstack/thread.h"
 
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <time.h>
 #include <unistd.h>
@@ -22,10 +23,17 @@
                  void *context)
 {
   gs_thread_t *thread = g_new0 (gs_thread_t, 1);
+  sigset_t all;
+  sigset_t before;
+  int failure;
 
   *out = NULL;
   g_strlcpy (thread->name, name, sizeof thread->name);
-  if (pthread_create (&thread->id, NULL, run, context) != 0)
+  sigfillset (&all);
+  pthread_sigmask (SIG_SETMASK, &all, &before);
+  failure = pthread_create (&thread->id, NULL, run, context);
+  pthread_sigmask (SIG_SETMASK, &before, NULL);
+  if (failure != 0)
     {
       g_free (thread);
       return gs_error_set (GS_EIO, "cannot start the thread '%s'", name);
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -643,6 +643,26 @@
   end_world ();
 }
 
+/* A signal must not meet a thread that would let it end the process.  */
+static void
+a_series_of_reloads_ends_no_node (void)
+{
+  start_one (1);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      gw_signal (&world, 0, SIGSTOP);
+      gw_signal (&world, 0, SIGHUP);
+      g_usleep (5000);
+      gw_signal (&world, 0, SIGCONT);
+      for (unsigned j = 0; j < 10; j++)
+        gw_signal (&world, 0, SIGHUP);
+      g_usleep (5000);
+    }
+  CU_ASSERT_FALSE (gw_wait_end (&world, 0, gs_clock_now () + GS_SEC));
+  CU_ASSERT_TRUE (world.gateways[0].pid != 0 && gw_is_ready (&world, 0));
+  end_world ();
+}
+
 static void
 usage_is_reported_once_for_each_window (void)
 {
@@ -715,6 +735,7 @@
   { "unreadable entries name no replica", unreadable_entries_name_no_replica },
   { "a node told to end finishes what is open",
     a_node_told_to_end_finishes_what_is_open },
+  { "a series of reloads ends no node", a_series_of_reloads_ends_no_node },
   { "usage is reported once for each window",
     usage_is_reported_once_for_each_window },
 };
--- a/tests/test_process_soak.c
+++ b/tests/test_process_soak.c
@@ -147,6 +147,21 @@
   return soak->world.gateways[gateway].pid != 0;
 }
 
+static const char *const fault_names[FAULT_KINDS]
+    = { "pause",        "kill",    "term",  "hup",    "store",
+        "store_of_one", "compact", "proxy", "config", "drain" };
+
+static void
+tell_fault (const soak_t *soak, const fault_t *fault, const char *what)
+{
+  int64_t wall = gs_clock_wall ();
+
+  printf ("\n  %lld.%03lld fault=%s which=%u %s seed=%llu",
+          (long long)(wall / GS_SEC), (long long)(wall % GS_SEC / GS_MSEC),
+          fault_names[fault->kind], fault->which, what,
+          (unsigned long long)soak->seed);
+}
+
 static void
 begin_fault (soak_t *soak, gs_rng_t *rng, fault_t *fault)
 {
@@ -159,6 +174,7 @@
   fault->which = (unsigned)gs_rng_below (rng, GATEWAYS);
   fault->ends_at = gs_clock_now () + length;
   soak->faults++;
+  tell_fault (soak, fault, "begins");
   switch (fault->kind)
     {
     case FAULT_PAUSE:
@@ -203,6 +219,7 @@
   gateway_world_t *world = &soak->world;
 
   fault->ends_at = 0;
+  tell_fault (soak, fault, "ends");
   switch (fault->kind)
     {
     case FAULT_PAUSE:
