gateway: a node that leaves the store to others forgets its own loss; quotas in large fleets

Cause, refusals by a node that had just started: its rate of ended requests was nought, so each queue looked endless; found by the walk in docs/OPERATIONS.md. Ruled out: slow copies (25 to 40 ms in the node's lines), the digest interval. Change: leaving the store to others counts as its return; what is saved up falls with the nodes beyond six; followers tell of leaving replicas at once; a node without a rate takes its part of the taken slots. Result: test_feed and process_gateway have a case each that fails before.

--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -290,6 +290,13 @@
                         now + WATCH_TIME, on_watch, feed);
 }
 
+void
+feed_leave_to_others (feed_t *feed, gs_time_t now)
+{
+  if (feed->lost_at != 0 && !feed->busy)
+    note_back (feed, now);
+}
+
 uint64_t
 feed_revision (const feed_t *feed)
 {
--- a/src/gateway/feed.h
+++ b/src/gateway/feed.h
@@ -42,6 +42,10 @@
     list. */
 uint64_t feed_revision (const feed_t *feed);
 
+/** This node stops following while the store answers others: what it could
+    not reach itself says nothing any more. */
+void feed_leave_to_others (feed_t *feed, gs_time_t now);
+
 /** @return since when the store has not answered this feed; 0 while it
     does. */
 gs_time_t feed_lost_at (const feed_t *feed);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -37,6 +37,9 @@
 #define ALL_FOLLOW 6
 /* Nodes of larger fleets that do: one may be cut off and another restart.  */
 #define FOLLOWERS 4
+/* Shortest time between two calls to all peers because of replicas that leave;
+   a tenth of the shortest drain time.  */
+#define NEWS_INTERVAL (250 * GS_MSEC)
 /* Nodes that ask for the lease of the duties.  */
 #define CANDIDATES 3
 #define PEER_BODY_BYTES ((size_t)4 << 20)
@@ -60,6 +63,8 @@
   gs_route_table_t *table;
   gs_time_t table_at; /* when it was put in force */
   bool has_replicas;
+  bool has_news; /* replicas leave, and the peers do not know yet */
+  gs_time_t news_due;
   gs_time_t view_due;
   gs_time_t second_due;
   gs_time_t config_copy_due;
@@ -319,12 +324,23 @@
   publish_replicas (gateway);
 }
 
+static bool
+replica_leaves (const gs_object_t *object, gs_time_t now)
+{
+  gs_replica_t replica;
+
+  return gs_platform_replica_decode (&replica, object, now) == GS_OK
+         && replica.state == GS_REPLICA_DRAINING;
+}
+
 static void
 on_replica (void *context, gs_time_t now, const gs_object_t *object)
 {
   gateway_t *gateway = context;
   gs_replica_t replica;
 
+  if (object->removed || replica_leaves (object, now))
+    gateway->has_news = true;
   if (object->removed)
     roster_remove (gateway->roster, now, object->name);
   else if (gs_platform_replica_decode (&replica, object, now) == GS_OK)
@@ -489,6 +505,23 @@
                      || feed_revision (gateway->replica_feed) == 0
                      || peers_before (gateway->peers, now) < FOLLOWERS
                      || !peers_follower_heard (gateway->peers, now);
+  if (gateway->follows)
+    return;
+  feed_leave_to_others (gateway->config_feed, now);
+  feed_leave_to_others (gateway->replica_feed, now);
+}
+
+/* A replica that leaves must not get requests for long, also from nodes that
+   hear of it only by digests.  */
+static void
+tell_news (gateway_t *gateway, gs_time_t now)
+{
+  if (!gateway->has_news || now < gateway->news_due)
+    return;
+  gateway->has_news = false;
+  gateway->news_due = now + NEWS_INTERVAL;
+  if (gateway->follows && peers_members (gateway->peers, now) > ALL_FOLLOW)
+    peers_hurry (gateway->peers, now);
 }
 
 static void
@@ -504,6 +537,7 @@
   peers_tick (gateway->peers, now);
   roster_tick (gateway->roster, now);
   publish_replicas (gateway);
+  tell_news (gateway, now);
   duties_tick (gateway->duties, now,
                is_ready (gateway)
                    && peers_before (gateway->peers, now) < CANDIDATES);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -27,6 +27,9 @@
 #define RETRY_AFTER_MOST (2 * GS_SEC)
 #define RETRY_AFTER_PART 3
 #define RATE_HALF_LIFE (2 * GS_SEC)
+/* How long a request is taken to run while none has ended here yet: the
+   streams of the deployments' sheets last one to two seconds.  */
+#define RUN_TIME_SECONDS 2.0
 /* A node that is told to end takes requests for so long, while callers learn
    of it; then it sends them elsewhere.  */
 #define LEAVE_TAKES (2500 * GS_MSEC)
@@ -151,7 +154,7 @@
       "id=%s route=%s account=%s outcome=%s status=%u reason=%s"
       " sends=%u runs=%u replica=%s first_ms=%lld total_ms=%lld"
       " left_ms=%lld tokens=%u limit=%llu share=%.0f events=%llu"
-      " waiting=%u",
+      " waiting=%u candidates=%u full=%u",
       gs_log_quote (&id, relay->request.id),
       relay->route != NULL ? relay->route->name : "-",
       relay->account != NULL ? relay->account->name : "-", outcome, status,
@@ -162,7 +165,8 @@
       relay->account != NULL ? (unsigned long long)relay->account->rate : 0ULL,
       share_of (relay, now), (unsigned long long)relay->events.count,
       relay->service != NULL ? g_queue_get_length (&relay->service->waiting)
-                             : 0);
+                             : 0,
+      relay->choice.candidates, relay->choice.full);
   if (strcmp (outcome, "answered") == 0)
     gs_log_routine ("request", "%s", line);
   else
@@ -708,11 +712,24 @@
          + (gs_time_t)(WAIT_PART * (double)(goal > 0 ? goal : left));
 }
 
+/* Slots that become free for this node in a second.  A node that has just
+   started has seen none, and takes its part of those that are taken.  */
+static double
+freed_per_sec (const relay_t *relay)
+{
+  unsigned slots;
+  unsigned taken;
+
+  placer_room (relay->traffic->placer, relay->service->name, &slots, &taken);
+  return MAX (relay->service->ended_per_sec,
+              taken / RUN_TIME_SECONDS / relay->traffic->members);
+}
+
 static void
 wait_for_room (relay_t *relay, gs_time_t now)
 {
   GQueue *waiting = &relay->service->waiting;
-  double rate = relay->service->ended_per_sec;
+  double rate = freed_per_sec (relay);
   double ahead = g_queue_get_length (waiting) + 1.0;
   gs_time_t expected
       = now + (gs_time_t)(ahead / MAX (rate, 1e-3) * (double)GS_SEC);
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -20,8 +20,11 @@
 #define IDLE_SECONDS_FIRST 60
 /* Part of what a limit may be exceeded by that nodes save up, so that a burst
    at one node is not refused while the account is below its limit; the rest
-   covers requests that were let in before and arrive later.  */
+   covers shares that follow demand late.  The more nodes there are, the longer
+   their digests take and the later that is, so beyond SAVED_NODES the part
+   falls in proportion.  */
 #define SAVED_PART 0.6
+#define SAVED_NODES 6
 
 void
 traffic_report_free (traffic_report_t *report)
@@ -272,14 +275,15 @@
    part of what it allows in a window.  */
 static uint64_t
 saved_amount (const gs_deployment_t *deployment,
-              const gs_client_account_t *account)
+              const gs_client_account_t *account, unsigned members)
 {
+  double part = SAVED_PART * MIN (1.0, (double)SAVED_NODES / members);
   double window = (double)deployment->quota_window / GS_SEC;
   double whole = (double)account->rate * window + (double)account->burst;
   double exceed = deployment->quota_over * whole + deployment->quota_slack;
   double bucket = (double)account->burst - (double)account->rate;
 
-  return (uint64_t)MAX (bucket + SAVED_PART * exceed, 0);
+  return (uint64_t)MAX (bucket + part * exceed, 0);
 }
 
 static void
@@ -294,7 +298,8 @@
           = account->by_tokens ? GS_LIMIT_TOKENS : GS_LIMIT_REQUESTS;
 
       values.most[kind] = account->rate;
-      values.saved[kind] = saved_amount (traffic->options.deployment, account);
+      values.saved[kind] = saved_amount (traffic->options.deployment, account,
+                                         traffic->members);
       gs_limits_set (traffic->limits,
                      gs_limits_name ("account", account->name), &values);
     }
@@ -342,6 +347,11 @@
   GArray *loads = g_array_new (FALSE, FALSE, sizeof (placer_load_t));
   gs_time_t now = gs_clock_now ();
 
+  if (traffic->table != NULL && traffic->members != peers->members)
+    {
+      traffic->members = peers->members;
+      set_account_limits (traffic);
+    }
   traffic->members = peers->members;
   traffic->peers_at = now;
   gs_limits_set_members (traffic->limits, peers->members, GS_SEC);
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -22,6 +22,7 @@
   GString *told;
   unsigned listed;
   unsigned lost;
+  unsigned back;
 } ear_t;
 
 static void
@@ -123,6 +124,7 @@
 static void
 hear_back (void *context, gs_time_t now)
 {
+  ((ear_t *)context)->back++;
 }
 
 static void
@@ -326,6 +328,27 @@
   stop (behind, &stores[1], &ears[1]);
 }
 
+/* A node that stopped following while the store was lost to it would take
+   every removal for an entry that only lapsed.  */
+static void
+a_loss_is_over_once_others_follow (void)
+{
+  feed_t *feed;
+  store_t store;
+  ear_t ear;
+
+  start (&feed, &store, &ear);
+  tick (feed, true);
+  answer_objects (&store, 10, false, "a5");
+  tick (feed, true);
+  answer_status (&store, GS_ETIMEOUT);
+  CU_ASSERT_EQUAL (ear.lost, 1);
+  feed_leave_to_others (feed, gs_clock_now ());
+  CU_ASSERT_EQUAL (feed_lost_at (feed), 0);
+  CU_ASSERT_EQUAL (ear.back, 1);
+  stop (feed, &store, &ear);
+}
+
 static void
 malformed_copies_are_refused (void)
 {
@@ -359,6 +382,7 @@
     a_copy_of_what_changed_is_as_good_as_a_list },
   { "what came back is there", what_came_back_is_there },
   { "a feed far behind gets all", a_feed_far_behind_gets_all },
+  { "a loss is over once others follow", a_loss_is_over_once_others_follow },
   { "malformed copies are refused", malformed_copies_are_refused },
 };
 
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -643,6 +643,32 @@
   end_world ();
 }
 
+/* The replica has eight slots; more wait at the node, also at one that has
+   just started and has seen no request end.  */
+static void
+a_request_waits_for_a_slot_that_soon_is_free (void)
+{
+  raw_conn_t conns[8];
+  char *answer;
+
+  start_one (1);
+  for (unsigned i = 0; i < G_N_ELEMENTS (conns); i++)
+    {
+      char *id = g_strdup_printf ("fills-%u", i);
+
+      CU_ASSERT_TRUE_FATAL (gw_connect (&conns[i], &world, 0));
+      gw_send (&conns[i], "POST", "/a/stream/once/good", id, "", "x");
+      g_free (id);
+    }
+  g_usleep (100000);
+  answer = gw_ask (&world, 0, "POST", "/a/never/good", "waits", "", "x");
+  CU_ASSERT_EQUAL (status_of (answer), 200);
+  g_free (answer);
+  for (unsigned i = 0; i < G_N_ELEMENTS (conns); i++)
+    raw_close (&conns[i]);
+  end_world ();
+}
+
 /* A signal must not meet a thread that would let it end the process.  */
 static void
 a_series_of_reloads_ends_no_node (void)
@@ -735,6 +761,8 @@
   { "unreadable entries name no replica", unreadable_entries_name_no_replica },
   { "a node told to end finishes what is open",
     a_node_told_to_end_finishes_what_is_open },
+  { "a request waits for a slot that soon is free",
+    a_request_waits_for_a_slot_that_soon_is_free },
   { "a series of reloads ends no node", a_series_of_reloads_ends_no_node },
   { "usage is reported once for each window",
     usage_is_reported_once_for_each_window },
