--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -57,6 +57,9 @@
 {
   gs_object_cb_t callback = store->callback;
 
+  CU_ASSERT_PTR_NOT_NULL_FATAL (callback);
+  if (callback == NULL)
+    return;
   store->callback = NULL;
   callback (store->argument, result);
 }
--- a/tests/test_process_soak.c
+++ b/tests/test_process_soak.c
@@ -158,8 +158,8 @@
 
   printf ("\n  %lld.%03lld fault=%s which=%u %s seed=%llu",
           (long long)(wall / GS_SEC), (long long)(wall % GS_SEC / GS_MSEC),
-          fault_names[fault->kind], fault->which, what,
-          (unsigned long long)soak->seed);
+          fault->kind < FAULT_KINDS ? fault_names[fault->kind] : "none",
+          fault->which, what, (unsigned long long)soak->seed);
 }
 
 static void
