--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -7,6 +7,7 @@
 #include "garnetstack/thread.h"
 #include "gateway/duties.h"
 #include "gateway/feed.h"
+#include "gateway/gauges.h"
 #include "gateway/membership.h"
 #include "gateway/peers.h"
 #include "gateway/roster.h"
@@ -173,58 +174,6 @@
     }
 }
 
-static void
-set_replica_gauges (const gs_replica_list_t *list)
-{
-  gs_meter_clear ("replicas");
-  for (unsigned i = 0; list != NULL && i < list->count; i++)
-    {
-      const gs_replica_t *first = &list->rows[i];
-      unsigned count = 0;
-      char labels[256];
-
-      /* Counted once for each sort, at its first row. */
-      for (unsigned j = 0; j < list->count; j++)
-        {
-          const gs_replica_t *row = &list->rows[j];
-
-          if (strcmp (row->service, first->service) != 0
-              || strcmp (row->data_centre, first->data_centre) != 0
-              || row->state != first->state || row->spot != first->spot)
-            continue;
-          if (j < i)
-            break;
-          count++;
-        }
-      if (count == 0)
-        continue;
-      g_snprintf (labels, sizeof labels,
-                  "service=\"%s\",data_centre=\"%s\",state=\"%s\",spot=\"%d\"",
-                  first->service, first->data_centre,
-                  first->state == GS_REPLICA_READY ? "ready" : "draining",
-                  first->spot);
-      gs_meter_set ("replicas", labels, count);
-    }
-}
-
-static void
-set_service_gauges (const traffic_report_t *report)
-{
-  for (guint i = 0; i < report->demand->len; i++)
-    {
-      const traffic_demand_t *row
-          = &g_array_index (report->demand, traffic_demand_t, i);
-      char labels[128];
-
-      g_snprintf (labels, sizeof labels, "service=\"%s\"", row->service);
-      gs_meter_set ("in_flight", labels, row->in_flight);
-      gs_meter_set ("waiting", labels, row->waiting);
-      gs_meter_set ("resends_left", labels, row->resends_left);
-    }
-  gs_meter_set ("open_exchanges", "", report->open);
-  gs_meter_set ("read_tokens_per_ms", "", report->read_speed);
-}
-
 static double
 seconds_since (gs_time_t now, gs_time_t then)
 {
@@ -241,9 +190,9 @@
   char *process;
   char *text;
 
-  set_replica_gauges (duties_replicas (gateway->duties));
+  gauges_set_replicas (duties_replicas (gateway->duties));
   if (report != NULL)
-    set_service_gauges (report);
+    gauges_set_services (report);
   gs_meter_set ("ready", "", is_ready (gateway));
   gs_meter_set ("holds_duty", "", duties_holds (gateway->duties, now));
   gs_meter_set ("members", "", peers_members (gateway->peers, now));
--- /dev/null
+++ b/src/gateway/gauges.c
@@ -0,0 +1,57 @@
+#include "gateway/gauges.h"
+
+#include "garnetstack/meter.h"
+
+#include <string.h>
+
+void
+gauges_set_replicas (const gs_replica_list_t *list)
+{
+  gs_meter_clear ("replicas");
+  for (unsigned i = 0; list != NULL && i < list->count; i++)
+    {
+      const gs_replica_t *first = &list->rows[i];
+      unsigned count = 0;
+      char labels[256];
+
+      /* Counted once for each sort, at its first row. */
+      for (unsigned j = 0; j < list->count; j++)
+        {
+          const gs_replica_t *row = &list->rows[j];
+
+          if (strcmp (row->service, first->service) != 0
+              || strcmp (row->data_centre, first->data_centre) != 0
+              || row->state != first->state || row->spot != first->spot)
+            continue;
+          if (j < i)
+            break;
+          count++;
+        }
+      if (count == 0)
+        continue;
+      g_snprintf (labels, sizeof labels,
+                  "service=\"%s\",data_centre=\"%s\",state=\"%s\",spot=\"%d\"",
+                  first->service, first->data_centre,
+                  first->state == GS_REPLICA_READY ? "ready" : "draining",
+                  first->spot);
+      gs_meter_set ("replicas", labels, count);
+    }
+}
+
+void
+gauges_set_services (const traffic_report_t *report)
+{
+  for (guint i = 0; i < report->demand->len; i++)
+    {
+      const traffic_demand_t *row
+          = &g_array_index (report->demand, traffic_demand_t, i);
+      char labels[128];
+
+      g_snprintf (labels, sizeof labels, "service=\"%s\"", row->service);
+      gs_meter_set ("in_flight", labels, row->in_flight);
+      gs_meter_set ("waiting", labels, row->waiting);
+      gs_meter_set ("resends_left", labels, row->resends_left);
+    }
+  gs_meter_set ("open_exchanges", "", report->open);
+  gs_meter_set ("read_tokens_per_ms", "", report->read_speed);
+}
--- /dev/null
+++ b/src/gateway/gauges.h
@@ -0,0 +1,17 @@
+/**
+ * @file gauges.h
+ * Gauges of a gateway's metrics that are counted from tables when they are
+ * asked for.
+ */
+#ifndef GS_GATEWAY_GAUGES_H
+#define GS_GATEWAY_GAUGES_H
+
+#include "gateway/traffic.h"
+
+/** Replicas by service, data centre, state and sort; NULL for none. */
+void gauges_set_replicas (const gs_replica_list_t *list);
+
+/** What each service has under way, and what may still be sent again. */
+void gauges_set_services (const traffic_report_t *report);
+
+#endif
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -1,4 +1,4 @@
-#include "gateway/traffic_private.h"
+#include "gateway/relay_private.h"
 
 #include "garnetstack/log.h"
 #include "garnetstack/meter.h"
@@ -19,201 +19,27 @@
 /* Keep-alive time of replicas from which on their connections are used again;
    libcurl counts idle time in whole seconds.  */
 #define KEEP_SECONDS_LEAST 3
-/* Part of the goal that a request may wait at this node for a free slot.  */
-#define WAIT_PART 0.6
-/* Shortest and longest time after which a refused caller is asked to come
-   back, and the part of its time left that callers honour.  */
-#define RETRY_AFTER_LEAST (100 * GS_MSEC)
-#define RETRY_AFTER_MOST (2 * GS_SEC)
-#define RETRY_AFTER_PART 3
+/* Half-life of the rate at which requests end here.  */
 #define RATE_HALF_LIFE (2 * GS_SEC)
-/* How long a request is taken to run while none has ended here yet: the
-   streams of the deployments' sheets last one to two seconds.  */
-#define RUN_TIME_SECONDS 2.0
 /* A node that is told to end takes requests for so long, while callers learn
    of it; then it sends them elsewhere.  */
 #define LEAVE_TAKES (2500 * GS_MSEC)
+/* When callers are asked to come back to a node that has no configuration yet:
+   it has one some tenths of a second after it found a peer or the store.  And
+   when to go to another, as this one ends.  */
+#define UNCONFIGURED_RETRY (500 * GS_MSEC)
+#define LEAVING_RETRY (100 * GS_MSEC)
 /* Timers of the client library count whole milliseconds.  */
 #define DEADLINE_SLACK (5 * GS_MSEC)
 
-struct relay
-{
-  traffic_t *traffic;
-  gs_exchange_t *exchange;
-  gs_route_table_t *table; /* that the route and the account belong to */
-  const gs_path_route_t *route;
-  traffic_service_t *service;
-  const gs_path_service_t *service_row;
-  const gs_client_account_t *account; /* NULL for anonymous */
-  gs_passed_request_t request;
-  gs_time_t arrived_at;
-  gs_time_t deadline;
-  gs_time_t goal_at;
-  uint32_t tokens; /* counted against the account's limit */
-  unsigned limit_row;
-  bool limited;
-  bool waiting;
-  GList *waiting_link;
-  /* The attempt under way. */
-  gs_http_call_t *call;
-  placer_ticket_t ticket;
-  gs_passed_head_t head;
-  bool foreign;       /* the answer belongs to another request */
-  bool attempt_began; /* this attempt's answer or first event has come */
-  GString *body;
-  events_t events;
-  /* What became of it. */
-  unsigned sends;
-  unsigned runs; /* attempts that ran, or perhaps did */
-  bool counted;  /* in the usage */
-  bool started;  /* the caller has the head of the answer */
-  uint32_t avoid;
-  placer_choice_t choice;
-  char replica[GS_NAME_BYTES];
-  gs_time_t sent_at;
-  gs_time_t first_at;
-};
-
 static void serve_one (relay_t *relay, gs_time_t now);
 
-static long long
-msec (gs_time_t from, gs_time_t to)
-{
-  return from == 0 || to == 0 ? -1 : (long long)((to - from) / GS_MSEC);
-}
-
-static const char *
-kind_name (const relay_t *relay)
-{
-  static const char *const names[] = { [GS_REPEAT_NEVER] = "once",
-                                       [GS_REPEAT_FREE] = "repeatable",
-                                       [GS_REPEAT_RESUME] = "resumable" };
-
-  return relay->route != NULL ? names[relay->route->repeat] : "unknown";
-}
-
-static double
-seconds_between (gs_time_t from, gs_time_t to)
-{
-  return (double)(to - from) / GS_SEC;
-}
-
-static void
-meter_end (const relay_t *relay, gs_time_t now, const char *outcome,
-           const char *reason)
-{
-  char labels[160];
-
-  g_snprintf (labels, sizeof labels,
-              "service=\"%s\",kind=\"%s\",outcome=\"%s\",reason=\"%s\"",
-              relay->service != NULL ? relay->service->name : "none",
-              kind_name (relay), outcome, reason);
-  gs_meter_add ("requests_total", labels, 1);
-  if (relay->service == NULL)
-    return;
-  g_snprintf (labels, sizeof labels, "service=\"%s\",kind=\"%s\"",
-              relay->service->name, kind_name (relay));
-  if (relay->first_at != 0)
-    {
-      gs_meter_observe ("first_event_seconds", labels,
-                        seconds_between (relay->arrived_at, relay->first_at));
-      gs_meter_observe ("answer_seconds", labels,
-                        seconds_between (relay->arrived_at, now));
-    }
-  if (relay->events.count > 1)
-    gs_meter_observe ("event_pace_seconds", labels,
-                      seconds_between (relay->first_at, now)
-                          / (double)(relay->events.count - 1));
-}
-
-/* @return this node's present part of the account's limit, 0 without one  */
-static double
-share_of (const relay_t *relay, gs_time_t now)
-{
-  const gs_client_account_t *account = relay->account;
-
-  if (account == NULL || relay->tokens == 0)
-    return 0;
-  return gs_limits_share (relay->traffic->limits, now, relay->limit_row,
-                          account->by_tokens ? GS_LIMIT_TOKENS
-                                             : GS_LIMIT_REQUESTS);
-}
-
-/* Why a request ended as it did.  Only what is not the usual course is never
-   left out.  */
-static void
-log_end (const relay_t *relay, gs_time_t now, const char *outcome,
-         unsigned status, const char *reason)
-{
-  gs_log_value_t id;
-  char line[512];
-
-  meter_end (relay, now, outcome, reason);
-  g_snprintf (
-      line, sizeof line,
-      "id=%s route=%s account=%s outcome=%s status=%u reason=%s"
-      " sends=%u runs=%u replica=%s first_ms=%lld total_ms=%lld"
-      " left_ms=%lld tokens=%u limit=%llu share=%.0f events=%llu"
-      " waiting=%u candidates=%u full=%u",
-      gs_log_quote (&id, relay->request.id),
-      relay->route != NULL ? relay->route->name : "-",
-      relay->account != NULL ? relay->account->name : "-", outcome, status,
-      reason, relay->sends, relay->runs,
-      relay->replica[0] != '\0' ? relay->replica : "-",
-      msec (relay->arrived_at, relay->first_at), msec (relay->arrived_at, now),
-      msec (now, relay->deadline), relay->tokens,
-      relay->account != NULL ? (unsigned long long)relay->account->rate : 0ULL,
-      share_of (relay, now), (unsigned long long)relay->events.count,
-      relay->service != NULL ? g_queue_get_length (&relay->service->waiting)
-                             : 0,
-      relay->choice.candidates, relay->choice.full);
-  if (strcmp (outcome, "answered") == 0)
-    gs_log_routine ("request", "%s", line);
-  else
-    gs_log (GS_LOG_INFO, "request", "%s", line);
-}
-
-/* What a choice was made from, and how old that was.  */
-static void
-log_placed (const relay_t *relay, gs_time_t now)
-{
-  const traffic_t *traffic = relay->traffic;
-  const placer_choice_t *choice = &relay->choice;
-  gs_log_value_t id;
-
-  gs_log_routine (
-      "placed",
-      "id=%s route=%s service=%s replica=%s send=%u in_flight=%u backlog=%u"
-      " missing=%u candidates=%u full=%u wait_ms=%lld expected_ms=%lld"
-      " left_ms=%lld resume_after=%llu config=%llu replicas=%llu"
-      " peers_age_ms=%lld members=%u",
-      gs_log_quote (&id, relay->request.id), relay->route->name,
-      relay->service->name, relay->replica, relay->sends, choice->in_flight,
-      choice->backlog_tokens, choice->missing_tokens, choice->candidates,
-      choice->full, msec (relay->arrived_at, now),
-      msec (relay->arrived_at, choice->first_expected_at),
-      msec (now, relay->deadline), (unsigned long long)relay->events.last_id,
-      (unsigned long long)gs_route_table_version (relay->table),
-      traffic->list != NULL ? (unsigned long long)traffic->list->sequence
-                            : 0ULL,
-      msec (traffic->peers_at, now), traffic->members);
-}
-
-static void
-stop_waiting (relay_t *relay)
-{
-  if (!relay->waiting)
-    return;
-  g_queue_delete_link (&relay->service->waiting, relay->waiting_link);
-  relay->waiting = false;
-}
-
 static void
 relay_free (relay_t *relay)
 {
   traffic_t *traffic = relay->traffic;
 
-  stop_waiting (relay);
+  relay_stop_waiting (relay);
   if (relay->limited && relay->runs > 0)
     gs_limits_release (traffic->limits, gs_clock_now (), relay->limit_row, 0);
   else if (relay->limited)
@@ -257,11 +83,11 @@
       headers[count++] = "Connection";
       headers[count++] = "close";
     }
-  log_end (relay, now,
-           not_run        ? "refused"
-           : status < 500 ? "denied"
-                          : "failed",
-           status, reason);
+  relay_log_end (relay, now,
+                 not_run        ? "refused"
+                 : status < 500 ? "denied"
+                                : "failed",
+                 status, reason);
   if (not_run && relay->service != NULL)
     relay->service->demand.refused++;
   if (relay->started)
@@ -273,26 +99,10 @@
   relay_free (relay);
 }
 
-/* When there is likely to be room: after those that wait have been served,
-   spread so that the callers do not come back all at once.  */
-static gs_time_t
-retry_after (relay_t *relay, gs_time_t now)
-{
-  traffic_service_t *service = relay->service;
-  double waiting = g_queue_get_length (&service->waiting) + 1.0;
-  double rate = MAX (service->ended_per_sec, 1.0);
-  gs_time_t wait = (gs_time_t)(waiting / rate * (double)GS_SEC);
-  gs_time_t honoured = (relay->deadline - now) / RETRY_AFTER_PART;
-
-  wait = (gs_time_t)((double)wait * (1 + gs_rng_unit (&relay->traffic->rng)));
-  wait = CLAMP (wait, RETRY_AFTER_LEAST, RETRY_AFTER_MOST);
-  return MAX (MIN (wait, honoured), GS_MSEC);
-}
-
 static void
 refuse (relay_t *relay, gs_time_t now, const char *reason)
 {
-  answer_own (relay, 503, reason, retry_after (relay, now));
+  answer_own (relay, 503, reason, relay_retry_after (relay, now));
 }
 
 static bool
@@ -345,7 +155,7 @@
     gs_loop_http_cancel (relay->call);
   relay->call = NULL;
   end_attempt (relay, now, PLACER_LEFT);
-  log_end (relay, now, "left", 0, "caller_closed");
+  relay_log_end (relay, now, "left", 0, "caller_closed");
   gs_exchange_abort (relay->exchange);
   relay_free (relay);
 }
@@ -471,24 +281,6 @@
   return resend_budget_take (&relay->service->budget, now, &bounds);
 }
 
-static void
-log_attempt (const relay_t *relay, const char *outcome, const char *reason)
-{
-  gs_log_value_t id;
-  char labels[96];
-
-  g_snprintf (labels, sizeof labels, "service=\"%s\",outcome=\"%s\"",
-              relay->service->name, outcome);
-  gs_meter_add ("attempts_lost_total", labels, 1);
-  gs_log (GS_LOG_INFO, "attempt",
-          "id=%s replica=%s send=%u outcome=%s status=%u reason=\"%s\""
-          " took_ms=%lld began=%d last_event=%llu",
-          gs_log_quote (&id, relay->request.id), relay->replica, relay->sends,
-          outcome, relay->head.status, reason,
-          msec (relay->sent_at, gs_clock_now ()), relay->attempt_began,
-          (unsigned long long)relay->events.last_id);
-}
-
 /* Another replica, if that is allowed; else the end.
    @param arrived whether the attempt reached its replica  */
 static void
@@ -511,7 +303,8 @@
   bool other = relay->head.status == 421;
 
   relay->runs--;
-  log_attempt (relay, "not_run", other ? "other_replica" : "replica_refused");
+  relay_log_attempt (relay, "not_run",
+                     other ? "other_replica" : "replica_refused");
   end_attempt (relay, now, other ? PLACER_OTHER : PLACER_FULL);
   relay->ticket.row = row;
   if (relay->head.status == 400)
@@ -534,8 +327,8 @@
 
   if (unsent)
     relay->runs--;
-  log_attempt (relay, unsent ? "not_sent" : "unknown",
-               result->status == GS_OK ? reason : result->reason);
+  relay_log_attempt (relay, unsent ? "not_sent" : "unknown",
+                     result->status == GS_OK ? reason : result->reason);
   end_attempt (relay, now, unsent ? PLACER_UNREACHABLE : PLACER_FAILED);
   relay->ticket.row = row;
   go_elsewhere (relay, now, !unsent, reason);
@@ -554,7 +347,7 @@
 
   note_began (relay);
   end_attempt (relay, now, status >= 500 ? PLACER_FAILED : PLACER_GOOD);
-  log_end (relay, now, "answered", status, "replica_answered");
+  relay_log_end (relay, now, "answered", status, "replica_answered");
   if (is_stream (relay))
     {
       start_stream (relay);
@@ -584,7 +377,7 @@
     on_lost (relay, now, result);
   else if (is_retryable_failure (relay) && may_resend (relay, now))
     {
-      log_attempt (relay, "failed", "replica_failed");
+      relay_log_attempt (relay, "failed", "replica_failed");
       relay->avoid = relay->ticket.row;
       end_attempt (relay, now, PLACER_FAILED);
       serve_one (relay, now);
@@ -615,15 +408,6 @@
   };
 }
 
-static int
-priority_of (const relay_t *relay)
-{
-  return relay->account != NULL
-                 && relay->account->priority != GS_PRIORITY_UNSET
-             ? relay->account->priority
-             : relay->route->priority;
-}
-
 static void
 send_request (relay_t *relay, gs_time_t now, const placer_query_t *query)
 {
@@ -633,7 +417,7 @@
       = { .replica = replica->id,
           .account = relay->account != NULL ? relay->account->name : NULL,
           .deadline = relay->deadline,
-          .priority = relay->service_row->engine ? priority_of (relay)
+          .priority = relay->service_row->engine ? relay_priority (relay)
                                                  : GS_PRIORITY_UNSET,
           .resume_after = relay->events.last_id };
   gs_http_request_t request = GS_HTTP_REQUEST_INIT;
@@ -658,9 +442,7 @@
   gs_passed_head_clear (&relay->head);
   gs_passed_head_init (&relay->head);
   g_string_truncate (relay->body, 0);
-  log_placed (relay, now);
-  gs_meter_observe ("wait_seconds", "",
-                    seconds_between (relay->arrived_at, now));
+  relay_log_placed (relay, now);
   request.method = gs_exchange_method (relay->exchange);
   request.url = url;
   request.target = gs_exchange_target (relay->exchange);
@@ -686,64 +468,6 @@
   g_strfreev (headers);
 }
 
-static int
-compare_waiting (gconstpointer a, gconstpointer b, gpointer context)
-{
-  const relay_t *left = a;
-  const relay_t *right = b;
-  int by_priority = priority_of (left) - priority_of (right);
-
-  (void)context;
-  if (by_priority != 0)
-    return by_priority;
-  return left->arrived_at < right->arrived_at   ? -1
-         : left->arrived_at > right->arrived_at ? 1
-                                                : 0;
-}
-
-/* When a request that waits is refused.  */
-static gs_time_t
-waits_until (const relay_t *relay)
-{
-  gs_time_t goal = relay->goal_at - relay->arrived_at;
-  gs_time_t left = relay->deadline - relay->arrived_at;
-
-  return relay->arrived_at
-         + (gs_time_t)(WAIT_PART * (double)(goal > 0 ? goal : left));
-}
-
-/* Slots that become free for this node in a second.  A node that has just
-   started has seen none, and takes its part of those that are taken.  */
-static double
-freed_per_sec (const relay_t *relay)
-{
-  unsigned slots;
-  unsigned taken;
-
-  placer_room (relay->traffic->placer, relay->service->name, &slots, &taken);
-  return MAX (relay->service->ended_per_sec,
-              taken / RUN_TIME_SECONDS / relay->traffic->members);
-}
-
-static void
-wait_for_room (relay_t *relay, gs_time_t now)
-{
-  GQueue *waiting = &relay->service->waiting;
-  double rate = freed_per_sec (relay);
-  double ahead = g_queue_get_length (waiting) + 1.0;
-  gs_time_t expected
-      = now + (gs_time_t)(ahead / MAX (rate, 1e-3) * (double)GS_SEC);
-
-  if (expected > waits_until (relay))
-    {
-      give_up (relay, now, "no_room");
-      return;
-    }
-  g_queue_insert_sorted (waiting, relay, compare_waiting, NULL);
-  relay->waiting_link = g_queue_find (waiting, relay);
-  relay->waiting = true;
-}
-
 /* Send a request, or let it wait, or refuse it.  */
 static void
 serve_one (relay_t *relay, gs_time_t now)
@@ -756,8 +480,8 @@
     send_request (relay, now, &query);
   else if (relay->runs > 0)
     give_up (relay, now, "no_other_replica");
-  else
-    wait_for_room (relay, now);
+  else if (!relay_wait (relay, now))
+    give_up (relay, now, "no_room");
 }
 
 static void
@@ -776,12 +500,12 @@
           && placer_pick (traffic->placer, now, &query, &relay->choice)
                  == GS_OK)
         {
-          stop_waiting (relay);
+          relay_stop_waiting (relay);
           send_request (relay, now, &query);
         }
-      else if (now >= waits_until (relay))
+      else if (now >= relay_waits_until (relay))
         {
-          stop_waiting (relay);
+          relay_stop_waiting (relay);
           give_up (relay, now, "waited_for_room");
         }
       else
@@ -818,91 +542,6 @@
   g_list_free (open_relays);
 }
 
-static const gs_path_service_t *
-choose_service (const relay_t *relay)
-{
-  const gs_path_route_t *route = relay->route;
-  uint64_t sum = 0;
-  uint64_t drawn;
-
-  for (unsigned i = 0; i < route->split_count; i++)
-    sum += route->splits[i].weight;
-  drawn = gs_rng_below (&relay->traffic->rng, sum);
-  for (unsigned i = 0; i < route->split_count; i++)
-    {
-      if (drawn < route->splits[i].weight)
-        return gs_route_table_service (relay->table, route->splits[i].service);
-      drawn -= route->splits[i].weight;
-    }
-  return gs_route_table_service (relay->table, route->splits[0].service);
-}
-
-static void
-set_times (relay_t *relay)
-{
-  gs_time_t wait = relay->request.wait;
-  gs_time_t timeout = relay->route->timeout;
-
-  if (wait == 0 || (timeout > 0 && timeout < wait))
-    wait = timeout;
-  relay->deadline = relay->arrived_at + wait;
-  relay->goal_at = relay->arrived_at
-                   + (relay->route->goal > 0 ? relay->route->goal : wait);
-}
-
-/* @return whether the account is within its limit  */
-static bool
-take_limit (relay_t *relay, gs_time_t now, gs_time_t *again)
-{
-  const gs_client_account_t *account = relay->account;
-  gs_limits_t *limits = relay->traffic->limits;
-  const gs_passed_request_t *request = &relay->request;
-
-  if (account == NULL || account->rate == 0
-      || !gs_limits_find (&relay->limit_row, limits,
-                          gs_limits_name ("account", account->name)))
-    return true;
-  relay->tokens = request->has_token_counts
-                      ? request->prompt_tokens + request->output_tokens_max
-                      : account->plain_tokens;
-  relay->limited
-      = gs_limits_admit (limits, now, relay->limit_row, relay->tokens, again)
-        == GS_OK;
-  return relay->limited;
-}
-
-/* @return status to refuse with and the reason, 0 when all is known  */
-static unsigned
-find_route (relay_t *relay, const char **reason)
-{
-  const gs_caller_limits_t *bounds = gs_route_table_limits (relay->table);
-  size_t length;
-  int account;
-
-  gs_exchange_body (relay->exchange, &length);
-  *reason = "no_attempt_id";
-  if (relay->request.id[0] == '\0')
-    return 400;
-  *reason = "no_route";
-  relay->route = gs_route_table_match (relay->table, relay->request.host,
-                                       gs_exchange_target (relay->exchange));
-  if (relay->route == NULL)
-    return 404;
-  *reason = "unknown_key";
-  if (!relay->route->anonymous && gs_route_table_accounts (relay->table) > 0)
-    {
-      account = gs_route_table_key (relay->table, relay->request.key);
-      if (account < 0)
-        return 401;
-      relay->account
-          = gs_route_table_account (relay->table, (unsigned)account);
-    }
-  *reason = "body_too_large";
-  if (bounds->body_bytes_max > 0 && length > bounds->body_bytes_max)
-    return 413;
-  return 0;
-}
-
 static relay_t *
 relay_new (traffic_t *traffic, gs_exchange_t *exchange)
 {
@@ -941,23 +580,23 @@
 
   if (relay->table == NULL)
     {
-      answer_own (relay, 503, "no_configuration", RETRY_AFTER_MOST / 4);
+      answer_own (relay, 503, "no_configuration", UNCONFIGURED_RETRY);
       return;
     }
-  status = find_route (relay, &reason);
+  status = relay_find_route (relay, &reason);
   if (status != 0)
     {
       answer_own (relay, status, reason, 0);
       return;
     }
-  set_times (relay);
-  relay->service_row = choose_service (relay);
+  relay_set_times (relay);
+  relay->service_row = relay_choose_service (relay);
   relay->service = traffic_service (traffic, relay->service_row->name);
   relay->service->demand.requests++;
   resend_budget_note (&relay->service->budget, now);
   if (is_too_late (traffic, now))
-    answer_own (relay, 503, "node_leaving", RETRY_AFTER_LEAST);
-  else if (!take_limit (relay, now, &again))
+    answer_own (relay, 503, "node_leaving", LEAVING_RETRY);
+  else if (!relay_take_limit (relay, now, &again))
     answer_own (relay, 429, "account_limit", again);
   else
     serve_one (relay, now);
--- /dev/null
+++ b/src/gateway/relay_admit.c
@@ -0,0 +1,86 @@
+#include "gateway/relay_private.h"
+
+const gs_path_service_t *
+relay_choose_service (const relay_t *relay)
+{
+  const gs_path_route_t *route = relay->route;
+  uint64_t sum = 0;
+  uint64_t drawn;
+
+  for (unsigned i = 0; i < route->split_count; i++)
+    sum += route->splits[i].weight;
+  drawn = gs_rng_below (&relay->traffic->rng, sum);
+  for (unsigned i = 0; i < route->split_count; i++)
+    {
+      if (drawn < route->splits[i].weight)
+        return gs_route_table_service (relay->table, route->splits[i].service);
+      drawn -= route->splits[i].weight;
+    }
+  return gs_route_table_service (relay->table, route->splits[0].service);
+}
+
+void
+relay_set_times (relay_t *relay)
+{
+  gs_time_t wait = relay->request.wait;
+  gs_time_t timeout = relay->route->timeout;
+
+  if (wait == 0 || (timeout > 0 && timeout < wait))
+    wait = timeout;
+  relay->deadline = relay->arrived_at + wait;
+  relay->goal_at = relay->arrived_at
+                   + (relay->route->goal > 0 ? relay->route->goal : wait);
+}
+
+/* @return whether the account is within its limit  */
+bool
+relay_take_limit (relay_t *relay, gs_time_t now, gs_time_t *again)
+{
+  const gs_client_account_t *account = relay->account;
+  gs_limits_t *limits = relay->traffic->limits;
+  const gs_passed_request_t *request = &relay->request;
+
+  if (account == NULL || account->rate == 0
+      || !gs_limits_find (&relay->limit_row, limits,
+                          gs_limits_name ("account", account->name)))
+    return true;
+  relay->tokens = request->has_token_counts
+                      ? request->prompt_tokens + request->output_tokens_max
+                      : account->plain_tokens;
+  relay->limited
+      = gs_limits_admit (limits, now, relay->limit_row, relay->tokens, again)
+        == GS_OK;
+  return relay->limited;
+}
+
+/* @return status to refuse with and the reason, 0 when all is known  */
+unsigned
+relay_find_route (relay_t *relay, const char **reason)
+{
+  const gs_caller_limits_t *bounds = gs_route_table_limits (relay->table);
+  size_t length;
+  int account;
+
+  gs_exchange_body (relay->exchange, &length);
+  *reason = "no_attempt_id";
+  if (relay->request.id[0] == '\0')
+    return 400;
+  *reason = "no_route";
+  relay->route = gs_route_table_match (relay->table, relay->request.host,
+                                       gs_exchange_target (relay->exchange));
+  if (relay->route == NULL)
+    return 404;
+  *reason = "unknown_key";
+  if (!relay->route->anonymous && gs_route_table_accounts (relay->table) > 0)
+    {
+      account = gs_route_table_key (relay->table, relay->request.key);
+      if (account < 0)
+        return 401;
+      relay->account
+          = gs_route_table_account (relay->table, (unsigned)account);
+    }
+  *reason = "body_too_large";
+  if (bounds->body_bytes_max > 0 && length > bounds->body_bytes_max)
+    return 413;
+  return 0;
+}
--- /dev/null
+++ b/src/gateway/relay_log.c
@@ -0,0 +1,150 @@
+#include "gateway/relay_private.h"
+
+#include "garnetstack/log.h"
+#include "garnetstack/meter.h"
+
+#include <string.h>
+
+static long long
+msec (gs_time_t from, gs_time_t to)
+{
+  return from == 0 || to == 0 ? -1 : (long long)((to - from) / GS_MSEC);
+}
+
+static const char *
+kind_name (const relay_t *relay)
+{
+  static const char *const names[] = { [GS_REPEAT_NEVER] = "once",
+                                       [GS_REPEAT_FREE] = "repeatable",
+                                       [GS_REPEAT_RESUME] = "resumable" };
+
+  return relay->route != NULL ? names[relay->route->repeat] : "unknown";
+}
+
+static double
+seconds_between (gs_time_t from, gs_time_t to)
+{
+  return (double)(to - from) / GS_SEC;
+}
+
+static void
+meter_end (const relay_t *relay, gs_time_t now, const char *outcome,
+           const char *reason)
+{
+  char labels[160];
+
+  g_snprintf (labels, sizeof labels,
+              "service=\"%s\",kind=\"%s\",outcome=\"%s\",reason=\"%s\"",
+              relay->service != NULL ? relay->service->name : "none",
+              kind_name (relay), outcome, reason);
+  gs_meter_add ("requests_total", labels, 1);
+  if (relay->service == NULL)
+    return;
+  g_snprintf (labels, sizeof labels, "service=\"%s\",kind=\"%s\"",
+              relay->service->name, kind_name (relay));
+  if (relay->first_at != 0)
+    {
+      gs_meter_observe ("first_event_seconds", labels,
+                        seconds_between (relay->arrived_at, relay->first_at));
+      gs_meter_observe ("answer_seconds", labels,
+                        seconds_between (relay->arrived_at, now));
+    }
+  if (relay->events.count > 1)
+    gs_meter_observe ("event_pace_seconds", labels,
+                      seconds_between (relay->first_at, now)
+                          / (double)(relay->events.count - 1));
+}
+
+/* @return this node's present part of the account's limit, 0 without one  */
+static double
+share_of (const relay_t *relay, gs_time_t now)
+{
+  const gs_client_account_t *account = relay->account;
+
+  if (account == NULL || relay->tokens == 0)
+    return 0;
+  return gs_limits_share (relay->traffic->limits, now, relay->limit_row,
+                          account->by_tokens ? GS_LIMIT_TOKENS
+                                             : GS_LIMIT_REQUESTS);
+}
+
+/* Why a request ended as it did.  Only what is not the usual course is never
+   left out.  */
+void
+relay_log_end (const relay_t *relay, gs_time_t now, const char *outcome,
+               unsigned status, const char *reason)
+{
+  gs_log_value_t id;
+  char line[512];
+
+  meter_end (relay, now, outcome, reason);
+  g_snprintf (
+      line, sizeof line,
+      "id=%s route=%s account=%s outcome=%s status=%u reason=%s"
+      " sends=%u runs=%u replica=%s first_ms=%lld total_ms=%lld"
+      " left_ms=%lld tokens=%u limit=%llu share=%.0f events=%llu"
+      " waiting=%u candidates=%u full=%u",
+      gs_log_quote (&id, relay->request.id),
+      relay->route != NULL ? relay->route->name : "-",
+      relay->account != NULL ? relay->account->name : "-", outcome, status,
+      reason, relay->sends, relay->runs,
+      relay->replica[0] != '\0' ? relay->replica : "-",
+      msec (relay->arrived_at, relay->first_at), msec (relay->arrived_at, now),
+      msec (now, relay->deadline), relay->tokens,
+      relay->account != NULL ? (unsigned long long)relay->account->rate : 0ULL,
+      share_of (relay, now), (unsigned long long)relay->events.count,
+      relay->service != NULL ? g_queue_get_length (&relay->service->waiting)
+                             : 0,
+      relay->choice.candidates, relay->choice.full);
+  if (strcmp (outcome, "answered") == 0)
+    gs_log_routine ("request", "%s", line);
+  else
+    gs_log (GS_LOG_INFO, "request", "%s", line);
+}
+
+/* What a choice was made from, and how old that was.  */
+void
+relay_log_placed (const relay_t *relay, gs_time_t now)
+{
+  const traffic_t *traffic = relay->traffic;
+  const placer_choice_t *choice = &relay->choice;
+  gs_log_value_t id;
+
+  gs_meter_observe ("wait_seconds", "",
+                    seconds_between (relay->arrived_at, now));
+  gs_log_routine (
+      "placed",
+      "id=%s route=%s service=%s replica=%s send=%u in_flight=%u backlog=%u"
+      " missing=%u candidates=%u full=%u wait_ms=%lld expected_ms=%lld"
+      " left_ms=%lld resume_after=%llu config=%llu replicas=%llu"
+      " peers_age_ms=%lld members=%u",
+      gs_log_quote (&id, relay->request.id), relay->route->name,
+      relay->service->name, relay->replica, relay->sends, choice->in_flight,
+      choice->backlog_tokens, choice->missing_tokens, choice->candidates,
+      choice->full, msec (relay->arrived_at, now),
+      msec (relay->arrived_at, choice->first_expected_at),
+      msec (now, relay->deadline), (unsigned long long)relay->events.last_id,
+      (unsigned long long)gs_route_table_version (relay->table),
+      traffic->list != NULL ? (unsigned long long)traffic->list->sequence
+                            : 0ULL,
+      msec (traffic->peers_at, now), traffic->members);
+}
+
+void
+relay_log_attempt (const relay_t *relay, const char *outcome,
+                   const char *reason)
+{
+  gs_log_value_t id;
+  char labels[96];
+
+  g_snprintf (labels, sizeof labels, "service=\"%s\",outcome=\"%s\"",
+              relay->service->name, outcome);
+  gs_meter_add ("attempts_lost_total", labels, 1);
+  gs_log (GS_LOG_INFO, "attempt",
+          "id=%s replica=%s send=%u outcome=%s status=%u reason=\"%s\""
+          " took_ms=%lld began=%d last_event=%llu",
+          gs_log_quote (&id, relay->request.id), relay->replica, relay->sends,
+          outcome, relay->head.status, reason,
+          msec (relay->sent_at, gs_clock_now ()), relay->attempt_began,
+          (unsigned long long)relay->events.last_id);
+}
