--- a/include/garnetstack/deployment.h
+++ b/include/garnetstack/deployment.h
@@ -29,7 +29,6 @@
 {
   char node[GS_NAME_BYTES];
   char data_centre[GS_NAME_BYTES];
-  char region[GS_NAME_BYTES];
   gs_endpoint_t callers;   /**< callers' requests */
   gs_endpoint_t readiness; /**< asked by the platform */
   gs_endpoint_t addresses; /**< asked by callers for where to connect */
@@ -39,12 +38,10 @@
   unsigned seed_count;
   gs_endpoint_t store;
   gs_endpoint_t provider;
-  double cpu_share; /**< part of a core */
   unsigned memory_mb;
   unsigned descriptors_max;
   gs_time_t drain;           /**< a leaving replica serves for so long */
   gs_time_t grace;           /**< from the signal to end to the kill */
-  gs_time_t contact;         /**< a node undisturbed for so long is in touch */
   gs_time_t lease;           /**< shortest time between two holders */
   gs_time_t usage_window;    /**< length of a window of usage reports */
   gs_time_t usage_late;      /**< a report is due so long after its window */
--- a/include/garnetstack/passing.h
+++ b/include/garnetstack/passing.h
@@ -60,7 +60,6 @@
   bool encoded;           /**< the body is not in the form asked for */
   char id[GS_NAME_BYTES]; /**< attempt that it answers; "" if not told */
   char content_type[GS_URL_BYTES];
-  bool has_length;
   unsigned keep_seconds; /**< the connection is kept idle so long; 0 if
                               not told */
   GPtrArray *headers;    /**< names and values in turn, to pass on */
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -319,8 +319,6 @@
     return true;
   if (row->full_until > now)
     return true;
-  if (query->past_slots)
-    return false;
   if (taken_of (row) >= row->replica.slots)
     return true;
   /* A request larger than the memory is the replica's to refuse.  */
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -25,15 +25,12 @@
   bool engine;
   uint64_t cache_tokens;    /**< an engine's memory; 0 if not known */
   unsigned connections_max; /**< a replica takes; 0 if not known */
-  unsigned nodes;           /**< that share them */
-  gs_time_t goal_at;        /**< the first event is wanted before */
   uint32_t prompt_tokens;
   uint32_t output_tokens; /**< expected */
   const gs_prompt_part_t *parts;
   unsigned part_count;
-  uint32_t avoid;  /**< row that is taken only when there is no other, or
-                        PLACER_ROW_NONE */
-  bool past_slots; /**< may wait at the replica for a slot */
+  uint32_t avoid; /**< row that is taken only when there is no other, or
+                       PLACER_ROW_NONE */
 } placer_query_t;
 
 /** A choice and why. */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -397,8 +397,6 @@
     .engine = relay->service_row->engine,
     .cache_tokens = relay->service_row->cache_tokens,
     .connections_max = relay->service_row->connections_max,
-    .nodes = relay->traffic->members,
-    .goal_at = relay->goal_at,
     .prompt_tokens = request->prompt_tokens,
     .output_tokens = hint != 0 ? MIN (hint, request->output_tokens_max)
                                : request->output_tokens_max / 2,
