limits: in a large fleet a node uses its own demand as late as others know it

Change: the own demand counts with the lag that a large fleet's digests add; no lag, and nothing changed, up to ten nodes. Result: a test of thirty nodes without a network fails before and passes after; test_governor, routing, capacity, fleet pass.

--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -494,6 +494,7 @@
   gpointer value;
 
   view->members = peers_members (peers, now);
+  view->lag = interval (peers) - PEERS_INTERVAL;
   view->peers = g_array_new (FALSE, TRUE, sizeof (traffic_peer_t));
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -354,7 +354,8 @@
     }
   traffic->members = peers->members;
   traffic->peers_at = now;
-  gs_limits_set_members (traffic->limits, peers->members, GS_SEC);
+  gs_limits_set_members (traffic->limits, peers->members, GS_SEC + peers->lag);
+  gs_limits_set_lag (traffic->limits, peers->lag);
   for (guint i = 0; i < peers->peers->len; i++)
     {
       const traffic_peer_t *peer
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -80,6 +80,8 @@
 typedef struct
 {
   unsigned members; /**< nodes, this one included, heard or not */
+  gs_time_t lag;    /**< they hear of this one later by so much than in a small
+                         fleet */
   GArray *peers;    /**< of traffic_peer_t: those heard lately */
 } traffic_peers_t;
 
