digest: bound what a peer's bytes may claim before they are unpacked

Ruled out: the decoder's own bounds (they come after the library's). Change: a scan that lets through natural numbers, texts, byte strings and arrays of a bounded depth, each as long as it says. Result: test_digest fails before and passes after under the sanitizers.

--- a/src/gateway/digest.c
+++ b/src/gateway/digest.c
@@ -1,9 +1,13 @@
 #include "gateway/digest.h"
 
+#include "wire/shape.h"
+
 #include <msgpack.h>
 #include <string.h>
 
 #define FORMAT 2
+/* Arrays in arrays: fields, members or rows, and what one of them holds. */
+#define DEPTH 3
 #define FIELDS 15
 
 static traffic_report_t *
@@ -197,7 +201,8 @@
       *fields->invalid = true;
       return;
     }
-  memcpy (out, object->via.str.ptr, object->via.str.size);
+  if (object->via.str.size > 0)
+    memcpy (out, object->via.str.ptr, object->via.str.size);
   out[object->via.str.size] = '\0';
 }
 
@@ -342,8 +347,9 @@
   fields_t fields = { NULL, 0, &invalid };
 
   msgpack_unpacked_init (&unpacked);
-  if (msgpack_unpack_next (&unpacked, data, length, NULL)
-          == MSGPACK_UNPACK_SUCCESS
+  if (gs_shape_is_bounded (data, length, DEPTH)
+      && msgpack_unpack_next (&unpacked, data, length, NULL)
+             == MSGPACK_UNPACK_SUCCESS
       && unpacked.data.type == MSGPACK_OBJECT_ARRAY)
     fields.array = &unpacked.data.via.array;
   if (take_number (&fields) != FORMAT)
