--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -39,7 +39,7 @@
 /* Nodes of larger fleets that do: one may be cut off and another restart.  */
 #define FOLLOWERS 4
 /* Shortest time between two calls to all peers because of replicas that leave;
-   a tenth of the shortest drain time.  */
+   an eighth of the shortest drain time that is known.  */
 #define NEWS_INTERVAL (250 * GS_MSEC)
 /* Nodes that ask for the lease of the duties.  */
 #define CANDIDATES 3
