--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -13,15 +13,21 @@
 /* Counted with a node's use as it draws, so that each node may begin.  */
 #define DRAW_LEAST 0.25
 /* A node without memory that hears of nobody's use takes its predecessor to
-   have used this part of a share, evenly over the window.  */
-#define UNKNOWN_PART 0.95
+   have used this part of a share, evenly over the window; of an account that
+   surges, the whole share just now.  */
+#define UNKNOWN_PART 0.6
 /* An account that has used this part of its share, and asks for SURGE times
    what the share brings, gets what it brings and no more.  Else a surge would
    take a window's whole limit at once, hold up the requests of others, and
    have nothing left for most of the window.  */
 #define PACE_FROM 0.3
 #define SURGE 1.4
-/* Requests of usual size that may come at once even so.  */
+/* Of what a share brings; the rest is the burst that a limit allows, and what
+   the account has used before it surged.  */
+#define PACE_PART 0.9
+/* What it brings in this time, or so many requests of usual size, may come at
+   once even so.  */
+#define PACE_BURST (1400 * GS_MSEC)
 #define PACE_REQUESTS 3
 /* What is asked for fades by e in this time.  */
 #define ASKED_FADES (500 * GS_MSEC)
@@ -58,9 +64,8 @@
   double others;        /* what all others hold, as far as is known */
   double others_use; /* what those of them that were heard lately have used */
   double carried;
-  bool carried_known; /* from nodes with a memory */
-  double offered;     /* since the start of the process */
-  bool surged; /* more was asked for since the start than a share brings */
+  bool carried_known;      /* from nodes with a memory */
+  bool surged;             /* soon after the start of the process */
   gs_time_t blocked_until; /* by an amount above a whole share */
   double asked;            /* lately, fading */
   gs_time_t asked_at;
@@ -299,22 +304,7 @@
     return 0;
   if (row->carried_known)
     return row->carried;
-  return UNKNOWN_PART * share_of (quota, row) * (row->surged ? 1 : left);
-}
-
-/* Whoever asks at once for more than a share brings after a restart has asked
-   so before it too.  */
-static void
-note_offer (const quota_t *quota, gs_time_t now, account_t *row, double amount)
-{
-  double share = share_of (quota, row);
-  double brings
-      = share * (double)(now - quota->started) / (double)quota->window;
-
-  row->offered += amount;
-  if (is_young (quota, now) && !row->surged)
-    row->surged = row->offered > brings + 2 * (1 - UNKNOWN_PART) * share
-                  && row->offered > amount;
+  return share_of (quota, row) * (row->surged ? 1 : UNKNOWN_PART * left);
 }
 
 /* What may be in use at this node now.  Within the lag it draws at most its
@@ -388,23 +378,29 @@
   return MAX (MAX (share_of (quota, row), allowed), 1) / (double)quota->window;
 }
 
+static bool
+asks_too_much (const quota_t *quota, const account_t *row, double allowed)
+{
+  double expected = SURGE * brings (quota, row, allowed) * (double)ASKED_FADES;
+
+  return row->asked > expected + PACE_REQUESTS * row->size;
+}
+
 static bool
 is_surging (const quota_t *quota, gs_time_t now, const account_t *row,
             double allowed)
 {
   double used = row->used + carried_of (quota, now, row);
 
-  double expected = SURGE * brings (quota, row, allowed) * (double)ASKED_FADES;
-
   return used > PACE_FROM * share_of (quota, row)
-         && row->asked > expected + PACE_REQUESTS * row->size;
+         && asks_too_much (quota, row, allowed);
 }
 
 /* How far ahead of an even flow requests may come.  */
 static gs_time_t
 pace_ahead (const account_t *row, double pace)
 {
-  return (gs_time_t)(PACE_REQUESTS * row->size / pace);
+  return MAX (PACE_BURST, (gs_time_t)(PACE_REQUESTS * row->size / pace));
 }
 
 /* @return when there is room for an amount, 0 for now */
@@ -413,7 +409,7 @@
               double allowed, double amount)
 {
   double used = row->used + carried_of (quota, now, row);
-  double pace = brings (quota, row, allowed);
+  double pace = PACE_PART * brings (quota, row, allowed);
   gs_time_t wait = MAX (row->blocked_until - now, 0);
 
   if (used + amount > allowed && (used > 0 || amount <= share_of (quota, row)))
@@ -438,7 +434,7 @@
      double amount)
 {
   double share = share_of (quota, row);
-  double pace = brings (quota, row, allowed);
+  double pace = PACE_PART * brings (quota, row, allowed);
 
   /* An amount above a whole share is let through by itself, and paid for
      by the time that the share takes to bring it.  */
@@ -462,9 +458,13 @@
   *again = 0;
   if (row == NULL)
     return GS_OK;
-  note_offer (quota, now, row, amount);
   note_asked (row, now, amount);
   allowed = allowance (quota, now, row);
+  if (is_young (quota, now) && !row->surged && asks_too_much (quota, row, 0))
+    {
+      row->surged = true;
+      allowed = allowance (quota, now, row);
+    }
   *again = time_to_room (quota, now, row, allowed, amount);
   if (*again > 0)
     return gs_error_set (GS_EREFUSED, "over the limit of the account");
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -60,6 +60,11 @@
   { "a single node", 1, 300e3, 5e3, 0.8, 1, 0, 0, 0, 0, 0, 0, 0, 0, false, 1 },
   { "two halves of thirty", 30, 1200e3, 5e3, 0.6, 1, 0, 0, 0, 0, 0, 0, 5, 35,
     false, 1 },
+  /* All start without memory, and nobody knows what was used.  */
+  { "all of thirty are killed, small account", 30, 300e3, 5e3, 0.45, 1, 0, 0,
+    0, 0, 1, 10, 0, 0, false, 1 },
+  { "all of five are killed", 5, 550e3, 5e3, 0.45, 1, 0, 0, 0, 0, 1, 10, 0, 0,
+    false, 1 },
   /* Much more is asked for: the bound holds.  */
   { "surge at thirty nodes", 30, 1219e3, 9e3, 0.4, 18, 5, 25, 0, 0, 0, 0, 0, 0,
     false, 100 },
@@ -81,6 +86,10 @@
     false, 100 },
   { "surge, all of five are killed", 5, 550e3, 9e3, 0.4, 18, 5, 25, 0, 0, 1, 8,
     0, 0, false, 100 },
+  { "surge that ends as all are killed", 30, 1219e3, 9e3, 0.4, 18, 2, 8, 0, 0,
+    1, 8, 0, 0, false, 100 },
+  { "surge that ends as all of five are killed", 5, 550e3, 9e3, 0.4, 18, 2, 8,
+    0, 0, 1, 8, 0, 0, false, 100 },
   { "surge after all are killed", 30, 1219e3, 9e3, 0.4, 18, 9, 25, 0, 0, 1, 8,
     0, 0, false, 100 },
 };
