--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -205,6 +205,8 @@
                     (double)gs_route_table_version (gateway->table));
       gs_meter_set ("config_age_seconds", "",
                     seconds_since (now, gateway->table_at));
+      if (report != NULL)
+        gauges_set_accounts (gateway->table, report);
     }
   series = gs_meter_text ();
   process = gs_metrics_text ();
--- a/src/gateway/gauges.c
+++ b/src/gateway/gauges.c
@@ -38,6 +38,40 @@
     }
 }
 
+static uint64_t
+used_of (const traffic_report_t *report, uint64_t account)
+{
+  for (guint i = 0; i < report->quota->len; i++)
+    {
+      const quota_row_t *row = &g_array_index (report->quota, quota_row_t, i);
+
+      if (row->account == account)
+        return row->used;
+    }
+  return 0;
+}
+
+void
+gauges_set_accounts (const gs_route_table_t *table,
+                     const traffic_report_t *report)
+{
+  gs_meter_clear ("account_used");
+  gs_meter_clear ("account_limit_per_second");
+  for (unsigned i = 0; i < gs_route_table_accounts (table); i++)
+    {
+      const gs_client_account_t *account = gs_route_table_account (table, i);
+      char labels[128];
+
+      if (account->rate == 0)
+        continue;
+      g_snprintf (labels, sizeof labels, "account=\"%s\"", account->name);
+      gs_meter_set (
+          "account_used", labels,
+          (double)used_of (report, gs_limits_name ("account", account->name)));
+      gs_meter_set ("account_limit_per_second", labels, (double)account->rate);
+    }
+}
+
 void
 gauges_set_services (const traffic_report_t *report)
 {
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -1,6 +1,7 @@
 #include "gateway/traffic_private.h"
 
 #include "garnetstack/log.h"
+#include "garnetstack/meter.h"
 
 #include <string.h>
 
@@ -152,6 +153,12 @@
   traffic_t *traffic = context;
   gs_time_t now = gs_clock_now ();
 
+  /* How late the thread comes to what waits for it: answers and events to be
+     passed on, new requests.  */
+  if (traffic->ticked_at != 0)
+    gs_meter_observe ("traffic_lag_seconds", "",
+                      (double)(now - traffic->ticked_at - TICK) / GS_SEC);
+  traffic->ticked_at = now;
   relay_serve_waiting (traffic, now);
   if (now >= traffic->report_due)
     {
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -43,6 +43,7 @@
   gs_rng_t rng;
   unsigned members;
   gs_time_t peers_at; /* when they were last told of */
+  gs_time_t ticked_at;
   gs_time_t report_due;
   gs_time_t second_due;
   gs_time_t leave_at;    /* when the process was told to end, 0 for not */
--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -43,9 +43,9 @@
       "session_affinity", 0, "stream_resume", resume, "gap_aim_ms", 400);
 }
 
-uint64_t
-gw_configure (gateway_world_t *world, unsigned version, const char *prefix,
-              const char *key)
+static uint64_t
+configure (gateway_world_t *world, unsigned version, const char *prefix,
+           const char *key, unsigned rate, unsigned burst)
 {
   json_t *routes = json_array ();
   char *names[] = { "never", "free", "stream/once", "stream/resume" };
@@ -70,8 +70,22 @@
                  "max_header_bytes", 16384, "max_body_bytes", 100000,
                  "header_timeout_ms", 3000, "idle_timeout_ms", 15000,
                  "tenants", "name", WORLD_ACCOUNT, "api_keys", key, "priority",
-                 1, "unit", "token_count", "plain_tokens", 1, "rate_per_s", 0,
-                 "burst", 0));
+                 1, "unit", "token_count", "plain_tokens", 1, "rate_per_s",
+                 (int)rate, "burst", (int)burst));
+}
+
+uint64_t
+gw_configure (gateway_world_t *world, unsigned version, const char *prefix,
+              const char *key)
+{
+  return configure (world, version, prefix, key, 0, 0);
+}
+
+uint64_t
+gw_limit (gateway_world_t *world, unsigned version, unsigned rate,
+          unsigned burst)
+{
+  return configure (world, version, "/a/", WORLD_KEY, rate, burst);
 }
 
 static void
@@ -168,15 +182,18 @@
 run_gateway (const world_gateway_t *gateway)
 {
   const char *binary = getenv ("GS_BINARY");
+  char metrics[8];
 
   if (binary == NULL)
     _exit (127);
+  g_snprintf (metrics, sizeof metrics, "%u", gateway->metrics);
   int log = open (gateway->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
   prctl (PR_SET_PDEATHSIG, SIGKILL);
   dup2 (log, STDOUT_FILENO);
   dup2 (log, STDERR_FILENO);
-  execl (binary, binary, "gateway", "--config", gateway->settings, NULL);
+  execl (binary, binary, "gateway", "--config", gateway->settings,
+         "--metrics-port", metrics, NULL);
   _exit (127);
 }
 
@@ -193,6 +210,7 @@
       gateway->readiness = free_port ();
       gateway->addresses = free_port ();
       gateway->peers = free_port ();
+      gateway->metrics = free_port ();
       gateway->settings
           = g_strdup_printf ("%s/%s.conf", world->directory, gateway->name);
       gateway->log
@@ -279,6 +297,21 @@
   return ready;
 }
 
+char *
+gw_metrics (gateway_world_t *world, unsigned index)
+{
+  raw_conn_t conn;
+  GString *answer;
+
+  if (!connect_gateway (&conn, index, world->gateways[index].metrics))
+    return g_strdup ("");
+  raw_printf (&conn, "GET /metrics HTTP/1.1\r\nHost: x\r\n"
+                     "Connection: close\r\n\r\n");
+  answer = raw_read_all (&conn, GS_SEC, NULL);
+  raw_close (&conn);
+  return g_string_free (answer, FALSE);
+}
+
 bool
 gw_wait (bool (*condition) (void *), void *context, gs_time_t most)
 {
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -67,6 +67,7 @@
   uint16_t readiness;
   uint16_t addresses;
   uint16_t peers;
+  uint16_t metrics;
   char *settings;
   char *log;
 } world_gateway_t;
@@ -103,6 +104,10 @@
 uint64_t gw_configure (gateway_world_t *world, unsigned version,
                        const char *prefix, const char *key);
 
+/** The same with a limit for the account, in tokens. */
+uint64_t gw_limit (gateway_world_t *world, unsigned version, unsigned rate,
+                   unsigned burst);
+
 /** Write or remove an object as its owner would. */
 uint64_t gw_put (gateway_world_t *world, const char *kind, const char *name,
                  json_t *spec);
@@ -124,6 +129,9 @@
 bool gw_wait_end (gateway_world_t *world, unsigned index, gs_time_t deadline);
 bool gw_is_ready (gateway_world_t *world, unsigned index);
 
+/** @return a node's metrics as text, freed with g_free() */
+char *gw_metrics (gateway_world_t *world, unsigned index);
+
 /** Wait until a condition holds. @return false after @p most */
 bool gw_wait (bool (*condition) (void *), void *context, gs_time_t most);
 
--- a/tests/test_process_gateway_log.c
+++ b/tests/test_process_gateway_log.c
@@ -129,6 +129,51 @@
   end_world ();
 }
 
+/* What an engineer on call asks the metrics for.  */
+static const char *const series[]
+    = { "garnetstack_requests_total{",
+        "reason=\"replica_answered\"",
+        "garnetstack_first_event_seconds_bucket{",
+        "garnetstack_event_pace_seconds_bucket{",
+        "garnetstack_answer_seconds_bucket{",
+        "garnetstack_wait_seconds_bucket{",
+        "garnetstack_traffic_lag_seconds_bucket{",
+        "garnetstack_waiting{service=\"pool\"}",
+        "garnetstack_in_flight{service=\"pool\"}",
+        "garnetstack_resends_left{service=\"pool\"}",
+        "garnetstack_account_used{account=\"" WORLD_ACCOUNT "\"} 120",
+        "garnetstack_account_limit_per_second{account=\"" WORLD_ACCOUNT "\"}",
+        "garnetstack_config_version{} 2",
+        "garnetstack_config_age_seconds",
+        "garnetstack_store_calls_total{call=\"watch\",result=\"ok\"}",
+        "garnetstack_store_lost_seconds",
+        "garnetstack_replicas{service=\"pool\"",
+        "garnetstack_process_resident_bytes" };
+
+static void
+metrics_tell_what_an_engineer_asks (void)
+{
+  char *text;
+
+  start_one (1);
+  gw_limit (&world, 2, 1000, 1000);
+  g_usleep (GS_SEC);
+  g_free (gw_ask (&world, 0, "POST", "/a/stream/once/good", "metered",
+                  "X-Token-Counts: 100,20\r\n", "x"));
+  g_usleep (GS_SEC);
+  text = gw_metrics (&world, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (series); i++)
+    {
+      if (strstr (text, series[i]) == NULL)
+        printf ("\n  missing: %s", series[i]);
+      CU_ASSERT_PTR_NOT_NULL (strstr (text, series[i]));
+    }
+  /* No label grows with requests.  */
+  CU_ASSERT_PTR_NULL (strstr (text, "metered"));
+  g_free (text);
+  end_world ();
+}
+
 /* @return what lies in a pipe, freed by the caller  */
 static char *
 drain (int fd)
@@ -199,6 +244,7 @@
 static const check_case_t cases[] = {
   { "each failed request leads to its cause",
     each_failed_request_leads_to_its_cause },
+  { "metrics tell what an engineer asks", metrics_tell_what_an_engineer_asks },
   { "a log reader that stops holds up no request",
     a_log_reader_that_stops_holds_up_no_request },
 };
