--- a/tests/test_process_gateway_log.c
+++ b/tests/test_process_gateway_log.c
@@ -129,6 +129,38 @@
   end_world ();
 }
 
+/* Late because it waited behind others: the replica has eight slots.  */
+static void
+a_late_answer_shows_what_it_waited_for (void)
+{
+  static const char *const placed[]
+      = { "event=placed", "id=behind", "candidates=1", NULL };
+  static const char *const at_once[] = { "event=placed", "wait_ms=0 ", NULL };
+  raw_conn_t conns[8];
+  char *text;
+
+  start_one (1);
+  for (unsigned i = 0; i < G_N_ELEMENTS (conns); i++)
+    {
+      char *id = g_strdup_printf ("before-%u", i);
+
+      CU_ASSERT_TRUE_FATAL (gw_connect (&conns[i], &world, 0));
+      gw_send (&conns[i], "POST", "/a/stream/once/good", id, "", "x");
+      g_free (id);
+    }
+  g_usleep (100000);
+  g_free (gw_ask (&world, 0, "POST", "/a/never/good", "behind", "", "x"));
+  text = explain ("behind");
+  if (!has_line_with (text, placed) || has_line_with (text, at_once))
+    printf ("\n  %s\n", text);
+  CU_ASSERT_TRUE (has_line_with (text, placed));
+  CU_ASSERT_FALSE (has_line_with (text, at_once));
+  g_free (text);
+  for (unsigned i = 0; i < G_N_ELEMENTS (conns); i++)
+    raw_close (&conns[i]);
+  end_world ();
+}
+
 /* What an engineer on call asks the metrics for.  */
 static const char *const series[]
     = { "garnetstack_requests_total{",
@@ -244,6 +276,8 @@
 static const check_case_t cases[] = {
   { "each failed request leads to its cause",
     each_failed_request_leads_to_its_cause },
+  { "a late answer shows what it waited for",
+    a_late_answer_shows_what_it_waited_for },
   { "metrics tell what an engineer asks", metrics_tell_what_an_engineer_asks },
   { "a log reader that stops holds up no request",
     a_log_reader_that_stops_holds_up_no_request },
