quota: one large request is no surge

Ruled out: the window and the pool (`room` in the lines). Change: in what is asked for lately, a request counts for three of usual size at most.

--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -420,9 +420,12 @@
   return wait;
 }
 
+/* One request of many times the usual size is no surge.  */
 static void
 note_asked (account_t *row, gs_time_t now, double amount)
 {
+  if (row->size > 0)
+    amount = MIN (amount, PACE_REQUESTS * row->size);
   row->asked *= exp (-(double)(now - row->asked_at) / (double)ASKED_FADES);
   row->asked += amount;
   row->asked_at = now;
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -412,6 +412,26 @@
   quota_destroy (quota);
 }
 
+/* A request of many times the usual size is no surge.  */
+static void
+small_requests_pass_after_a_large_one (void)
+{
+  quota_t *quota;
+  gs_time_t again;
+  gs_time_t now = START;
+
+  quota_create (&quota, WINDOW, START, true);
+  quota_set (quota, NAME, 1000000);
+  for (unsigned i = 0; i < 100; i++)
+    CU_ASSERT_EQUAL (
+        quota_admit (quota, now += 100 * GS_MSEC, NAME, 2000, &again), GS_OK);
+  CU_ASSERT_EQUAL (quota_admit (quota, now, NAME, 400000, &again), GS_OK);
+  for (unsigned i = 0; i < 10; i++)
+    CU_ASSERT_EQUAL (
+        quota_admit (quota, now += 100 * GS_MSEC, NAME, 2000, &again), GS_OK);
+  quota_destroy (quota);
+}
+
 static void
 an_unlimited_account_is_never_refused (void)
 {
@@ -432,6 +452,8 @@
   { "the time to come back is true", the_time_to_come_back_is_true },
   { "a request above a share passes now and then",
     a_request_above_a_share_passes_now_and_then },
+  { "small requests pass after a large one",
+    small_requests_pass_after_a_large_one },
   { "an unlimited account is never refused",
     an_unlimited_account_is_never_refused },
 };
