scaler, lease: hold on to what is left, count what is refused, take over one's own lease

Nobody held the duty until 22.8 s (a dead process's lease ran out at 17.5 s, the wait for another holder's last act followed, then the store was away). The holder, without a history, asked for one replica in each data centre, so it gave back two of the last three. And what is refused for want of room is never sent, so the load passed for 1.9 replicas while 90 of 160 requests in two seconds were refused. Ruled out: the rate of orders (all were answered within 3 ms), prompts read slowly (expected and actual times of `placed` agree), the new quota (refusals say no_room). Change: a place gives back only what is ready elsewhere beyond the total; orders count what was refused for want of room, a caller's two refusals as one request; a process takes over the lease of its own node's earlier process at once, and waits only when the one before was another node.

--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -38,12 +38,21 @@
          && strcmp (record->holder, lease->self) == 0;
 }
 
+/* A process that starts again on its node finds the record of the one before,
+   which has ended.  */
+static bool
+is_of_predecessor (const gs_lease_t *lease)
+{
+  return strcmp (lease->record.holder, lease->self) == 0
+         && lease->record.incarnation != lease->incarnation;
+}
+
 /* A renewal seen unchanged for a whole term by this clock was sent earlier
    than that, so its holder has stopped acting, drift included.  */
 static bool
 is_free (const gs_lease_t *lease, gs_time_t now)
 {
-  return lease->record.holder[0] == '\0'
+  return lease->record.holder[0] == '\0' || is_of_predecessor (lease)
          || now >= lease->seen_at + lease->times.term + drift (lease);
 }
 
@@ -54,6 +63,8 @@
   bool mine = is_mine (lease, &lease->record);
   uint64_t floor = MAX (lease->record.fencing, lease->fencing_floor);
 
+  if (!mine)
+    lease->from_other = lease->version != 0 && !is_of_predecessor (lease);
   action.version = lease->version;
   action.record = lease->record;
   /* Unique to the attempt: one that was delayed must not pass for this.  */
--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -30,8 +30,12 @@
 /* What a service was asked for, of all nodes.  */
 typedef struct
 {
-  uint64_t missing_tokens; /* sum of the counters, at the last look */
-  double missing_per_sec;
+  uint64_t missing_tokens; /* sums of the counters, at the last look */
+  uint64_t requests;
+  uint64_t refused;
+  double missing_per_sec; /* these fade */
+  double requests_per_sec;
+  double refused_per_sec;
   bool seen;
 } meter_t;
 
@@ -41,6 +45,7 @@
   gs_lease_t lease;
   uint64_t fencing;    /* under which this node acts; 0 for none */
   gs_time_t acts_from; /* a new holder waits until the one before is past */
+  uint64_t waited_for; /* number that acts_from was set for */
   usage_ledger_t ledger;
   int64_t writing_window;
   scaler_t *scaler;
@@ -174,8 +179,9 @@
     }
 }
 
-/* A new holder acts only once the holder before may act no more by anybody's
-   clock, so that two never act in turns.  */
+/* A new holder acts only once another that held before may act no more by
+   anybody's clock, so that two never act in turns.  A node that was cut from
+   the store, or started again, and found its own record goes on at once.  */
 static void
 note_holder (duties_t *duties, gs_time_t now)
 {
@@ -187,7 +193,12 @@
     return;
   if (fencing != 0)
     {
-      duties->acts_from = now + duties->options.deployment->lease;
+      if (fencing != duties->waited_for)
+        duties->acts_from
+            = now
+              + (duties->lease.from_other ? duties->options.deployment->lease
+                                          : 0);
+      duties->waited_for = fencing;
       usage_ledger_forget (&duties->ledger);
       scaler_forget (duties->scaler);
     }
@@ -353,6 +364,7 @@
   gs_time_t now;
   gs_time_t silence; /* a node counts as present for so long */
   uint64_t requests;
+  uint64_t refused;
   uint64_t missing_tokens;
   double in_flight;
   double waiting;
@@ -369,6 +381,7 @@
       if (strcmp (row->service, sum->service) != 0)
         continue;
       sum->requests += row->requests;
+      sum->refused += row->refused;
       sum->missing_tokens += row->missing_tokens;
       sum->in_flight += present ? row->in_flight : 0;
       sum->waiting += present ? row->waiting : 0;
@@ -384,6 +397,19 @@
               sum->now <= heard_at + sum->silence);
 }
 
+/* Follow the rate of a counter.  The sum over the nodes falls when a process
+   is forgotten; that says nothing of the rate.  */
+static void
+follow (double *rate, uint64_t *before, uint64_t now, double passed)
+{
+  double part = exp2 (-passed / (double)LOAD_HALF_LIFE);
+
+  if (passed > 0 && now >= *before)
+    *rate = *rate * part
+            + (1 - part) * (double)(now - *before) * (double)GS_SEC / passed;
+  *before = now;
+}
+
 static scaler_load_t
 measure_load (duties_t *duties, gs_time_t now, const char *service)
 {
@@ -391,8 +417,8 @@
                        .now = now,
                        .silence = peers_silence (duties->options.peers) };
   meter_t *meter = g_hash_table_lookup (duties->meters, service);
-  double passed = (double)(now - duties->scaled_at);
-  double part = exp2 (-passed / (double)LOAD_HALF_LIFE);
+  double passed
+      = duties->scaled_at != 0 ? (double)(now - duties->scaled_at) : 0;
   scaler_load_t load = { .read_speed = duties->report->read_speed };
 
   if (meter == NULL)
@@ -402,16 +428,14 @@
     }
   add_demand (&sum, duties->report->demand, true);
   peers_each (duties->options.peers, now, add_peer_demand, &sum);
-  /* The sum falls when a process is forgotten.  */
-  if (duties->scaled_at != 0 && passed > 0
-      && sum.missing_tokens >= meter->missing_tokens)
-    meter->missing_per_sec
-        = meter->missing_per_sec * part
-          + (1 - part) * (double)(sum.missing_tokens - meter->missing_tokens)
-                * (double)GS_SEC / passed;
-  meter->missing_tokens = sum.missing_tokens;
+  follow (&meter->missing_per_sec, &meter->missing_tokens, sum.missing_tokens,
+          passed);
+  follow (&meter->requests_per_sec, &meter->requests, sum.requests, passed);
+  follow (&meter->refused_per_sec, &meter->refused, sum.refused, passed);
   meter->seen |= sum.requests > 0;
   load.missing_tokens_per_sec = meter->missing_per_sec;
+  load.requests_per_sec = meter->requests_per_sec;
+  load.refused_per_sec = meter->refused_per_sec;
   load.in_flight = sum.in_flight;
   load.waiting = sum.waiting;
   load.seen = meter->seen;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -86,8 +86,6 @@
                  : status < 500 ? "denied"
                                 : "failed",
                  status, reason);
-  if (not_run && relay->service != NULL)
-    relay->service->demand.refused++;
   if (relay->started)
     gs_exchange_abort (relay->exchange);
   else
@@ -465,6 +463,13 @@
   g_strfreev (headers);
 }
 
+static void
+refuse_for_room (relay_t *relay, gs_time_t now, const char *reason)
+{
+  relay->service->demand.refused++;
+  give_up (relay, now, reason);
+}
+
 /* Send a request, or let it wait, or refuse it.  */
 static void
 serve_one (relay_t *relay, gs_time_t now)
@@ -478,7 +483,7 @@
   else if (relay->runs > 0)
     give_up (relay, now, "no_other_replica");
   else if (!relay_wait (relay, now))
-    give_up (relay, now, "no_room");
+    refuse_for_room (relay, now, "no_room");
 }
 
 static void
@@ -503,7 +508,7 @@
       else if (now >= relay_waits_until (relay))
         {
           relay_stop_waiting (relay);
-          give_up (relay, now, "waited_for_room");
+          refuse_for_room (relay, now, "waited_for_room");
         }
       else
         room = false;
@@ -589,12 +594,14 @@
   relay_set_times (relay);
   relay->service_row = relay_choose_service (relay);
   relay->service = traffic_service (traffic, relay->service_row->name);
-  relay->service->demand.requests++;
   resend_budget_note (&relay->service->budget, now);
   if (is_too_late (traffic, now))
     answer_own (relay, 503, "node_leaving", LEAVING_RETRY);
   else if (!relay_take_limit (relay, now, &again))
     answer_own (relay, 429, "account_limit", again);
   else
-    serve_one (relay, now);
+    {
+      relay->service->demand.requests++;
+      serve_one (relay, now);
+    }
 }
--- a/src/gateway/scaler.c
+++ b/src/gateway/scaler.c
@@ -7,6 +7,11 @@
 /* Part of a replica's time that reading prompts may take: the rest makes
    tokens, and prompts come in clumps that must not wait for each other.  */
 #define READ_PART 0.45
+/* A refused caller comes back once, mostly.  */
+#define REFUSALS_OF_ONE 2.0
+/* When hardly anything is served, the load is known so badly that orders grow
+   step by step.  */
+#define ASKED_MOST 3.0
 /* Part of the slots that may be taken on average.  */
 #define RUN_PART 0.6
 /* Reclaimable replicas are ordered for so many times the need: the load is
@@ -151,7 +156,20 @@
   return total;
 }
 
-/* Replicas that the load keeps busy now.  */
+/* What is sent to replicas as a multiple, to count what was refused for want
+   of room: a load that can't be served must not pass for a small one.  */
+static double
+asked_for_each_served (const scaler_load_t *load)
+{
+  double served = load->requests_per_sec - load->refused_per_sec;
+  double asked = load->refused_per_sec / REFUSALS_OF_ONE;
+
+  if (load->refused_per_sec <= 0)
+    return 1;
+  return served > 0 ? MIN (1 + asked / served, ASKED_MOST) : ASKED_MOST;
+}
+
+/* Replicas that the load keeps busy now, or would.  */
 static double
 need_of (const gs_path_service_t *service, const scaler_load_t *load)
 {
@@ -160,7 +178,7 @@
   double running
       = (load->in_flight + load->waiting) / MAX (service->slots, 1) / RUN_PART;
 
-  return MAX (MAX (reading, running), 1.0);
+  return MAX (MAX (reading, running), 1.0) * asked_for_each_served (load);
 }
 
 /* Before there is a history, what is there counts as what was needed: a new
@@ -219,10 +237,12 @@
 }
 
 /* Reclaimable replicas wanted at a place.  What can't be had at some places
-   is asked for at the others, and nothing is given back meanwhile.  */
+   is asked for at the others, and nothing is given back meanwhile.
+   @param spare what all places together may give back: what is ready beyond
+   the total; lowered by what this one gives back  */
 static unsigned
 spot_at (const plan_t *plan, const place_t *place, gs_time_t now,
-         const gs_scale_limits_t *limits, double total)
+         const gs_scale_limits_t *limits, double total, unsigned *spare)
 {
   unsigned open_places = 0;
   unsigned room = limits->most - MIN (limits->most, place->ready[0]);
@@ -240,6 +260,13 @@
     wanted = (unsigned)ceil (MAX (total - elsewhere, 0) / open_places);
   if (open_places < plan->place_count)
     wanted = MAX (wanted, place->ready[1]);
+  if (wanted < place->ready[1])
+    {
+      unsigned given = MIN (place->ready[1] - wanted, *spare);
+
+      wanted = place->ready[1] - given;
+      *spare -= given;
+    }
   return MIN (MAX (wanted, MAX (limits->least, 1)), room);
 }
 
@@ -342,6 +369,7 @@
   plan_t *plan = g_hash_table_lookup (scaler->plans, service->name);
   unsigned ready;
   unsigned spot_ready = 0;
+  unsigned spare;
   unsigned count = 0;
   double need;
   double total;
@@ -370,12 +398,14 @@
   total = load->seen ? highest_need (plan, NEED_SECONDS) * SPOT_SPREAD
                      : plan->first_total;
   plan_kept (plan, limits, spot_ready, total);
+  spare = (unsigned)MAX (spot_ready - ceil (total), 0);
   for (unsigned i = 0; i < plan->place_count && count + 2 <= max; i++)
     {
       place_t *place = &plan->places[i];
 
       if (add_order (&out[count], service, place, true,
-                     spot_at (plan, place, now, limits, total), now, need))
+                     spot_at (plan, place, now, limits, total, &spare), now,
+                     need))
         count++;
       if (add_order (&out[count], service, place, false, place->kept_wanted,
                      now, need))
--- a/src/gateway/scaler.h
+++ b/src/gateway/scaler.h
@@ -19,6 +19,8 @@
 typedef struct
 {
   double missing_tokens_per_sec; /**< of prompts, to be read */
+  double requests_per_sec;       /**< within the limits of accounts */
+  double refused_per_sec;        /**< of these, for want of room */
   double in_flight;              /**< requests at replicas */
   double waiting;                /**< requests that wait at nodes */
   double read_speed;             /**< tokens per millisecond of a replica */
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -43,8 +43,8 @@
 typedef struct
 {
   char service[GS_NAME_BYTES];
-  uint64_t requests;
-  uint64_t refused;        /**< for want of room */
+  uint64_t requests;       /**< within the limits of their accounts */
+  uint64_t refused;        /**< of these, for want of room */
   uint64_t missing_tokens; /**< to be read, of those sent */
   uint64_t output_tokens;  /**< expected, of those sent */
   uint64_t late;           /**< first events after the goal */
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -99,6 +99,43 @@
 }
 
 /* The holder counts from before it sent, however late the answer comes.  */
+/* A process that starts again finds the record of the one before on its node;
+   others wait until a term is over.  */
+static void
+a_process_takes_over_from_its_predecessor_at_once (void)
+{
+  object_t object;
+  gs_lease_t a;
+  gs_lease_t b;
+  gs_lease_t again;
+  gs_time_t later;
+
+  start (&a, &b, &object);
+  step (&a, GS_SEC, true, &object);
+  CU_ASSERT_TRUE (gs_lease_may_act (&a, GS_SEC));
+  CU_ASSERT_FALSE (a.from_other);
+  gs_lease_init (&again, "a", 3);
+  step (&b, 2 * GS_SEC, true, &object);
+  step (&again, 2 * GS_SEC, true, &object);
+  CU_ASSERT_TRUE (gs_lease_may_act (&again, 2 * GS_SEC));
+  CU_ASSERT_FALSE (again.from_other);
+  CU_ASSERT_EQUAL (again.record.fencing, a.record.fencing + 1);
+  CU_ASSERT_FALSE (gs_lease_may_act (&b, 2 * GS_SEC));
+  /* The other takes it once a term is over, and has to wait.  */
+  later = 3 * GS_SEC + GS_LEASE_RENEW;
+  step (&b, later, true, &object);
+  later += GS_SEC + GS_LEASE_TERM;
+  step (&b, later, true, &object);
+  CU_ASSERT_TRUE (gs_lease_may_act (&b, later));
+  CU_ASSERT_TRUE (b.from_other);
+  /* It is its own still after the store was away, and nothing is new.  */
+  later += 10 * GS_LEASE_TERM;
+  step (&b, later, true, &object);
+  CU_ASSERT_TRUE (gs_lease_may_act (&b, later));
+  CU_ASSERT_TRUE (b.from_other);
+  CU_ASSERT_EQUAL (b.record.fencing, again.record.fencing + 1);
+}
+
 static void
 a_late_answer_does_not_lengthen_the_lease (void)
 {
@@ -252,6 +289,8 @@
   static const check_case_t cases[] = {
     { "one_of_two_holds_and_the_other_follows_with_a_higher_number",
       one_of_two_holds_and_the_other_follows_with_a_higher_number },
+    { "a_process_takes_over_from_its_predecessor_at_once",
+      a_process_takes_over_from_its_predecessor_at_once },
     { "a_given_up_lease_is_taken_at_once", a_given_up_lease_is_taken_at_once },
     { "a_late_answer_does_not_lengthen_the_lease",
       a_late_answer_does_not_lengthen_the_lease },
--- a/tests/test_scaler.c
+++ b/tests/test_scaler.c
@@ -30,6 +30,8 @@
   gs_time_t dry_until;
   double price; /* paid so far, in seconds of a kept replica */
   unsigned orders;
+  double requests_per_sec; /* told with the load */
+  double refused_per_sec;
   unsigned ready_by_step[STEPS_MAX];
   unsigned steps;
 } market_t;
@@ -132,6 +134,8 @@
 {
   /* As many prompt tokens as keep so many replicas busy for their part. */
   scaler_load_t load = { .missing_tokens_per_sec = need * 0.45 * 100e3,
+                         .requests_per_sec = market->requests_per_sec,
+                         .refused_per_sec = market->refused_per_sec,
                          .read_speed = 100,
                          .seen = need > 0 };
   scaler_order_t orders[16];
@@ -240,6 +244,45 @@
   market_clear (&market);
 }
 
+/* All but one data centre have lost theirs, and none are to be had: those that
+   are left stay, also when a new holder has seen no load yet.  */
+static void
+what_is_left_is_not_given_back_for_what_can_not_be_had (void)
+{
+  market_t market;
+
+  market_init (&market, 0);
+  market.stock[0][1].ready = 3;
+  market.dry_until = market.now + 20 * GS_SEC;
+  run (&market, 6 * GS_SEC, 1);
+  CU_ASSERT_EQUAL (market.stock[0][1].ready, 3);
+  market_clear (&market);
+}
+
+/* Two replicas are there for a load that ten would carry.  What is refused for
+   want of room is never sent, so it is not among what replicas read.  All are
+   there after one start and as long again.  */
+static void
+a_load_that_is_refused_gets_its_replicas (void)
+{
+  market_t market;
+  double need = 10;
+
+  market_init (&market, 0);
+  market.stock[0][1].ready = 1;
+  market.stock[1][1].ready = 1;
+  for (int i = 0; i < 2 * BOOT / STEP; i++)
+    {
+      double served = MIN (need, count_ready (&market));
+
+      market.requests_per_sec = 10 * (2 * need - served);
+      market.refused_per_sec = 10 * 2 * (need - served);
+      run (&market, STEP, served);
+    }
+  CU_ASSERT (count_ready (&market) >= need);
+  market_clear (&market);
+}
+
 static void
 a_steady_load_is_not_ordered_for_again_and_again (void)
 {
@@ -262,6 +305,10 @@
     the_load_is_carried_while_no_reclaimable_replica_is_to_be_had },
   { "a new holder takes nothing away at once",
     a_new_holder_takes_nothing_away_at_once },
+  { "what is left is not given back for what can not be had",
+    what_is_left_is_not_given_back_for_what_can_not_be_had },
+  { "a load that is refused gets its replicas",
+    a_load_that_is_refused_gets_its_replicas },
   { "a steady load is not ordered for again and again",
     a_steady_load_is_not_ordered_for_again_and_again },
 };
