scaler: replicas that are listed late count as there at first

Ruled out: the count of what is refused (the first orders were made without any load). Change: until a load comes, what is there is the most that was listed; and a first holder waits as before, as nothing tells it from a successor.

--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -64,7 +64,7 @@
   uint64_t floor = MAX (lease->record.fencing, lease->fencing_floor);
 
   if (!mine)
-    lease->from_other = lease->version != 0 && !is_of_predecessor (lease);
+    lease->from_other = !is_of_predecessor (lease);
   action.version = lease->version;
   action.record = lease->record;
   /* Unique to the attempt: one that was delayed must not pass for this.  */
--- a/src/control/lease.h
+++ b/src/control/lease.h
@@ -76,8 +76,8 @@
   bool busy;                /**< a call is open */
   bool writing;             /**< the open call is a write */
   bool doubtful;            /**< the answer to the last write was lost */
-  bool from_other;          /**< it was taken from another node, which may
-                                 have acted until then */
+  bool from_other;          /**< it was not taken from a process of this node:
+                                 another may have acted until then */
   gs_lease_record_t tried;  /**< what the last write wrote */
   gs_time_t tried_at;       /**< just before it was sent */
   gs_time_t seen_at;        /**< when the record was first read */
--- a/src/gateway/scaler.c
+++ b/src/gateway/scaler.c
@@ -65,7 +65,7 @@
   double needs[NEED_SECONDS]; /* highest by second */
   int64_t second;             /* of the last need */
   bool begun;                 /* needs were noted */
-  unsigned first_total;       /* replicas found at first */
+  unsigned first_total;       /* replicas found before any load came */
   unsigned fill_in;           /* kept replicas wanted while short */
   gs_time_t fill_in_until;
   unsigned place_count;
@@ -385,10 +385,13 @@
   if (plan->place_count == 0)
     return 0;
   ready = count_ready (plan, service->name, replicas);
-  if (plan->first_total == 0)
-    plan->first_total = ready;
   for (unsigned i = 0; i < plan->place_count; i++)
     spot_ready += plan->places[i].ready[1];
+  /* Replicas that start with the system are not all listed at once.  */
+  if (plan->first_total == 0)
+    plan->first_total = ready;
+  else if (!load->seen)
+    plan->first_total = MAX (plan->first_total, ready - spot_ready);
   need = need_of (service, load);
   if (load->seen)
     {
--- a/tests/test_scaler.c
+++ b/tests/test_scaler.c
@@ -226,6 +226,22 @@
   market_clear (&market);
 }
 
+/* Replicas register one by one as the system starts.  */
+static void
+those_that_are_listed_late_count_as_there_at_first (void)
+{
+  market_t market;
+
+  market_init (&market, 0);
+  market.stock[0][0].ready = 1;
+  run (&market, GS_SEC, 0);
+  for (int place = 0; place < PLACES; place++)
+    market.stock[place][0].ready = 4;
+  run (&market, 12 * GS_SEC, 0);
+  CU_ASSERT (count_ready (&market) >= 16);
+  market_clear (&market);
+}
+
 static void
 a_new_holder_takes_nothing_away_at_once (void)
 {
@@ -303,6 +319,8 @@
     reclaimable_replicas_take_over_without_a_gap },
   { "the load is carried while no reclaimable replica is to be had",
     the_load_is_carried_while_no_reclaimable_replica_is_to_be_had },
+  { "those that are listed late count as there at first",
+    those_that_are_listed_late_count_as_there_at_first },
   { "a new holder takes nothing away at once",
     a_new_holder_takes_nothing_away_at_once },
   { "what is left is not given back for what can not be had",
