scaler: reckon with the next loss once reclaims come in series

Ruled out: the count of refused requests (few were), the limit of kept ones. Change: once two data centres have lost all and get none, kept replicas are ordered as if the largest of the others were lost too.

--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -38,7 +38,7 @@
 /* A refused caller isn't told to come back sooner.  */
 #define AGAIN_LEAST (50 * GS_MSEC)
 
-#define NOT_TOLD -1.0
+#define NOT_TOLD (-1.0)
 
 typedef struct
 {
--- a/src/gateway/scaler.c
+++ b/src/gateway/scaler.c
@@ -37,6 +37,9 @@
    refused, and a kept replica costs as much as four or five others.  */
 #define SHORTAGE_SECONDS 3
 #define SHORTAGE_PART 0.7
+/* Data centres that have lost all of theirs, and get none, when the next loss
+   is reckoned with.  */
+#define SERIES_LOST 2
 /* Part of the reclaimable replicas that must be ready before kept ones that
    were there at first are given back.  */
 #define TAKEN_OVER_PART 0.8
@@ -203,6 +206,12 @@
       = MAX (plan->needs[second % NEED_SECONDS], need);
 }
 
+static bool
+is_dry (const place_t *place, gs_time_t now)
+{
+  return now < place->dry_until;
+}
+
 static double
 highest_need (const plan_t *plan, int seconds)
 {
@@ -213,13 +222,30 @@
   return highest;
 }
 
+/* What one more reclaim would take, once it is not the first: they come in
+   series while none are to be had, faster than a replica starts.  */
+static unsigned
+next_loss (const plan_t *plan, gs_time_t now)
+{
+  unsigned lost = 0;
+  unsigned most = 0;
+
+  for (unsigned i = 0; i < plan->place_count; i++)
+    {
+      lost += plan->places[i].ready[1] == 0 && is_dry (&plan->places[i], now);
+      most = MAX (most, plan->places[i].ready[1]);
+    }
+  return lost >= SERIES_LOST ? most : 0;
+}
+
 /* When reclaimable replicas are fewer than the load needs, kept ones fill in:
    they can be had when reclaimable ones can't.  */
 static void
 note_shortage (plan_t *plan, gs_time_t now, unsigned spot_ready)
 {
+  double staying = spot_ready - next_loss (plan, now);
   double missing
-      = highest_need (plan, SHORTAGE_SECONDS) * SHORTAGE_PART - spot_ready;
+      = highest_need (plan, SHORTAGE_SECONDS) * SHORTAGE_PART - staying;
 
   if (missing > 0 && (unsigned)ceil (missing) >= plan->fill_in)
     {
@@ -230,12 +256,6 @@
     plan->fill_in = missing > 0 ? (unsigned)ceil (missing) : 0;
 }
 
-static bool
-is_dry (const place_t *place, gs_time_t now)
-{
-  return now < place->dry_until;
-}
-
 /* Reclaimable replicas wanted at a place.  What can't be had at some places
    is asked for at the others, and nothing is given back meanwhile.
    @param spare what all places together may give back: what is ready beyond
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -3,6 +3,7 @@
 #include "garnetstack/rng.h"
 #include "gateway/quota.h"
 
+#include <math.h>
 #include <string.h>
 
 #define NODES_MAX 40
@@ -229,11 +230,11 @@
   unsigned first = play->dead;
   unsigned count = play->asked != 0 ? play->asked : play->nodes - play->dead;
 
-  for (; per_tick > 0; per_tick -= 1)
+  for (unsigned n = 0; n < (unsigned)ceil (per_tick); n++)
     {
       unsigned index = first + (unsigned)gs_rng_below (&fleet->rng, count);
 
-      if (gs_rng_unit (&fleet->rng) >= MIN (per_tick, 1))
+      if (gs_rng_unit (&fleet->rng) >= per_tick - n)
         continue;
       for (unsigned i = 0;
            play->herded && is_down (fleet, index, now) && i < NODES_MAX; i++)
--- a/tests/test_scaler.c
+++ b/tests/test_scaler.c
@@ -242,6 +242,31 @@
   market_clear (&market);
 }
 
+/* Two data centres lose theirs at once, two more follow five seconds apart,
+   and none are to be had: from the third loss on the load is carried without a
+   gap.  */
+static void
+a_series_of_reclaims_leaves_no_gap (void)
+{
+  market_t market;
+  unsigned from;
+
+  market_init (&market, 4);
+  run (&market, 10 * GS_SEC, 0);
+  run (&market, 15 * GS_SEC, 10);
+  reclaim (&market, 0, 30 * GS_SEC);
+  reclaim (&market, 1, 30 * GS_SEC);
+  run (&market, BOOT + GS_SEC, 10);
+  from = market.steps;
+  reclaim (&market, 2, 30 * GS_SEC);
+  run (&market, BOOT + GS_SEC, 10);
+  reclaim (&market, 3, 30 * GS_SEC);
+  run (&market, BOOT + GS_SEC, 10);
+  for (unsigned i = from; i < market.steps; i++)
+    CU_ASSERT (market.ready_by_step[i] >= CARRIES);
+  market_clear (&market);
+}
+
 static void
 a_new_holder_takes_nothing_away_at_once (void)
 {
@@ -321,6 +346,7 @@
     the_load_is_carried_while_no_reclaimable_replica_is_to_be_had },
   { "those that are listed late count as there at first",
     those_that_are_listed_late_count_as_there_at_first },
+  { "a series of reclaims leaves no gap", a_series_of_reclaims_leaves_no_gap },
   { "a new holder takes nothing away at once",
     a_new_holder_takes_nothing_away_at_once },
   { "what is left is not given back for what can not be had",
