--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -40,6 +40,7 @@
 
 #define NOT_TOLD (-1.0)
 
+/* What another node told of an account.  */
 typedef struct
 {
   double used;
@@ -62,11 +63,11 @@
   int64_t newest;       /* number of the newest slot since time 0 */
   double used;          /* sum of the slots */
   double others;        /* what all others hold, as far as is known */
-  double others_use; /* what those of them that were heard lately have used */
-  double carried;
-  bool carried_known;      /* from nodes with a memory */
-  bool surged;             /* soon after the start of the process */
-  gs_time_t blocked_until; /* by an amount above a whole share */
+  double others_use;  /* what those of them that were heard lately have used */
+  double carried;     /* by the predecessor of this process */
+  bool carried_known; /* from nodes with a memory */
+  bool surged;        /* soon after the start of the process */
+  gs_time_t blocked_until; /* an amount above a whole share is paid for then */
   double asked;            /* lately, fading */
   gs_time_t asked_at;
   double size;        /* usual, of a request */
@@ -433,8 +434,8 @@
 }
 
 static void
-use (const quota_t *quota, gs_time_t now, account_t *row, double allowed,
-     double amount)
+count_use (const quota_t *quota, gs_time_t now, account_t *row, double allowed,
+           double amount)
 {
   double share = share_of (quota, row);
   double pace = PACE_PART * brings (quota, row, allowed);
@@ -471,7 +472,7 @@
   *again = time_to_room (quota, now, row, allowed, amount);
   if (*again > 0)
     return gs_error_set (GS_EREFUSED, "over the limit of the account");
-  use (quota, now, row, allowed, amount);
+  count_use (quota, now, row, allowed, amount);
   return GS_OK;
 }
 
