--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -151,6 +151,29 @@
   g_string_free (ear->told, TRUE);
 }
 
+/* One feed that follows a store and one that copies from it.  */
+typedef struct
+{
+  feed_t *ahead;
+  feed_t *behind;
+  store_t stores[2];
+  ear_t ears[2];
+} pair_t;
+
+static void
+start_pair (pair_t *pair)
+{
+  start (&pair->ahead, &pair->stores[0], &pair->ears[0]);
+  start (&pair->behind, &pair->stores[1], &pair->ears[1]);
+}
+
+static void
+stop_pair (pair_t *pair)
+{
+  stop (pair->ahead, &pair->stores[0], &pair->ears[0]);
+  stop (pair->behind, &pair->stores[1], &pair->ears[1]);
+}
+
 static void
 tick (feed_t *feed, bool follow)
 {
@@ -259,67 +282,60 @@
 static void
 a_copy_of_what_changed_is_as_good_as_a_list (void)
 {
-  feed_t *ahead;
-  feed_t *behind;
-  store_t stores[2];
-  ear_t ears[2];
+  pair_t pair;
   char *text;
 
-  start (&ahead, &stores[0], &ears[0]);
-  start (&behind, &stores[1], &ears[1]);
-  tick (ahead, true);
-  answer_objects (&stores[0], 10, false, "a5 b7");
+  start_pair (&pair);
+  tick (pair.ahead, true);
+  answer_objects (&pair.stores[0], 10, false, "a5 b7");
   /* A feed that does not follow makes no call. */
-  tick (behind, false);
-  CU_ASSERT_EQUAL (stores[1].calls, 0);
-  text = feed_export (ahead, feed_revision (behind));
-  CU_ASSERT_EQUAL (feed_import (behind, GS_SEC, text, strlen (text)), GS_OK);
+  tick (pair.behind, false);
+  CU_ASSERT_EQUAL (pair.stores[1].calls, 0);
+  text = feed_export (pair.ahead, feed_revision (pair.behind));
+  CU_ASSERT_EQUAL (feed_import (pair.behind, GS_SEC, text, strlen (text)),
+                   GS_OK);
   g_free (text);
-  CU_ASSERT_EQUAL (feed_revision (behind), 10);
-  CU_ASSERT_EQUAL (ears[1].listed, 1);
-  tick (ahead, true);
-  answer_objects (&stores[0], 15, false, "a12 -b13 c15");
-  text = feed_export (ahead, feed_revision (behind));
-  g_string_truncate (ears[1].told, 0);
-  CU_ASSERT_EQUAL (feed_import (behind, GS_SEC, text, strlen (text)), GS_OK);
-  CU_ASSERT_EQUAL (feed_revision (behind), 15);
-  CU_ASSERT_PTR_NOT_NULL (strstr (ears[1].told->str, "+a12 "));
-  CU_ASSERT_PTR_NOT_NULL (strstr (ears[1].told->str, "+c15 "));
-  CU_ASSERT_PTR_NOT_NULL (strstr (ears[1].told->str, "-b "));
+  CU_ASSERT_EQUAL (feed_revision (pair.behind), 10);
+  CU_ASSERT_EQUAL (pair.ears[1].listed, 1);
+  tick (pair.ahead, true);
+  answer_objects (&pair.stores[0], 15, false, "a12 -b13 c15");
+  text = feed_export (pair.ahead, feed_revision (pair.behind));
+  g_string_truncate (pair.ears[1].told, 0);
+  CU_ASSERT_EQUAL (feed_import (pair.behind, GS_SEC, text, strlen (text)),
+                   GS_OK);
+  CU_ASSERT_EQUAL (feed_revision (pair.behind), 15);
+  CU_ASSERT_PTR_NOT_NULL (strstr (pair.ears[1].told->str, "+a12 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (pair.ears[1].told->str, "+c15 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (pair.ears[1].told->str, "-b "));
   /* The same again, and what is older, changes nothing. */
-  g_string_truncate (ears[1].told, 0);
-  CU_ASSERT_EQUAL (feed_import (behind, GS_SEC, text, strlen (text)), GS_OK);
-  CU_ASSERT_STRING_EQUAL (ears[1].told->str, "");
+  g_string_truncate (pair.ears[1].told, 0);
+  CU_ASSERT_EQUAL (feed_import (pair.behind, GS_SEC, text, strlen (text)),
+                   GS_OK);
+  CU_ASSERT_STRING_EQUAL (pair.ears[1].told->str, "");
   g_free (text);
-  stop (ahead, &stores[0], &ears[0]);
-  stop (behind, &stores[1], &ears[1]);
+  stop_pair (&pair);
 }
 
 /* A name that was removed and came back between two copies is there.  */
 static void
 what_came_back_is_there (void)
 {
-  feed_t *ahead;
-  feed_t *behind;
-  store_t stores[2];
-  ear_t ears[2];
+  pair_t pair;
   char *text;
 
-  start (&ahead, &stores[0], &ears[0]);
-  start (&behind, &stores[1], &ears[1]);
-  tick (ahead, true);
-  answer_objects (&stores[0], 10, false, "a5");
-  text = feed_export (ahead, 0);
-  feed_import (behind, GS_SEC, text, strlen (text));
+  start_pair (&pair);
+  tick (pair.ahead, true);
+  answer_objects (&pair.stores[0], 10, false, "a5");
+  text = feed_export (pair.ahead, 0);
+  feed_import (pair.behind, GS_SEC, text, strlen (text));
   g_free (text);
-  tick (ahead, true);
-  answer_objects (&stores[0], 12, false, "-a11 a12");
-  text = feed_export (ahead, feed_revision (behind));
-  feed_import (behind, GS_SEC, text, strlen (text));
-  CU_ASSERT_TRUE (g_str_has_suffix (ears[1].told->str, "+a12 "));
+  tick (pair.ahead, true);
+  answer_objects (&pair.stores[0], 12, false, "-a11 a12");
+  text = feed_export (pair.ahead, feed_revision (pair.behind));
+  feed_import (pair.behind, GS_SEC, text, strlen (text));
+  CU_ASSERT_TRUE (g_str_has_suffix (pair.ears[1].told->str, "+a12 "));
   g_free (text);
-  stop (ahead, &stores[0], &ears[0]);
-  stop (behind, &stores[1], &ears[1]);
+  stop_pair (&pair);
 }
 
 /* Some feeds follow a store, the others copy from any that is ahead.  What a
@@ -454,37 +470,32 @@
 static void
 a_feed_far_behind_gets_all (void)
 {
-  feed_t *ahead;
-  feed_t *behind;
-  store_t stores[2];
-  ear_t ears[2];
+  pair_t pair;
   char *text;
 
-  start (&ahead, &stores[0], &ears[0]);
-  start (&behind, &stores[1], &ears[1]);
-  tick (ahead, true);
-  answer_objects (&stores[0], 10, false, "a5 b7");
-  text = feed_export (ahead, 0);
-  feed_import (behind, GS_SEC, text, strlen (text));
+  start_pair (&pair);
+  tick (pair.ahead, true);
+  answer_objects (&pair.stores[0], 10, false, "a5 b7");
+  text = feed_export (pair.ahead, 0);
+  feed_import (pair.behind, GS_SEC, text, strlen (text));
   g_free (text);
-  tick (ahead, true);
-  answer_objects (&stores[0], 11, false, "-b11");
+  tick (pair.ahead, true);
+  answer_objects (&pair.stores[0], 11, false, "-b11");
   for (unsigned i = 0; i < 1000; i++)
     {
       char *pair = g_strdup_printf ("n%u -n%u", 12 + 2 * i, 13 + 2 * i);
 
-      tick (ahead, true);
-      answer_objects (&stores[0], 13 + 2 * i, false, pair);
+      tick (pair.ahead, true);
+      answer_objects (&pair.stores[0], 13 + 2 * i, false, pair);
       g_free (pair);
     }
-  text = feed_export (ahead, feed_revision (behind));
-  g_string_truncate (ears[1].told, 0);
-  feed_import (behind, GS_SEC, text, strlen (text));
-  CU_ASSERT_PTR_NOT_NULL (strstr (ears[1].told->str, "-b "));
-  CU_ASSERT_EQUAL (feed_revision (behind), feed_revision (ahead));
+  text = feed_export (pair.ahead, feed_revision (pair.behind));
+  g_string_truncate (pair.ears[1].told, 0);
+  feed_import (pair.behind, GS_SEC, text, strlen (text));
+  CU_ASSERT_PTR_NOT_NULL (strstr (pair.ears[1].told->str, "-b "));
+  CU_ASSERT_EQUAL (feed_revision (pair.behind), feed_revision (pair.ahead));
   g_free (text);
-  stop (ahead, &stores[0], &ears[0]);
-  stop (behind, &stores[1], &ears[1]);
+  stop_pair (&pair);
 }
 
 /* A node that stopped following while the store was lost to it would take
