--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -483,11 +483,11 @@
   answer_objects (&pair.stores[0], 11, false, "-b11");
   for (unsigned i = 0; i < 1000; i++)
     {
-      char *pair = g_strdup_printf ("n%u -n%u", 12 + 2 * i, 13 + 2 * i);
+      char *events = g_strdup_printf ("n%u -n%u", 12 + 2 * i, 13 + 2 * i);
 
       tick (pair.ahead, true);
-      answer_objects (&pair.stores[0], 13 + 2 * i, false, pair);
-      g_free (pair);
+      answer_objects (&pair.stores[0], 13 + 2 * i, false, events);
+      g_free (events);
     }
   text = feed_export (pair.ahead, feed_revision (pair.behind));
   g_string_truncate (pair.ears[1].told, 0);
