placer: short calls by the mean of the peers' counts, and a few beyond the slots

A call of 30 ms is over before a peer hears of it, so a sum of thirty old counts says little, and a replica queues a few calls beyond its slots. Ruled out: room that was there all along: from 40 s on three replicas serve what they can (350 calls a second, half of them over 110 ms); what is refused then is refused rightly. Change: for services without an engine, peers' counts as a mean over the last second, and half as many again as there are slots.

--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -40,6 +40,12 @@
 #define EJECT_SHIFT_MAX 3
 /* A replica that says it is full gets nothing more for so long.  */
 #define FULL_PAUSE (50 * GS_MSEC)
+/* Short calls beyond the slots of a replica, as a part of them: some are on
+   their way, and a replica queues a few, or says that it doesn't.  */
+#define QUEUE_PART 0.5
+/* Weight of what the peers told last in its mean: news come some times a
+   second, so it is of the last second.  */
+#define PEER_MEAN_WEIGHT 0.15
 /* Part of a replica's connections that the nodes use together.  */
 #define CONNECTIONS_PART 0.9
 
@@ -53,6 +59,7 @@
   uint64_t backlog_tokens;
   uint64_t held_tokens;
   uint32_t peer_in_flight;
+  double peer_in_flight_mean; /* fading */
   uint64_t peer_backlog_tokens;
   uint64_t peer_held_tokens;
   unsigned failures; /* in a row */
@@ -227,6 +234,14 @@
       row->peer_backlog_tokens += loads[i].backlog_tokens;
       row->peer_held_tokens += loads[i].held_tokens;
     }
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      row_t *row = row_at (placer, i);
+
+      row->peer_in_flight_mean
+          += PEER_MEAN_WEIGHT
+             * ((double)row->peer_in_flight - row->peer_in_flight_mean);
+    }
 }
 
 static const holder_t *
@@ -301,10 +316,20 @@
   return GS_TIME_NEVER;
 }
 
+/* What others had in flight when they told is long over where a call takes
+   less than the news of it; their mean says more.  */
+static uint32_t
+taken_of (const row_t *row, bool engine)
+{
+  return row->in_flight
+         + (engine ? row->peer_in_flight : (uint32_t)row->peer_in_flight_mean);
+}
+
 static uint32_t
-taken_of (const row_t *row)
+room_of (const row_t *row, bool engine)
 {
-  return row->in_flight + row->peer_in_flight;
+  return row->replica.slots
+         + (engine ? 0 : (uint32_t)(QUEUE_PART * row->replica.slots));
 }
 
 static bool
@@ -315,11 +340,12 @@
   unsigned connections = query->connections_max;
 
   if (connections != 0
-      && taken_of (row) >= (unsigned)(CONNECTIONS_PART * connections))
+      && taken_of (row, query->engine)
+             >= (unsigned)(CONNECTIONS_PART * connections))
     return true;
   if (row->full_until > now)
     return true;
-  if (taken_of (row) >= row->replica.slots)
+  if (taken_of (row, query->engine) >= room_of (row, query->engine))
     return true;
   /* A request larger than the memory is the replica's to refuse.  */
   return query->engine && query->cache_tokens != 0 && held > 0
@@ -374,7 +400,7 @@
 
   if (!query->engine)
     {
-      out.score = (double)taken_of (row) / row->replica.slots
+      out.score = (double)taken_of (row, false) / row->replica.slots
                   + 0.5 / row->replica.slots * gs_rng_unit (&placer->rng);
       if (row->replica.cold_until > now)
         out.score += 1.0 / row->replica.slots;
@@ -385,11 +411,11 @@
       = query->prompt_tokens - held_of (placer, now, query, index, preferred);
   first = (double)FIRST_EVENT_BASE
           + (waiting + out.missing) / placer->read_speed * (double)GS_MSEC;
-  if (taken_of (row) >= row->replica.slots)
-    first += (double)(taken_of (row) - row->replica.slots + 1) * (double)GS_SEC
-             / row->replica.slots;
+  if (taken_of (row, true) >= row->replica.slots)
+    first += (double)(taken_of (row, true) - row->replica.slots + 1)
+             * (double)GS_SEC / row->replica.slots;
   out.first_at = now + (gs_time_t)first;
-  out.score = first + (double)taken_of (row) * (double)SLOT_PENALTY
+  out.score = first + (double)taken_of (row, true) * (double)SLOT_PENALTY
               + READ_AGAIN_WEIGHT * out.missing / placer->read_speed
                     * (double)GS_MSEC
               + gs_rng_unit (&placer->rng) * (double)SLOT_PENALTY;
@@ -443,7 +469,7 @@
                                query->service);
   out->missing_tokens = best.missing;
   out->first_expected_at = best.first_at;
-  out->in_flight = taken_of (row_at (placer, out->row));
+  out->in_flight = taken_of (row_at (placer, out->row), query->engine);
   out->backlog_tokens
       = (uint32_t)(row_at (placer, out->row)->backlog_tokens
                    + row_at (placer, out->row)->peer_backlog_tokens);
@@ -621,6 +647,6 @@
       if (!is_usable (row, 0, service))
         continue;
       *slots += row->replica.slots;
-      *taken += MIN (taken_of (row), row->replica.slots);
+      *taken += MIN (taken_of (row, true), row->replica.slots);
     }
 }
--- a/tests/test_placer.c
+++ b/tests/test_placer.c
@@ -158,6 +158,55 @@
   placer_ended (placer, now, &ticket, end);
 }
 
+/* Calls of some milliseconds: others tell at one time of full replicas, at the
+   next of empty ones, and are half as busy on average.  */
+static void
+old_news_of_short_calls_fill_no_replica (void)
+{
+  placer_t *placer = make_placer (1, 1);
+  placer_query_t query = { .service = "pool", .avoid = PLACER_ROW_NONE };
+  placer_load_t load = { .replica = "i-0" };
+  placer_choice_t choice;
+  unsigned refused = 0;
+
+  for (unsigned i = 0; i < 200; i++)
+    {
+      load.in_flight = i % 2 == 0 ? SLOTS : 0;
+      placer_set_peers (placer, &load, 1);
+      refused
+          += placer_pick (placer, GS_SEC + i * 150 * GS_MSEC, &query, &choice)
+             != GS_OK;
+    }
+  CU_ASSERT_EQUAL (refused, 0);
+  /* Others that are busy all the time do fill it.  */
+  load.in_flight = 2 * SLOTS;
+  for (unsigned i = 0; i < 40; i++)
+    placer_set_peers (placer, &load, 1);
+  CU_ASSERT_EQUAL (placer_pick (placer, 60 * GS_SEC, &query, &choice),
+                   GS_ELIMIT);
+  placer_destroy (placer);
+}
+
+/* A replica queues a few calls that take milliseconds.  */
+static void
+a_few_short_calls_more_than_slots_are_sent (void)
+{
+  placer_t *placer = make_placer (1, 1);
+  placer_query_t query = { .service = "pool", .avoid = PLACER_ROW_NONE };
+  placer_choice_t choice;
+  placer_ticket_t ticket;
+  unsigned sent = 0;
+
+  while (sent < 3 * SLOTS
+         && placer_pick (placer, GS_SEC, &query, &choice) == GS_OK)
+    {
+      placer_sent (placer, GS_SEC, &query, &choice, &ticket);
+      sent++;
+    }
+  CU_ASSERT (sent > SLOTS && sent < 2 * SLOTS);
+  placer_destroy (placer);
+}
+
 static void
 replicas_that_fail_are_left_out_unless_none_is_left (void)
 {
@@ -227,6 +276,10 @@
   { "one busy session does not bury its replica",
     one_busy_session_does_not_bury_its_replica },
   { "what other nodes have counts", what_other_nodes_have_counts },
+  { "old news of short calls fill no replica",
+    old_news_of_short_calls_fill_no_replica },
+  { "a few short calls more than slots are sent",
+    a_few_short_calls_more_than_slots_are_sent },
   { "replicas that fail are left out unless none is left",
     replicas_that_fail_are_left_out_unless_none_is_left },
   { "a replica that is gone ends what it has and gets nothing",
