tests: fill a replica with what the placer sends it at once

Ruled out: load; the line says in_flight=8 wait_ms=0. Change: both cases that fill a replica send twelve; the one about waiting checks now that the request arrived later.

--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -26,8 +26,8 @@
   gw_put (world, "servers", row->id,
           json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i}", "service",
                      "pool", "address", address, "zone", "a", "version", "v1",
-                     "slots", 8, "state", state, "cold_left_ms", 0, "sequence",
-                     1));
+                     "slots", WORLD_SLOTS, "state", state, "cold_left_ms", 0,
+                     "sequence", 1));
   g_free (address);
 }
 
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -15,6 +15,9 @@
 
 #define WORLD_GATEWAYS_MAX 3
 #define WORLD_REPLICAS_MAX 4
+/* Slots of a replica, and how many calls a node sends it at once.  */
+#define WORLD_SLOTS 8
+#define WORLD_ROOM 12
 #define WORLD_KEY "test-key"
 #define WORLD_ACCOUNT "test-account"
 
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -522,12 +522,14 @@
   end_world ();
 }
 
-/* The replica has eight slots; more wait at the node, also at one that has
-   just started and has seen no request end.  */
+/* What a replica has no room for waits at the node, also at one that has just
+   started and has seen no request end.  */
 static void
 a_request_waits_for_a_slot_that_soon_is_free (void)
 {
-  raw_conn_t conns[8];
+  raw_conn_t conns[WORLD_ROOM];
+  const arrival_t *arrival;
+  gs_time_t begin;
   char *answer;
 
   start_one (1);
@@ -540,8 +542,11 @@
       g_free (id);
     }
   g_usleep (100000);
+  begin = gs_clock_now ();
   answer = gw_ask (&world, 0, "POST", "/a/never/good", "waits", "", "x");
   CU_ASSERT_EQUAL (status_of (answer), 200);
+  arrival = gw_arrival (&world, "waits");
+  CU_ASSERT (arrival != NULL && arrival->arrived_at > begin + 50 * GS_MSEC);
   g_free (answer);
   for (unsigned i = 0; i < G_N_ELEMENTS (conns); i++)
     raw_close (&conns[i]);
--- a/tests/test_process_gateway_log.c
+++ b/tests/test_process_gateway_log.c
@@ -129,14 +129,14 @@
   end_world ();
 }
 
-/* Late because it waited behind others: the replica has eight slots.  */
+/* Late because it waited behind others: the replica has no room for more.  */
 static void
 a_late_answer_shows_what_it_waited_for (void)
 {
   static const char *const placed[]
       = { "event=placed", "id=behind", "candidates=1", NULL };
   static const char *const at_once[] = { "event=placed", "wait_ms=0 ", NULL };
-  raw_conn_t conns[8];
+  raw_conn_t conns[WORLD_ROOM];
   char *text;
 
   start_one (1);
