--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -180,6 +180,24 @@
   feed_tick (feed, gs_clock_now () + GS_SEC, follow);
 }
 
+/* The feed that follows hears of changes.  */
+static void
+hear_ahead (pair_t *pair, uint64_t revision, const char *events)
+{
+  tick (pair->ahead, true);
+  answer_objects (&pair->stores[0], revision, false, events);
+}
+
+/* One feed takes what another holds above a revision.  */
+static void
+copy (const feed_t *from, feed_t *to, uint64_t above)
+{
+  char *text = feed_export (from, above);
+
+  CU_ASSERT_EQUAL (feed_import (to, GS_SEC, text, strlen (text)), GS_OK);
+  g_free (text);
+}
+
 static void
 pages_are_read_whole_and_watched_from_the_first (void)
 {
@@ -283,36 +301,26 @@
 a_copy_of_what_changed_is_as_good_as_a_list (void)
 {
   pair_t pair;
-  char *text;
 
   start_pair (&pair);
-  tick (pair.ahead, true);
-  answer_objects (&pair.stores[0], 10, false, "a5 b7");
+  hear_ahead (&pair, 10, "a5 b7");
   /* A feed that does not follow makes no call. */
   tick (pair.behind, false);
   CU_ASSERT_EQUAL (pair.stores[1].calls, 0);
-  text = feed_export (pair.ahead, feed_revision (pair.behind));
-  CU_ASSERT_EQUAL (feed_import (pair.behind, GS_SEC, text, strlen (text)),
-                   GS_OK);
-  g_free (text);
+  copy (pair.ahead, pair.behind, 0);
   CU_ASSERT_EQUAL (feed_revision (pair.behind), 10);
   CU_ASSERT_EQUAL (pair.ears[1].listed, 1);
-  tick (pair.ahead, true);
-  answer_objects (&pair.stores[0], 15, false, "a12 -b13 c15");
-  text = feed_export (pair.ahead, feed_revision (pair.behind));
+  hear_ahead (&pair, 15, "a12 -b13 c15");
   g_string_truncate (pair.ears[1].told, 0);
-  CU_ASSERT_EQUAL (feed_import (pair.behind, GS_SEC, text, strlen (text)),
-                   GS_OK);
+  copy (pair.ahead, pair.behind, 10);
   CU_ASSERT_EQUAL (feed_revision (pair.behind), 15);
   CU_ASSERT_PTR_NOT_NULL (strstr (pair.ears[1].told->str, "+a12 "));
   CU_ASSERT_PTR_NOT_NULL (strstr (pair.ears[1].told->str, "+c15 "));
   CU_ASSERT_PTR_NOT_NULL (strstr (pair.ears[1].told->str, "-b "));
   /* The same again, and what is older, changes nothing. */
   g_string_truncate (pair.ears[1].told, 0);
-  CU_ASSERT_EQUAL (feed_import (pair.behind, GS_SEC, text, strlen (text)),
-                   GS_OK);
+  copy (pair.ahead, pair.behind, 10);
   CU_ASSERT_STRING_EQUAL (pair.ears[1].told->str, "");
-  g_free (text);
   stop_pair (&pair);
 }
 
@@ -321,20 +329,13 @@
 what_came_back_is_there (void)
 {
   pair_t pair;
-  char *text;
 
   start_pair (&pair);
-  tick (pair.ahead, true);
-  answer_objects (&pair.stores[0], 10, false, "a5");
-  text = feed_export (pair.ahead, 0);
-  feed_import (pair.behind, GS_SEC, text, strlen (text));
-  g_free (text);
-  tick (pair.ahead, true);
-  answer_objects (&pair.stores[0], 12, false, "-a11 a12");
-  text = feed_export (pair.ahead, feed_revision (pair.behind));
-  feed_import (pair.behind, GS_SEC, text, strlen (text));
+  hear_ahead (&pair, 10, "a5");
+  copy (pair.ahead, pair.behind, 0);
+  hear_ahead (&pair, 12, "-a11 a12");
+  copy (pair.ahead, pair.behind, 10);
   CU_ASSERT_TRUE (g_str_has_suffix (pair.ears[1].told->str, "+a12 "));
-  g_free (text);
   stop_pair (&pair);
 }
 
@@ -439,7 +440,6 @@
         {
           unsigned to = (unsigned)gs_rng_below (&rng, COPIES);
           unsigned from = (unsigned)gs_rng_below (&rng, COPIES);
-          char *text;
 
           for (uint64_t n = gs_rng_below (&rng, 3);
                n > 0 && history.newest < CHANGES; n--)
@@ -447,11 +447,7 @@
           if (to < FOLLOWING && feed_revision (feeds[to]) < history.newest)
             follow (feeds[to], &stores[to], &history);
           else if (feed_revision (feeds[from]) > feed_revision (feeds[to]))
-            {
-              text = feed_export (feeds[from], feed_revision (feeds[to]));
-              feed_import (feeds[to], GS_SEC, text, strlen (text));
-              g_free (text);
-            }
+            copy (feeds[from], feeds[to], feed_revision (feeds[to]));
           good = feed_revision (feeds[to]) == 0
                  || holds_as_the_store_did (feeds[to], &history);
         }
@@ -471,30 +467,22 @@
 a_feed_far_behind_gets_all (void)
 {
   pair_t pair;
-  char *text;
 
   start_pair (&pair);
-  tick (pair.ahead, true);
-  answer_objects (&pair.stores[0], 10, false, "a5 b7");
-  text = feed_export (pair.ahead, 0);
-  feed_import (pair.behind, GS_SEC, text, strlen (text));
-  g_free (text);
-  tick (pair.ahead, true);
-  answer_objects (&pair.stores[0], 11, false, "-b11");
+  hear_ahead (&pair, 10, "a5 b7");
+  copy (pair.ahead, pair.behind, 0);
+  hear_ahead (&pair, 11, "-b11");
   for (unsigned i = 0; i < 1000; i++)
     {
       char *events = g_strdup_printf ("n%u -n%u", 12 + 2 * i, 13 + 2 * i);
 
-      tick (pair.ahead, true);
-      answer_objects (&pair.stores[0], 13 + 2 * i, false, events);
+      hear_ahead (&pair, 13 + 2 * i, events);
       g_free (events);
     }
-  text = feed_export (pair.ahead, feed_revision (pair.behind));
   g_string_truncate (pair.ears[1].told, 0);
-  feed_import (pair.behind, GS_SEC, text, strlen (text));
+  copy (pair.ahead, pair.behind, 10);
   CU_ASSERT_PTR_NOT_NULL (strstr (pair.ears[1].told->str, "-b "));
   CU_ASSERT_EQUAL (feed_revision (pair.behind), feed_revision (pair.ahead));
-  g_free (text);
   stop_pair (&pair);
 }
 
