tests: set-ups that stood twice are said once

Change: KILLED() in test_quota.c, market_start() in test_scaler.c, start_filled() and end_filled() in gateway_steps.c. Plays, bounds and assertions are the same.

Measured: quota, scaler, process_gateway, process_gateway_log and process_gateway_fleet pass.

--- a/tests/gateway_steps.c
+++ b/tests/gateway_steps.c
@@ -57,6 +57,33 @@
   gw_start (&world, 0, true);
 }
 
+bool
+start_filled (raw_conn_t conns[WORLD_ROOM])
+{
+  start_one (1);
+  for (unsigned i = 0; i < WORLD_ROOM; i++)
+    {
+      char *id = g_strdup_printf ("fills-%u", i);
+      bool connected = gw_connect (&conns[i], &world, 0);
+
+      if (connected)
+        gw_send (&conns[i], "POST", "/a/stream/once/good", id, "", "x");
+      g_free (id);
+      if (!connected)
+        return false;
+    }
+  g_usleep (100000);
+  return true;
+}
+
+void
+end_filled (raw_conn_t conns[WORLD_ROOM])
+{
+  for (unsigned i = 0; i < WORLD_ROOM; i++)
+    raw_close (&conns[i]);
+  end_world ();
+}
+
 bool
 is_whole_stream (const char *text, unsigned last)
 {
--- a/tests/gateway_steps.h
+++ b/tests/gateway_steps.h
@@ -18,6 +18,12 @@
 void start_one (unsigned replicas);
 void end_world (void);
 
+/** Start one gateway and one replica that has no room left: each connection
+    is open with a stream on it.
+    @return false when a connection was refused */
+bool start_filled (raw_conn_t conns[WORLD_ROOM]);
+void end_filled (raw_conn_t conns[WORLD_ROOM]);
+
 /** @return status of HTTP that an answer begins with, 0 for none. */
 unsigned status_of (const char *answer);
 
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -535,25 +535,14 @@
   gs_time_t begin;
   char *answer;
 
-  start_one (1);
-  for (unsigned i = 0; i < G_N_ELEMENTS (conns); i++)
-    {
-      char *id = g_strdup_printf ("fills-%u", i);
-
-      CU_ASSERT_TRUE_FATAL (gw_connect (&conns[i], &world, 0));
-      gw_send (&conns[i], "POST", "/a/stream/once/good", id, "", "x");
-      g_free (id);
-    }
-  g_usleep (100000);
+  CU_ASSERT_TRUE_FATAL (start_filled (conns));
   begin = gs_clock_now ();
   answer = gw_ask (&world, 0, "POST", "/a/never/good", "waits", "", "x");
   CU_ASSERT_EQUAL (status_of (answer), 200);
   arrival = gw_arrival (&world, "waits");
   CU_ASSERT (arrival != NULL && arrival->arrived_at > begin + 50 * GS_MSEC);
   g_free (answer);
-  for (unsigned i = 0; i < G_N_ELEMENTS (conns); i++)
-    raw_close (&conns[i]);
-  end_world ();
+  end_filled (conns);
 }
 
 static const check_case_t cases[] = {
--- a/tests/test_process_gateway_log.c
+++ b/tests/test_process_gateway_log.c
@@ -139,16 +139,7 @@
   raw_conn_t conns[WORLD_ROOM];
   char *text;
 
-  start_one (1);
-  for (unsigned i = 0; i < G_N_ELEMENTS (conns); i++)
-    {
-      char *id = g_strdup_printf ("before-%u", i);
-
-      CU_ASSERT_TRUE_FATAL (gw_connect (&conns[i], &world, 0));
-      gw_send (&conns[i], "POST", "/a/stream/once/good", id, "", "x");
-      g_free (id);
-    }
-  g_usleep (100000);
+  CU_ASSERT_TRUE_FATAL (start_filled (conns));
   g_free (gw_ask (&world, 0, "POST", "/a/never/good", "behind", "", "x"));
   text = explain ("behind");
   if (!has_line_with (text, placed) || has_line_with (text, at_once))
@@ -156,9 +147,7 @@
   CU_ASSERT_TRUE (has_line_with (text, placed));
   CU_ASSERT_FALSE (has_line_with (text, at_once));
   g_free (text);
-  for (unsigned i = 0; i < G_N_ELEMENTS (conns); i++)
-    raw_close (&conns[i]);
-  end_world ();
+  end_filled (conns);
 }
 
 /* What an engineer on call asks the metrics for.  */
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -54,6 +54,9 @@
   .nodes = (NODES), .rate = (RATE), .tokens = 9e3, .demand = 0.4,             \
   .surge = 18, .surge_from = (FROM), .surge_to = (TO), .refused_percent = 100
 
+/* A part of the nodes is killed so many seconds from the start.  */
+#define KILLED(PART, FROM) .killed = (PART), .kill_from = (FROM)
+
 static const play_t plays[] = {
   /* None is refused whose account uses less than its limit; a few in a
      hundred requests are many times as large as the others.  */
@@ -73,12 +76,10 @@
   /* All start without memory, and nobody knows what was used.  */
   { .name = "all of thirty are killed, small account",
     STEADY (30, 300e3, 0.45),
-    .killed = 1,
-    .kill_from = 10 },
+    KILLED (1, 10) },
   { .name = "all of five are killed",
     STEADY (5, 550e3, 0.45),
-    .killed = 1,
-    .kill_from = 10 },
+    KILLED (1, 10) },
   /* Much more is asked for: the bound holds.  */
   { .name = "surge at thirty nodes", SURGING (30, 1219e3, 5, 25) },
   { .name = "surge of a small account", SURGING (30, 231e3, 5, 25) },
@@ -96,34 +97,27 @@
     .cut_to = 20 },
   { .name = "surge, a tenth is killed",
     SURGING (30, 1219e3, 5, 25),
-    .killed = 0.1,
-    .kill_from = 7,
+    KILLED (0.1, 7),
     .herded = true },
   { .name = "surge, most are killed",
     SURGING (30, 1219e3, 5, 25),
-    .killed = 0.6,
-    .kill_from = 7,
+    KILLED (0.6, 7),
     .herded = true },
   { .name = "surge, all are killed",
     SURGING (30, 1219e3, 5, 25),
-    .killed = 1,
-    .kill_from = 7 },
+    KILLED (1, 7) },
   { .name = "surge, all of five are killed",
     SURGING (5, 550e3, 5, 25),
-    .killed = 1,
-    .kill_from = 8 },
+    KILLED (1, 8) },
   { .name = "surge that ends as all are killed",
     SURGING (30, 1219e3, 2, 8),
-    .killed = 1,
-    .kill_from = 8 },
+    KILLED (1, 8) },
   { .name = "surge that ends as all of five are killed",
     SURGING (5, 550e3, 2, 8),
-    .killed = 1,
-    .kill_from = 8 },
+    KILLED (1, 8) },
   { .name = "surge after all are killed",
     SURGING (30, 1219e3, 9, 25),
-    .killed = 1,
-    .kill_from = 8 },
+    KILLED (1, 8) },
 };
 
 typedef struct
--- a/tests/test_scaler.c
+++ b/tests/test_scaler.c
@@ -171,6 +171,16 @@
     }
 }
 
+/* Four kept replicas in each data centre are found, and after ten seconds a
+   load comes and stays for a while.  */
+static void
+market_start (market_t *market, gs_time_t time, double need)
+{
+  market_init (market, 4);
+  run (market, 10 * GS_SEC, 0);
+  run (market, time, need);
+}
+
 static void
 reclaim (market_t *market, int place, gs_time_t dry)
 {
@@ -184,9 +194,7 @@
 {
   market_t market;
 
-  market_init (&market, 4);
-  run (&market, 10 * GS_SEC, 0);
-  run (&market, 30 * GS_SEC, 6);
+  market_start (&market, 30 * GS_SEC, 6);
   for (unsigned i = 0; i < market.steps; i++)
     CU_ASSERT (market.ready_by_step[i] >= 6);
   for (int place = 0; place < PLACES; place++)
@@ -208,9 +216,7 @@
 {
   market_t market;
 
-  market_init (&market, 4);
-  run (&market, 10 * GS_SEC, 0);
-  run (&market, 15 * GS_SEC, 10);
+  market_start (&market, 15 * GS_SEC, 10);
   for (int place = 0; place < PLACES; place++)
     {
       reclaim (&market, place, 14 * GS_SEC);
@@ -251,9 +257,7 @@
   market_t market;
   unsigned from;
 
-  market_init (&market, 4);
-  run (&market, 10 * GS_SEC, 0);
-  run (&market, 15 * GS_SEC, 10);
+  market_start (&market, 15 * GS_SEC, 10);
   reclaim (&market, 0, 30 * GS_SEC);
   reclaim (&market, 1, 30 * GS_SEC);
   run (&market, BOOT + GS_SEC, 10);
@@ -273,9 +277,7 @@
   market_t market;
   unsigned before;
 
-  market_init (&market, 4);
-  run (&market, 10 * GS_SEC, 0);
-  run (&market, 15 * GS_SEC, 10);
+  market_start (&market, 15 * GS_SEC, 10);
   before = count_ready (&market);
   scaler_forget (market.scaler);
   run (&market, 5 * GS_SEC, 3);
@@ -330,9 +332,7 @@
   market_t market;
   unsigned before;
 
-  market_init (&market, 4);
-  run (&market, 10 * GS_SEC, 0);
-  run (&market, 30 * GS_SEC, 6);
+  market_start (&market, 30 * GS_SEC, 6);
   before = market.orders;
   run (&market, 60 * GS_SEC, 6);
   CU_ASSERT_EQUAL (market.orders, before);
