digest, placer: rows by tables of their columns; one type for a load

Cause: four pairs of functions wrote and read the rows of a report field by field, in the same order twice; a load of a replica had two types that differed in who owned the name, with a conversion each way; the report's four arrays were made in two places. placer_is_ready() was called by a test only.

Change: digest.c has one table of columns for each sort of row, and pack_rows() and take_rows() for all; placer_load_t bears its name itself and traffic_load_t is gone; traffic_report_create() stands beside traffic_report_free(). The test of a replica that is gone looks at its row, which must be empty, in place of placer_is_ready().

Ruled out: another format.

--- a/src/gateway/digest.c
+++ b/src/gateway/digest.c
@@ -3,6 +3,7 @@
 #include "wire/shape.h"
 
 #include <msgpack.h>
+#include <stddef.h>
 #include <string.h>
 
 #define FORMAT 3
@@ -10,22 +11,74 @@
 #define DEPTH 3
 #define FIELDS 15
 
-static traffic_report_t *
-report_new (void)
+/* How the rows of a report are written: as arrays of their fields.  */
+typedef enum
 {
-  traffic_report_t *report = g_new0 (traffic_report_t, 1);
+  COLUMN_TEXT,
+  COLUMN_NUMBER /* not negative, of 4 or 8 bytes */
+} column_kind_t;
 
-  report->loads = g_array_new (FALSE, TRUE, sizeof (traffic_load_t));
-  report->usage = g_array_new (FALSE, TRUE, sizeof (traffic_usage_t));
-  report->demand = g_array_new (FALSE, TRUE, sizeof (traffic_demand_t));
-  report->quota = g_array_new (FALSE, TRUE, sizeof (quota_row_t));
-  return report;
-}
+typedef struct
+{
+  column_kind_t kind;
+  size_t offset;
+  size_t size;
+} column_t;
+
+#define COLUMN(KIND, TYPE, FIELD)                                             \
+  {                                                                           \
+    KIND, offsetof (TYPE, FIELD), sizeof ((TYPE *)0)->FIELD                   \
+  }
+
+#define COLUMNS_MAX 8
+
+typedef struct
+{
+  size_t row_bytes;
+  uint32_t rows_max;
+  unsigned count;
+  column_t columns[COLUMNS_MAX];
+} table_t;
+
+static const table_t load_table
+    = { sizeof (placer_load_t),
+        TRAFFIC_LOADS_MAX,
+        4,
+        { COLUMN (COLUMN_TEXT, placer_load_t, replica),
+          COLUMN (COLUMN_NUMBER, placer_load_t, in_flight),
+          COLUMN (COLUMN_NUMBER, placer_load_t, backlog_tokens),
+          COLUMN (COLUMN_NUMBER, placer_load_t, held_tokens) } };
+static const table_t usage_table
+    = { sizeof (traffic_usage_t),
+        TRAFFIC_LOADS_MAX,
+        3,
+        { COLUMN (COLUMN_TEXT, traffic_usage_t, account),
+          COLUMN (COLUMN_NUMBER, traffic_usage_t, window),
+          COLUMN (COLUMN_NUMBER, traffic_usage_t, requests) } };
+static const table_t demand_table
+    = { sizeof (traffic_demand_t),
+        TRAFFIC_LOADS_MAX,
+        8,
+        { COLUMN (COLUMN_TEXT, traffic_demand_t, service),
+          COLUMN (COLUMN_NUMBER, traffic_demand_t, requests),
+          COLUMN (COLUMN_NUMBER, traffic_demand_t, refused),
+          COLUMN (COLUMN_NUMBER, traffic_demand_t, missing_tokens),
+          COLUMN (COLUMN_NUMBER, traffic_demand_t, output_tokens),
+          COLUMN (COLUMN_NUMBER, traffic_demand_t, late),
+          COLUMN (COLUMN_NUMBER, traffic_demand_t, in_flight),
+          COLUMN (COLUMN_NUMBER, traffic_demand_t, waiting) } };
+static const table_t quota_table
+    = { sizeof (quota_row_t),
+        QUOTA_ROWS_MAX,
+        3,
+        { COLUMN (COLUMN_NUMBER, quota_row_t, account),
+          COLUMN (COLUMN_NUMBER, quota_row_t, used),
+          COLUMN (COLUMN_NUMBER, quota_row_t, carried) } };
 
 void
 digest_init (digest_t *digest)
 {
-  *digest = (digest_t){ .report = report_new (),
+  *digest = (digest_t){ .report = traffic_report_create (),
                         .members = g_array_new (FALSE, TRUE,
                                                 sizeof (digest_member_t)) };
 }
@@ -63,70 +116,35 @@
   pack_endpoint (out, &member->peers);
 }
 
-static void
-pack_loads (msgpack_packer *out, const GArray *loads)
+static uint64_t
+number_at (const char *row, const column_t *column)
 {
-  msgpack_pack_array (out, loads->len);
-  for (guint i = 0; i < loads->len; i++)
-    {
-      const traffic_load_t *load = &g_array_index (loads, traffic_load_t, i);
+  uint32_t small;
+  uint64_t large;
 
-      msgpack_pack_array (out, 4);
-      pack_text (out, load->replica);
-      msgpack_pack_uint32 (out, load->in_flight);
-      msgpack_pack_uint32 (out, load->backlog_tokens);
-      msgpack_pack_uint32 (out, load->held_tokens);
-    }
-}
-
-static void
-pack_usage (msgpack_packer *out, const GArray *usage)
-{
-  msgpack_pack_array (out, usage->len);
-  for (guint i = 0; i < usage->len; i++)
+  if (column->size == sizeof large)
     {
-      const traffic_usage_t *row = &g_array_index (usage, traffic_usage_t, i);
-
-      msgpack_pack_array (out, 3);
-      pack_text (out, row->account);
-      msgpack_pack_int64 (out, row->window);
-      msgpack_pack_uint64 (out, row->requests);
+      memcpy (&large, row + column->offset, sizeof large);
+      return large;
     }
+  memcpy (&small, row + column->offset, sizeof small);
+  return small;
 }
 
 static void
-pack_demand (msgpack_packer *out, const GArray *demand)
+pack_rows (msgpack_packer *out, const table_t *table, const GArray *rows)
 {
-  msgpack_pack_array (out, demand->len);
-  for (guint i = 0; i < demand->len; i++)
+  msgpack_pack_array (out, rows->len);
+  for (guint i = 0; i < rows->len; i++)
     {
-      const traffic_demand_t *row
-          = &g_array_index (demand, traffic_demand_t, i);
-
-      msgpack_pack_array (out, 8);
-      pack_text (out, row->service);
-      msgpack_pack_uint64 (out, row->requests);
-      msgpack_pack_uint64 (out, row->refused);
-      msgpack_pack_uint64 (out, row->missing_tokens);
-      msgpack_pack_uint64 (out, row->output_tokens);
-      msgpack_pack_uint64 (out, row->late);
-      msgpack_pack_uint32 (out, row->in_flight);
-      msgpack_pack_uint32 (out, row->waiting);
-    }
-}
-
-static void
-pack_quota (msgpack_packer *out, const GArray *quota)
-{
-  msgpack_pack_array (out, quota->len);
-  for (guint i = 0; i < quota->len; i++)
-    {
-      const quota_row_t *row = &g_array_index (quota, quota_row_t, i);
-
-      msgpack_pack_array (out, 3);
-      msgpack_pack_uint64 (out, row->account);
-      msgpack_pack_uint64 (out, row->used);
-      msgpack_pack_uint64 (out, row->carried);
+      const char *row = rows->data + i * table->row_bytes;
+
+      msgpack_pack_array (out, table->count);
+      for (unsigned j = 0; j < table->count; j++)
+        if (table->columns[j].kind == COLUMN_TEXT)
+          pack_text (out, row + table->columns[j].offset);
+        else
+          msgpack_pack_uint64 (out, number_at (row, &table->columns[j]));
     }
 }
 
@@ -158,10 +176,10 @@
   msgpack_pack_int (&out, digest->store_lost);
   msgpack_pack_int (&out, digest->follows);
   msgpack_pack_uint32 (&out, digest->report->open);
-  pack_loads (&out, digest->report->loads);
-  pack_usage (&out, digest->report->usage);
-  pack_demand (&out, digest->report->demand);
-  pack_quota (&out, digest->report->quota);
+  pack_rows (&out, &load_table, digest->report->loads);
+  pack_rows (&out, &usage_table, digest->report->usage);
+  pack_rows (&out, &demand_table, digest->report->demand);
+  pack_rows (&out, &quota_table, digest->report->quota);
   pack_members (&out, digest->members);
   bytes = g_byte_array_sized_new ((guint)buffer.size);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
@@ -257,75 +275,34 @@
 }
 
 static void
-take_loads (fields_t *fields, GArray *out)
-{
-  fields_t rows = take_array (fields);
-
-  for (uint32_t i = rows_in (&rows, TRAFFIC_LOADS_MAX); i > 0; i--)
-    {
-      fields_t row = take_array (&rows);
-      traffic_load_t load = { .replica = "" };
-
-      take_text (&row, load.replica, sizeof load.replica);
-      load.in_flight = (uint32_t)take_number (&row);
-      load.backlog_tokens = (uint32_t)take_number (&row);
-      load.held_tokens = (uint32_t)take_number (&row);
-      g_array_append_val (out, load);
-    }
-}
-
-static void
-take_usage (fields_t *fields, GArray *out)
-{
-  fields_t rows = take_array (fields);
-
-  for (uint32_t i = rows_in (&rows, TRAFFIC_LOADS_MAX); i > 0; i--)
-    {
-      fields_t row = take_array (&rows);
-      traffic_usage_t usage = { .account = "" };
-
-      take_text (&row, usage.account, sizeof usage.account);
-      usage.window = (int64_t)take_number (&row);
-      usage.requests = take_number (&row);
-      g_array_append_val (out, usage);
-    }
-}
-
-static void
-take_demand (fields_t *fields, GArray *out)
+set_number (char *row, const column_t *column, uint64_t number)
 {
-  fields_t rows = take_array (fields);
+  uint32_t small = (uint32_t)number;
 
-  for (uint32_t i = rows_in (&rows, TRAFFIC_LOADS_MAX); i > 0; i--)
-    {
-      fields_t row = take_array (&rows);
-      traffic_demand_t demand = { .service = "" };
-
-      take_text (&row, demand.service, sizeof demand.service);
-      demand.requests = take_number (&row);
-      demand.refused = take_number (&row);
-      demand.missing_tokens = take_number (&row);
-      demand.output_tokens = take_number (&row);
-      demand.late = take_number (&row);
-      demand.in_flight = (uint32_t)take_number (&row);
-      demand.waiting = (uint32_t)take_number (&row);
-      g_array_append_val (out, demand);
-    }
+  if (column->size == sizeof number)
+    memcpy (row + column->offset, &number, sizeof number);
+  else
+    memcpy (row + column->offset, &small, sizeof small);
 }
 
 static void
-take_quota (fields_t *fields, GArray *out)
+take_rows (fields_t *fields, const table_t *table, GArray *out)
 {
   fields_t rows = take_array (fields);
+  uint32_t count = rows_in (&rows, table->rows_max);
 
-  for (uint32_t i = rows_in (&rows, QUOTA_ROWS_MAX); i > 0; i--)
+  g_array_set_size (out, count);
+  for (uint32_t i = 0; i < count; i++)
     {
       fields_t inner = take_array (&rows);
-      quota_row_t row = { .account = take_number (&inner) };
-
-      row.used = take_number (&inner);
-      row.carried = take_number (&inner);
-      g_array_append_val (out, row);
+      char *row = out->data + i * table->row_bytes;
+
+      for (unsigned j = 0; j < table->count; j++)
+        if (table->columns[j].kind == COLUMN_TEXT)
+          take_text (&inner, row + table->columns[j].offset,
+                     table->columns[j].size);
+        else
+          set_number (row, &table->columns[j], take_number (&inner));
     }
 }
 
@@ -369,10 +346,10 @@
       out->store_lost = take_number (&fields) != 0;
       out->follows = take_number (&fields) != 0;
       out->report->open = (unsigned)take_number (&fields);
-      take_loads (&fields, out->report->loads);
-      take_usage (&fields, out->report->usage);
-      take_demand (&fields, out->report->demand);
-      take_quota (&fields, out->report->quota);
+      take_rows (&fields, &load_table, out->report->loads);
+      take_rows (&fields, &usage_table, out->report->usage);
+      take_rows (&fields, &demand_table, out->report->demand);
+      take_rows (&fields, &quota_table, out->report->quota);
       take_members (&fields, out->members);
     }
   msgpack_unpacked_destroy (&unpacked);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -317,6 +317,12 @@
   roster_store_back (((gateway_t *)context)->roster, now);
 }
 
+static void
+append_all (GArray *out, const GArray *rows)
+{
+  g_array_append_vals (out, rows->data, rows->len);
+}
+
 static void
 fill_digest (void *context, digest_t *digest)
 {
@@ -335,14 +341,10 @@
   if (report == NULL)
     return;
   digest->report->open = report->open;
-  g_array_append_vals (digest->report->loads, report->loads->data,
-                       report->loads->len);
-  g_array_append_vals (digest->report->usage, report->usage->data,
-                       report->usage->len);
-  g_array_append_vals (digest->report->demand, report->demand->data,
-                       report->demand->len);
-  g_array_append_vals (digest->report->quota, report->quota->data,
-                       report->quota->len);
+  append_all (digest->report->loads, report->loads);
+  append_all (digest->report->usage, report->usage);
+  append_all (digest->report->demand, report->demand);
+  append_all (digest->report->quota, report->quota);
 }
 
 typedef struct
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -604,28 +604,21 @@
   return &row_at (placer, row)->replica;
 }
 
-bool
-placer_is_ready (const placer_t *placer, uint32_t row)
-{
-  return row_at (placer, row)->listed
-         && row_at (placer, row)->replica.state == GS_REPLICA_READY;
-}
-
-unsigned
-placer_export (const placer_t *placer, placer_load_t *loads, unsigned max)
+void
+placer_export (const placer_t *placer, unsigned max, GArray *out)
 {
-  unsigned count = 0;
-
-  for (guint i = 0; i < placer->rows->len && count < max; i++)
+  for (guint i = 0; i < placer->rows->len && out->len < max; i++)
     {
       const row_t *row = row_at (placer, i);
+      placer_load_t load = { .in_flight = row->in_flight,
+                             .backlog_tokens = (uint32_t)row->backlog_tokens,
+                             .held_tokens = (uint32_t)row->held_tokens };
 
-      if (row->in_flight > 0)
-        loads[count++] = (placer_load_t){ row->replica.id, row->in_flight,
-                                          (uint32_t)row->backlog_tokens,
-                                          (uint32_t)row->held_tokens };
+      if (row->in_flight == 0)
+        continue;
+      g_strlcpy (load.replica, row->replica.id, sizeof load.replica);
+      g_array_append_val (out, load);
     }
-  return count;
 }
 
 double
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -45,10 +45,10 @@
   gs_time_t first_expected_at; /**< the first event */
 } placer_choice_t;
 
-/** What another node has at a replica. */
+/** What a node has at a replica. */
 typedef struct
 {
-  const char *replica;
+  char replica[GS_NAME_BYTES];
   uint32_t in_flight;
   uint32_t backlog_tokens;
   uint32_t held_tokens;
@@ -102,16 +102,12 @@
 void placer_ended (placer_t *placer, gs_time_t now, placer_ticket_t *ticket,
                    placer_end_t end);
 
-/** @return the replica of a row; NULL when it is gone. */
+/** @return the replica of a row, valid until the next list; its id is "" once
+    it is gone and nothing runs there */
 const gs_replica_t *placer_replica (const placer_t *placer, uint32_t row);
 
-/** @return whether a replica is listed and ready. */
-bool placer_is_ready (const placer_t *placer, uint32_t row);
-
-/** Write what this node has at each replica.
-    @return rows written, with names owned by the placer */
-unsigned placer_export (const placer_t *placer, placer_load_t *loads,
-                        unsigned max);
+/** Append what this node has at replicas, of placer_load_t, up to @p max. */
+void placer_export (const placer_t *placer, unsigned max, GArray *out);
 
 /** @return tokens of prompts that an engine reads in a millisecond, as
     observed. */
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -24,6 +24,18 @@
    plays it).  */
 #define TOLERANCE_PART 0.6
 
+traffic_report_t *
+traffic_report_create (void)
+{
+  traffic_report_t *report = g_new0 (traffic_report_t, 1);
+
+  report->loads = g_array_new (FALSE, TRUE, sizeof (placer_load_t));
+  report->usage = g_array_new (FALSE, TRUE, sizeof (traffic_usage_t));
+  report->demand = g_array_new (FALSE, TRUE, sizeof (traffic_demand_t));
+  report->quota = g_array_new (FALSE, TRUE, sizeof (quota_row_t));
+  return report;
+}
+
 void
 traffic_report_free (traffic_report_t *report)
 {
@@ -88,24 +100,6 @@
                             traffic->members };
 }
 
-static void
-export_loads (const traffic_t *traffic, GArray *out)
-{
-  placer_load_t *loads = g_new (placer_load_t, TRAFFIC_LOADS_MAX);
-  unsigned count = placer_export (traffic->placer, loads, TRAFFIC_LOADS_MAX);
-
-  for (unsigned i = 0; i < count; i++)
-    {
-      traffic_load_t load = { .in_flight = loads[i].in_flight,
-                              .backlog_tokens = loads[i].backlog_tokens,
-                              .held_tokens = loads[i].held_tokens };
-
-      g_strlcpy (load.replica, loads[i].replica, sizeof load.replica);
-      g_array_append_val (out, load);
-    }
-  g_free (loads);
-}
-
 static void
 export_demand (const traffic_t *traffic, gs_time_t now, GArray *out)
 {
@@ -128,7 +122,7 @@
 static void
 send_report (traffic_t *traffic, gs_time_t now)
 {
-  traffic_report_t *report = g_new0 (traffic_report_t, 1);
+  traffic_report_t *report = traffic_report_create ();
   quota_row_t rows[QUOTA_ROWS_MAX];
   size_t count = quota_export (traffic->quota, now, rows, QUOTA_ROWS_MAX);
 
@@ -136,11 +130,7 @@
   report->serves = traffic->table != NULL && traffic->list != NULL;
   report->open = gs_server_open (traffic->server);
   report->read_speed = placer_read_speed (traffic->placer);
-  report->loads = g_array_new (FALSE, TRUE, sizeof (traffic_load_t));
-  report->usage = g_array_new (FALSE, TRUE, sizeof (traffic_usage_t));
-  report->demand = g_array_new (FALSE, TRUE, sizeof (traffic_demand_t));
-  report->quota = g_array_new (FALSE, TRUE, sizeof (quota_row_t));
-  export_loads (traffic, report->loads);
+  placer_export (traffic->placer, TRAFFIC_LOADS_MAX, report->loads);
   export_demand (traffic, now, report->demand);
   usage_count_export (traffic->usage, gs_clock_carried_wall (), report->usage);
   g_array_append_vals (report->quota, rows, (guint)count);
@@ -353,15 +343,7 @@
       quota_import (traffic->quota, peer->heard_at, peer->node,
                     (const quota_row_t *)(void *)peer->quota->data,
                     peer->quota->len);
-      for (guint j = 0; j < peer->loads->len; j++)
-        {
-          const traffic_load_t *load
-              = &g_array_index (peer->loads, traffic_load_t, j);
-          placer_load_t out = { load->replica, load->in_flight,
-                                load->backlog_tokens, load->held_tokens };
-
-          g_array_append_val (loads, out);
-        }
+      g_array_append_vals (loads, peer->loads->data, peer->loads->len);
     }
   placer_set_peers (traffic->placer,
                     (const placer_load_t *)(void *)loads->data, loads->len);
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -22,15 +22,6 @@
 /** Windows of usage that a report tells of. */
 #define TRAFFIC_WINDOWS 4
 
-/** Load of a replica, with its name. */
-typedef struct
-{
-  char replica[GS_NAME_BYTES];
-  uint32_t in_flight;
-  uint32_t backlog_tokens;
-  uint32_t held_tokens;
-} traffic_load_t;
-
 /** Requests of an account that began to run in a window. */
 typedef struct
 {
@@ -61,12 +52,14 @@
   bool serves;   /**< routes and replicas are known to it */
   unsigned open; /**< exchanges not yet answered wholly */
   double read_speed;
-  GArray *loads;  /**< of traffic_load_t */
+  GArray *loads;  /**< of placer_load_t */
   GArray *usage;  /**< of traffic_usage_t */
   GArray *demand; /**< of traffic_demand_t */
   GArray *quota;  /**< of quota_row_t */
 } traffic_report_t;
 
+/** @return an empty report */
+traffic_report_t *traffic_report_create (void);
 void traffic_report_free (traffic_report_t *report);
 
 /** What one other node told. */
@@ -74,7 +67,7 @@
 {
   uint64_t node;      /**< hash of its name */
   gs_time_t heard_at; /**< when it told this */
-  GArray *loads;      /**< of traffic_load_t */
+  GArray *loads;      /**< of placer_load_t */
   GArray *quota;      /**< of quota_row_t */
 } traffic_peer_t;
 
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -6,7 +6,7 @@
 static void
 fill (digest_t *digest)
 {
-  traffic_load_t load = { "i-1", 3, 4000, 50000 };
+  placer_load_t load = { "i-1", 3, 4000, 50000 };
   traffic_usage_t usage = { "acme", 42, 17 };
   traffic_demand_t demand = { .service = "pool",
                               .requests = 9,
@@ -52,7 +52,7 @@
   CU_ASSERT_EQUAL (got.config_revision, 1000);
   CU_ASSERT_EQUAL_FATAL (got.report->loads->len, 1);
   CU_ASSERT_EQUAL (
-      g_array_index (got.report->loads, traffic_load_t, 0).held_tokens, 50000);
+      g_array_index (got.report->loads, placer_load_t, 0).held_tokens, 50000);
   CU_ASSERT_EQUAL (
       g_array_index (got.report->usage, traffic_usage_t, 0).requests, 17);
   CU_ASSERT_EQUAL (
--- a/tests/test_placer.c
+++ b/tests/test_placer.c
@@ -244,7 +244,7 @@
     CU_ASSERT_EQUAL (place (placer, GS_SEC, 100 + i), 0);
   placer_ended (placer, 2 * GS_SEC, &ticket, PLACER_GOOD);
   placer_set_replicas (placer, GS_SEC, fewer);
-  CU_ASSERT_FALSE (placer_is_ready (placer, 1));
+  CU_ASSERT_STRING_EQUAL (placer_replica (placer, 1)->id, "");
   gs_replica_list_unref (fewer);
   placer_destroy (placer);
 }
