gateway: drop what was decoded or counted and never read

Cause: the adapter decoded a time limit for heads, a longest pause, whether requests name a session and the price of reclaimable replicas; digests carried a data centre, the number of open exchanges, expected output and late first events; reports and the traffic thread kept two times. Nothing in the daemon read them. When a replica ends, as it told, was decoded and not read either.

Change: these fields are gone, digests have format 4, and traffic_leave() and placer_set_replicas() lose a parameter that had no effect. The line "replica" now tells when the replica ends (leaves_in_ms, -1 if not told). The assertion on the unread price makes way for two on what is read: the most replicas of a place, and the price of a place.

Ruled out: reading them now, which would change decisions.

--- a/include/garnetstack/route_table.h
+++ b/include/garnetstack/route_table.h
@@ -40,14 +40,12 @@
   char *host;   /**< lower case */
   char *prefix; /**< of the path; begins and ends with a slash */
   gs_repeat_t repeat;
-  bool streaming;      /**< answered by events as they are made */
-  bool by_session;     /**< requests name the parts of their prompts */
-  bool anonymous;      /**< no key is asked for */
-  unsigned runs_max;   /**< replicas that one request may run on */
-  int priority;        /**< 0 is first */
-  gs_time_t timeout;   /**< longest time to the final answer */
-  gs_time_t goal;      /**< an answer, or first event, is in time before */
-  gs_time_t pause_max; /**< longest pause between events that is in time */
+  bool streaming;    /**< answered by events as they are made */
+  bool anonymous;    /**< no key is asked for */
+  unsigned runs_max; /**< replicas that one request may run on */
+  int priority;      /**< 0 is first */
+  gs_time_t timeout; /**< longest time to the final answer */
+  gs_time_t goal;    /**< an answer, or first event, is in time before */
   unsigned split_count;
   gs_route_split_t splits[GS_ROUTE_SPLITS_MAX];
 } gs_path_route_t;
@@ -58,8 +56,7 @@
   bool present;
   unsigned least;
   unsigned most;
-  gs_time_t boot;    /**< from the order to the first request */
-  double spot_price; /**< of a reclaimable replica, to that of another */
+  gs_time_t boot;                 /**< from the order to the first request */
   GHashTable *data_centre_prices; /**< name -> double, a second */
 } gs_scale_limits_t;
 
@@ -88,7 +85,6 @@
 {
   size_t header_bytes_max;
   size_t body_bytes_max;
-  gs_time_t header_timeout;
   gs_time_t idle_timeout;
 } gs_caller_limits_t;
 
--- a/src/gateway/digest.c
+++ b/src/gateway/digest.c
@@ -6,10 +6,10 @@
 #include <stddef.h>
 #include <string.h>
 
-#define FORMAT 3
+#define FORMAT 4
 /* Arrays in arrays: fields, members or rows, and what one of them holds. */
 #define DEPTH 3
-#define FIELDS 15
+#define FIELDS 13
 
 /* How the rows of a report are written: as arrays of their fields.  */
 typedef enum
@@ -30,7 +30,7 @@
     KIND, offsetof (TYPE, FIELD), sizeof ((TYPE *)0)->FIELD                   \
   }
 
-#define COLUMNS_MAX 8
+#define COLUMNS_MAX 6
 
 typedef struct
 {
@@ -58,13 +58,11 @@
 static const table_t demand_table
     = { sizeof (traffic_demand_t),
         TRAFFIC_LOADS_MAX,
-        8,
+        6,
         { COLUMN (COLUMN_TEXT, traffic_demand_t, service),
           COLUMN (COLUMN_NUMBER, traffic_demand_t, requests),
           COLUMN (COLUMN_NUMBER, traffic_demand_t, refused),
           COLUMN (COLUMN_NUMBER, traffic_demand_t, missing_tokens),
-          COLUMN (COLUMN_NUMBER, traffic_demand_t, output_tokens),
-          COLUMN (COLUMN_NUMBER, traffic_demand_t, late),
           COLUMN (COLUMN_NUMBER, traffic_demand_t, in_flight),
           COLUMN (COLUMN_NUMBER, traffic_demand_t, waiting) } };
 static const table_t quota_table
@@ -168,14 +166,12 @@
   msgpack_pack_array (&out, FIELDS);
   msgpack_pack_int (&out, FORMAT);
   pack_member (&out, &digest->self);
-  pack_text (&out, digest->data_centre);
   msgpack_pack_int (&out, digest->ready);
   msgpack_pack_int (&out, digest->leaving);
   msgpack_pack_uint64 (&out, digest->config_revision);
   msgpack_pack_uint64 (&out, digest->replicas_revision);
   msgpack_pack_int (&out, digest->store_lost);
   msgpack_pack_int (&out, digest->follows);
-  msgpack_pack_uint32 (&out, digest->report->open);
   pack_rows (&out, &load_table, digest->report->loads);
   pack_rows (&out, &usage_table, digest->report->usage);
   pack_rows (&out, &demand_table, digest->report->demand);
@@ -338,14 +334,12 @@
   if (!invalid)
     {
       take_member (&fields, &out->self);
-      take_text (&fields, out->data_centre, sizeof out->data_centre);
       out->ready = take_number (&fields) != 0;
       out->leaving = take_number (&fields) != 0;
       out->config_revision = take_number (&fields);
       out->replicas_revision = take_number (&fields);
       out->store_lost = take_number (&fields) != 0;
       out->follows = take_number (&fields) != 0;
-      out->report->open = (unsigned)take_number (&fields);
       take_rows (&fields, &load_table, out->report->loads);
       take_rows (&fields, &usage_table, out->report->usage);
       take_rows (&fields, &demand_table, out->report->demand);
--- a/src/gateway/digest.h
+++ b/src/gateway/digest.h
@@ -22,7 +22,6 @@
 typedef struct
 {
   digest_member_t self;
-  char data_centre[GS_NAME_BYTES];
   bool ready;   /**< takes requests */
   bool leaving; /**< is about to end */
   uint64_t config_revision;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -329,8 +329,6 @@
   gateway_t *gateway = context;
   const traffic_report_t *report = duties_report (gateway->duties);
 
-  g_strlcpy (digest->data_centre, gateway->settings.data_centre,
-             sizeof digest->data_centre);
   digest->ready = is_ready (gateway);
   digest->leaving = gateway->leaving;
   digest->config_revision
@@ -340,7 +338,6 @@
   digest->store_lost = feed_lost_at (gateway->replica_feed) != 0;
   if (report == NULL)
     return;
-  digest->report->open = report->open;
   append_all (digest->report->loads, report->loads);
   append_all (digest->report->usage, report->usage);
   append_all (digest->report->demand, report->demand);
@@ -635,7 +632,7 @@
   gs_time_t now;
 
   gs_loop_post (gateway->loop, start_leaving, gateway);
-  traffic_leave (gateway->traffic, deadline);
+  traffic_leave (gateway->traffic);
   do
     {
       nanosleep (&pause, NULL);
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -183,10 +183,8 @@
 }
 
 void
-placer_set_replicas (placer_t *placer, gs_time_t now,
-                     const gs_replica_list_t *list)
+placer_set_replicas (placer_t *placer, const gs_replica_list_t *list)
 {
-  (void)now;
   for (guint i = 0; i < placer->rows->len; i++)
     row_at (placer, i)->listed = false;
   for (unsigned i = 0; i < list->count; i++)
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -67,8 +67,7 @@
 void placer_create (placer_t **out, uint64_t seed);
 void placer_destroy (placer_t *placer);
 
-void placer_set_replicas (placer_t *placer, gs_time_t now,
-                          const gs_replica_list_t *list);
+void placer_set_replicas (placer_t *placer, const gs_replica_list_t *list);
 
 /** Replace what the other nodes have at all replicas. */
 void placer_set_peers (placer_t *placer, const placer_load_t *loads,
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -167,11 +167,7 @@
   relay->attempt_began = true;
   placer_first (relay->traffic->placer, now, &relay->ticket);
   if (relay->first_at == 0)
-    {
-      relay->first_at = now;
-      if (now > relay->goal_at)
-        relay->service->demand.late++;
-    }
+    relay->first_at = now;
   if (!relay->counted && relay->account != NULL)
     usage_count_note (relay->traffic->usage, gs_clock_carried_wall (),
                       relay->account->name);
@@ -427,7 +423,6 @@
                &relay->ticket);
   relay->service->demand.in_flight++;
   relay->service->demand.missing_tokens += relay->choice.missing_tokens;
-  relay->service->demand.output_tokens += query->output_tokens;
   g_strlcpy (relay->replica, replica->id, sizeof relay->replica);
   relay->sent_at = now;
   relay->sends++;
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -85,7 +85,6 @@
 {
   row_t *row = g_hash_table_lookup (roster->rows, entry->id);
 
-  (void)now;
   if (row == NULL)
     {
       row = g_new0 (row_t, 1);
@@ -100,9 +99,12 @@
   roster->changed = true;
   gs_log (GS_LOG_INFO, "replica",
           "id=%s service=%s address=%s data_centre=%s state=%s spot=%d"
-          " revision=%llu",
+          " leaves_in_ms=%lld revision=%llu",
           entry->id, entry->service, entry->address, entry->data_centre,
           entry->state == GS_REPLICA_READY ? "ready" : "draining", entry->spot,
+          entry->leaves_at == GS_TIME_NEVER
+              ? -1LL
+              : (long long)((entry->leaves_at - now) / GS_MSEC),
           (unsigned long long)entry->revision);
 }
 
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -126,7 +126,6 @@
   quota_row_t rows[QUOTA_ROWS_MAX];
   size_t count = quota_export (traffic->quota, now, rows, QUOTA_ROWS_MAX);
 
-  report->made_at = now;
   report->serves = traffic->table != NULL && traffic->list != NULL;
   report->open = gs_server_open (traffic->server);
   report->read_speed = placer_read_speed (traffic->placer);
@@ -262,7 +261,6 @@
   gs_route_table_t *table;
   gs_replica_list_t *list;
   traffic_peers_t *peers;
-  gs_time_t leave_until;
 } message_t;
 
 /* @return what all nodes may let an account use in a window  */
@@ -317,7 +315,7 @@
 
   gs_replica_list_unref (traffic->list);
   traffic->list = message->list;
-  placer_set_replicas (traffic->placer, gs_clock_now (), traffic->list);
+  placer_set_replicas (traffic->placer, traffic->list);
   traffic->report_due = MIN (traffic->report_due, gs_clock_now () + TICK);
   relay_serve_waiting (traffic, gs_clock_now ());
   g_free (message);
@@ -358,7 +356,6 @@
   message_t *message = context;
 
   message->traffic->leave_at = gs_clock_now ();
-  message->traffic->leave_until = message->leave_until;
   g_free (message);
 }
 
@@ -397,7 +394,7 @@
 }
 
 void
-traffic_leave (traffic_t *traffic, gs_time_t deadline)
+traffic_leave (traffic_t *traffic)
 {
-  post (traffic, take_leave, &(message_t){ .leave_until = deadline });
+  post (traffic, take_leave, &(message_t){ .table = NULL });
 }
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -37,8 +37,6 @@
   uint64_t requests;       /**< within the limits of their accounts */
   uint64_t refused;        /**< of these, for want of room */
   uint64_t missing_tokens; /**< to be read, of those sent */
-  uint64_t output_tokens;  /**< expected, of those sent */
-  uint64_t late;           /**< first events after the goal */
   uint32_t in_flight;
   uint32_t waiting;
   double resends_left; /**< of this node's budget; not told to others */
@@ -48,7 +46,6 @@
     traffic_report_free(). */
 typedef struct
 {
-  gs_time_t made_at;
   bool serves;   /**< routes and replicas are known to it */
   unsigned open; /**< exchanges not yet answered wholly */
   double read_speed;
@@ -107,8 +104,7 @@
 /** Replace what is known of the other nodes; takes it over. */
 void traffic_set_peers (traffic_t *traffic, traffic_peers_t *peers);
 
-/** The process is to end: send callers elsewhere, and finish what is open.
-    @param deadline when the process is killed */
-void traffic_leave (traffic_t *traffic, gs_time_t deadline);
+/** The process is to end: send callers elsewhere, and finish what is open. */
+void traffic_leave (traffic_t *traffic);
 
 #endif
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -46,8 +46,7 @@
   gs_time_t ticked_at;
   gs_time_t report_due;
   gs_time_t second_due;
-  gs_time_t leave_at;    /* when the process was told to end, 0 for not */
-  gs_time_t leave_until; /* when it is killed */
+  gs_time_t leave_at; /* when the process was told to end, 0 for not */
 };
 
 traffic_service_t *traffic_service (traffic_t *traffic, const char *name);
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -10,7 +10,6 @@
   traffic_usage_t usage = { "acme", 42, 17 };
   traffic_demand_t demand = { .service = "pool",
                               .requests = 9,
-                              .late = 2,
                               .missing_tokens = 123456789012ULL };
   quota_row_t quota = { .account = 77, .used = 9, .carried = 4 };
   digest_member_t member = { .name = "other",
--- a/tests/test_placer.c
+++ b/tests/test_placer.c
@@ -35,7 +35,7 @@
   placer_t *placer;
 
   placer_create (&placer, seed);
-  placer_set_replicas (placer, GS_SEC, list);
+  placer_set_replicas (placer, list);
   gs_replica_list_unref (list);
   return placer;
 }
@@ -239,11 +239,11 @@
   placer_ticket_t ticket;
 
   placer_sent (placer, GS_SEC, &query, &choice, &ticket);
-  placer_set_replicas (placer, GS_SEC, fewer);
+  placer_set_replicas (placer, fewer);
   for (unsigned i = 0; i < 20; i++)
     CU_ASSERT_EQUAL (place (placer, GS_SEC, 100 + i), 0);
   placer_ended (placer, 2 * GS_SEC, &ticket, PLACER_GOOD);
-  placer_set_replicas (placer, GS_SEC, fewer);
+  placer_set_replicas (placer, fewer);
   CU_ASSERT_STRING_EQUAL (placer_replica (placer, 1)->id, "");
   gs_replica_list_unref (fewer);
   placer_destroy (placer);
@@ -263,7 +263,7 @@
   placer_pick (placer, 2 * GS_SEC, &query, &choice);
   CU_ASSERT_EQUAL (choice.missing_tokens, PROMPT - SHARED - 500);
   again->rows[0].born_ms = 99;
-  placer_set_replicas (placer, 3 * GS_SEC, again);
+  placer_set_replicas (placer, again);
   placer_pick (placer, 4 * GS_SEC, &query, &choice);
   CU_ASSERT (choice.missing_tokens > PROMPT - SHARED - 500);
   gs_replica_list_unref (again);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -159,6 +159,7 @@
   const gs_path_route_t *route;
   const gs_path_service_t *service;
   const gs_client_account_t *account;
+  const double *price;
 
   CU_ASSERT_EQUAL_FATAL (gs_platform_routes_decode (&table, value, 42), GS_OK);
   CU_ASSERT_EQUAL (gs_route_table_revision (table), 42);
@@ -180,7 +181,11 @@
   CU_ASSERT_EQUAL (service->cache_tokens, 944942);
   CU_ASSERT_TRUE (service->scale.present);
   CU_ASSERT_EQUAL (service->scale.boot, 4 * GS_SEC);
-  CU_ASSERT_DOUBLE_EQUAL (service->scale.spot_price, 0.22, 1e-9);
+  CU_ASSERT_EQUAL (service->scale.most, 10);
+  price = g_hash_table_lookup (service->scale.data_centre_prices, "z");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (price);
+  if (price != NULL)
+    CU_ASSERT_DOUBLE_EQUAL (*price, 0.8, 1e-9);
   CU_ASSERT_EQUAL_FATAL (gs_route_table_key (table, "k2"), 0);
   account = gs_route_table_account (table, 0);
   CU_ASSERT_TRUE (account->by_tokens);
--- a/tests/test_scaler.c
+++ b/tests/test_scaler.c
@@ -44,11 +44,9 @@
   market->service = (gs_path_service_t){ .name = g_strdup ("pool"),
                                          .engine = true,
                                          .slots = SLOTS };
-  market->service.scale = (gs_scale_limits_t){ .present = true,
-                                               .least = 1,
-                                               .most = MOST,
-                                               .boot = BOOT,
-                                               .spot_price = SPOT_PRICE };
+  market->service.scale = (gs_scale_limits_t){
+    .present = true, .least = 1, .most = MOST, .boot = BOOT
+  };
   market->service.scale.data_centre_prices
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (int i = 0; i < PLACES; i++)
