--- a/include/garnetstack/route_table.h
+++ b/include/garnetstack/route_table.h
@@ -92,8 +92,8 @@
 
 /** @param revision of the store, which orders two tables
     @param version that the operator gave, for logs */
-gs_status_t gs_route_table_create (gs_route_table_t **out, uint64_t revision,
-                                   uint64_t version);
+void gs_route_table_create (gs_route_table_t **out, uint64_t revision,
+                            uint64_t version);
 gs_route_table_t *gs_route_table_ref (gs_route_table_t *table);
 void gs_route_table_unref (gs_route_table_t *table);
 
--- a/src/gateway/route_table.c
+++ b/src/gateway/route_table.c
@@ -43,7 +43,7 @@
   g_free (((gs_client_account_t *)data)->name);
 }
 
-gs_status_t
+void
 gs_route_table_create (gs_route_table_t **out, uint64_t revision,
                        uint64_t version)
 {
@@ -63,7 +63,6 @@
   table->by_key
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   *out = table;
-  return GS_OK;
 }
 
 gs_route_table_t *
