gateway, platform, log: say what is ignored, dropped or could not be written

The start of the log's thread was not looked at.

What is done with the request or the value stays as it was.

--- a/include/garnetstack/deployment.h
+++ b/include/garnetstack/deployment.h
@@ -36,7 +36,8 @@
   uint16_t metrics_port;   /**< 0 for none */
   gs_endpoint_t seeds[GS_SEEDS_MAX]; /**< peers' addresses, maybe stale */
   unsigned seed_count;
-  bool first_start; /**< the whole system starts for the first time */
+  unsigned seeds_left_out; /**< could not be read */
+  bool first_start;        /**< the whole system starts for the first time */
   gs_endpoint_t store;
   gs_endpoint_t provider;
   unsigned memory_mb;
--- a/src/cmd/cmd_gateway.c
+++ b/src/cmd/cmd_gateway.c
@@ -58,9 +58,11 @@
       fprintf (stderr, "garnetstack gateway: %s\n", gs_error_last ());
       return GS_EXIT_FAILURE;
     }
-  gs_log (GS_LOG_INFO, "start", "version=%s data_centre=%s callers=%s:%u",
+  gs_log (GS_LOG_INFO, "start",
+          "version=%s data_centre=%s callers=%s:%u seeds=%u seeds_left_out=%u",
           GS_VERSION, settings->data_centre, settings->callers.host,
-          settings->callers.port);
+          settings->callers.port, settings->seed_count,
+          settings->seeds_left_out);
   told = wait_for_end (&signals);
   gateway_leave (gateway, told + settings->grace - END_TIME);
   gateway_destroy (gateway);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -631,7 +631,8 @@
   gs_time_t least = gs_clock_now () + LEAVE_LEAST;
   gs_time_t now;
 
-  gs_loop_post (gateway->loop, start_leaving, gateway);
+  if (gs_loop_post (gateway->loop, start_leaving, gateway) != GS_OK)
+    gs_log (GS_LOG_ERROR, "message_dropped", "reason=queue_full");
   traffic_leave (gateway->traffic);
   do
     {
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -277,7 +277,12 @@
 static void
 set_account_limits (traffic_t *traffic)
 {
-  for (unsigned i = 0; i < gs_route_table_accounts (traffic->table); i++)
+  unsigned accounts = gs_route_table_accounts (traffic->table);
+
+  if (accounts > QUOTA_ROWS_MAX)
+    gs_log (GS_LOG_WARN, "accounts_left_out", "accounts=%u told_of=%u",
+            accounts, QUOTA_ROWS_MAX);
+  for (unsigned i = 0; i < accounts; i++)
     {
       const gs_client_account_t *account
           = gs_route_table_account (traffic->table, i);
@@ -316,6 +321,9 @@
   gs_replica_list_unref (traffic->list);
   traffic->list = message->list;
   placer_set_replicas (traffic->placer, traffic->list);
+  if (traffic->list->count > TRAFFIC_LOADS_MAX)
+    gs_log (GS_LOG_WARN, "loads_left_out", "replicas=%u told_of=%u",
+            traffic->list->count, TRAFFIC_LOADS_MAX);
   traffic->report_due = MIN (traffic->report_due, gs_clock_now () + TICK);
   relay_serve_waiting (traffic, gs_clock_now ());
   g_free (message);
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -68,6 +68,7 @@
 gs_log_open_on (gs_log_level_t level, const char *node, int fd)
 {
   log4c_appender_t *appender;
+  gs_status_t status;
 
   log4c_layout_type_set (&line_layout);
   log4c_appender_type_set (&line_appender);
@@ -80,10 +81,12 @@
     return gs_error_set (GS_EIO, "log4c gave no category");
   log4c_category_set_appender (category, appender);
   log4c_category_set_priority (category, log4c_levels[level]);
-  gs_log_sink_create (&sink, fd);
   threshold = level;
   snprintf (node_name, sizeof node_name, "%s", node);
-  return GS_OK;
+  status = gs_log_sink_create (&sink, fd);
+  if (status != GS_OK)
+    category = NULL;
+  return status;
 }
 
 void
@@ -172,11 +175,16 @@
 write_left_out (void)
 {
   char body[HEAD_BYTES];
-  unsigned lost = gs_log_sink_lost (sink);
+  int error;
+  unsigned lost = gs_log_sink_lost (sink, &error);
 
   if (lost > 0)
     {
-      snprintf (body, sizeof body, "reason=slow_reader lines=%u", lost);
+      if (error != 0)
+        snprintf (body, sizeof body, "reason=write_failed errno=%d lines=%u",
+                  error, lost);
+      else
+        snprintf (body, sizeof body, "reason=slow_reader lines=%u", lost);
       write_line (GS_LOG_WARN, "log_left_out", body, 0);
     }
   if (routine_left_out > 0 && gs_clock_wall () / GS_SEC != routine_second)
--- a/src/util/log_sink.c
+++ b/src/util/log_sink.c
@@ -14,8 +14,10 @@
 /* Some seconds of lines at the heaviest load; a small part of the memory of
    the smallest node.  */
 #define BUFFER_BYTES ((gsize)1 << 20)
-/* How long an end waits for the reader.  */
+/* How long an end waits for the reader: less than a gateway leaves for the end
+   of its process (cmd_gateway.c).  */
 #define END_WAIT (300 * GS_MSEC)
+/* How soon an end is seen while the reader stands still; a part of that.  */
 #define POLL_MS 100
 
 struct gs_log_sink
@@ -26,6 +28,7 @@
   pthread_cond_t wake;
   GString *waiting; /* lines that the thread has not taken yet */
   unsigned lost;
+  int error; /* of the last write that failed, 0 for none */
   bool stopping;
   gs_time_t stop_at; /* lines left then are given up */
 };
@@ -41,6 +44,19 @@
   return over;
 }
 
+static void
+note_failure (gs_log_sink_t *sink, const char *rest, int error)
+{
+  unsigned lines = 0;
+
+  for (; *rest != '\0'; rest++)
+    lines += *rest == '\n';
+  pthread_mutex_lock (&sink->lock);
+  sink->lost += lines;
+  sink->error = error;
+  pthread_mutex_unlock (&sink->lock);
+}
+
 /* The descriptor may block, as it is shared with other processes; poll(2)
    says that a part of a line fits.  */
 static void
@@ -60,7 +76,10 @@
       if (count > 0)
         at += (gsize)count;
       else if (errno != EINTR && errno != EAGAIN)
-        return;
+        {
+          note_failure (sink, lines->str + at, errno);
+          return;
+        }
     }
 }
 
@@ -90,17 +109,32 @@
   return NULL;
 }
 
-void
+static void
+sink_free (gs_log_sink_t *sink)
+{
+  pthread_cond_destroy (&sink->wake);
+  pthread_mutex_destroy (&sink->lock);
+  g_string_free (sink->waiting, TRUE);
+  g_free (sink);
+}
+
+gs_status_t
 gs_log_sink_create (gs_log_sink_t **out, int fd)
 {
   gs_log_sink_t *sink = g_new0 (gs_log_sink_t, 1);
+  gs_status_t status;
 
+  *out = NULL;
   sink->fd = fd;
   sink->waiting = g_string_new (NULL);
   pthread_mutex_init (&sink->lock, NULL);
   pthread_cond_init (&sink->wake, NULL);
-  gs_thread_start (&sink->thread, "log", run, sink);
-  *out = sink;
+  status = gs_thread_start (&sink->thread, "log", run, sink);
+  if (status == GS_OK)
+    *out = sink;
+  else
+    sink_free (sink);
+  return status;
 }
 
 void
@@ -122,13 +156,15 @@
 }
 
 unsigned
-gs_log_sink_lost (gs_log_sink_t *sink)
+gs_log_sink_lost (gs_log_sink_t *sink, int *error)
 {
   unsigned lost;
 
   pthread_mutex_lock (&sink->lock);
   lost = sink->lost;
   sink->lost = 0;
+  *error = sink->error;
+  sink->error = 0;
   pthread_mutex_unlock (&sink->lock);
   return lost;
 }
@@ -144,8 +180,5 @@
   pthread_cond_signal (&sink->wake);
   pthread_mutex_unlock (&sink->lock);
   gs_thread_join (sink->thread);
-  pthread_cond_destroy (&sink->wake);
-  pthread_mutex_destroy (&sink->lock);
-  g_string_free (sink->waiting, TRUE);
-  g_free (sink);
+  sink_free (sink);
 }
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -212,6 +212,35 @@
   close (ends[1]);
 }
 
+static void
+lines_that_could_not_be_written_are_counted (void)
+{
+  int ends[2];
+  int closed = open ("/dev/null", O_RDONLY);
+  char text[4096];
+  ssize_t count;
+
+  CU_ASSERT_FATAL (closed >= 0);
+  CU_ASSERT_EQUAL_FATAL (pipe (ends), 0);
+  CU_ASSERT_EQUAL_FATAL (gs_log_open_on (GS_LOG_INFO, "n", closed), GS_OK);
+  gs_log (GS_LOG_INFO, "lost", "a=1");
+  g_usleep (100000);
+  CU_ASSERT_EQUAL_FATAL (dup2 (ends[1], closed), closed);
+  gs_log (GS_LOG_INFO, "after", "a=1");
+  g_usleep (100000);
+  count = read (ends[0], text, sizeof text - 1);
+  CU_ASSERT_FATAL (count > 0);
+  text[count] = '\0';
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (text, "event=log_left_out reason=write_failed errno="));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, " lines=1\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "event=after"));
+  gs_log_close ();
+  close (ends[0]);
+  close (ends[1]);
+  close (closed);
+}
+
 static void
 routine_lines_are_left_out_first_and_counted (void)
 {
@@ -251,6 +280,8 @@
       a_reader_that_stops_holds_up_nobody },
     { "a_close_does_not_wait_for_a_reader_that_stopped",
       a_close_does_not_wait_for_a_reader_that_stopped },
+    { "lines_that_could_not_be_written_are_counted",
+      lines_that_could_not_be_written_are_counted },
     { "routine_lines_are_left_out_first_and_counted",
       routine_lines_are_left_out_first_and_counted },
   };
--- a/tests/test_process_gateway_log.c
+++ b/tests/test_process_gateway_log.c
@@ -129,6 +129,23 @@
   end_world ();
 }
 
+static void
+a_header_that_can_not_be_read_leaves_a_line (void)
+{
+  static const char *const ignored[]
+      = { "event=header_ignored", "id=odd", "header=X-Token-Counts",
+          "value=many", NULL };
+  char *text;
+
+  start_one (1);
+  g_free (gw_ask (&world, 0, "POST", "/a/never/good", "odd",
+                  "X-Token-Counts: many\r\n", "x"));
+  text = explain ("odd");
+  CU_ASSERT_TRUE (has_line_with (text, ignored));
+  g_free (text);
+  end_world ();
+}
+
 /* Late because it waited behind others: the replica has no room for more.  */
 static void
 a_late_answer_shows_what_it_waited_for (void)
@@ -270,6 +287,8 @@
   { "metrics tell what an engineer asks", metrics_tell_what_an_engineer_asks },
   { "a log reader that stops holds up no request",
     a_log_reader_that_stops_holds_up_no_request },
+  { "a header that can not be read leaves a line",
+    a_header_that_can_not_be_read_leaves_a_line },
 };
 
 int
