gateway: read a replica's entry once, name the peers' paths once

Cause: each entry of a replica was decoded twice, once to see whether it leaves and once to take it; the three paths that nodes ask each other for were literals where they are asked and where they are answered.

Change: on_replica() decodes once; PEERS_DIGEST_PATH, PEERS_CONFIG_PATH and PEERS_REPLICAS_PATH stand in peers.h.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -154,11 +154,11 @@
   const char *body = gs_exchange_body (exchange, &length);
   GByteArray *digest;
 
-  if (strcmp (path, "/config") == 0)
+  if (strcmp (path, PEERS_CONFIG_PATH) == 0)
     reply_feed (exchange, gateway->config_feed);
-  else if (strcmp (path, "/replicas") == 0)
+  else if (strcmp (path, PEERS_REPLICAS_PATH) == 0)
     reply_feed (exchange, gateway->replica_feed);
-  else if (strcmp (path, "/digest") != 0)
+  else if (strcmp (path, PEERS_DIGEST_PATH) != 0)
     reply_status (exchange, 404);
   else
     {
@@ -275,34 +275,26 @@
   publish_replicas (gateway);
 }
 
-static bool
-replica_leaves (const gs_object_t *object, gs_time_t now)
-{
-  gs_replica_t replica;
-
-  return gs_platform_replica_decode (&replica, object, now) == GS_OK
-         && replica.state == GS_REPLICA_DRAINING;
-}
-
 static void
 on_replica (void *context, gs_time_t now, const gs_object_t *object)
 {
   gateway_t *gateway = context;
   gs_replica_t replica;
+  bool known = !object->removed
+               && gs_platform_replica_decode (&replica, object, now) == GS_OK;
 
-  if (object->removed || replica_leaves (object, now))
+  if (object->removed || (known && replica.state == GS_REPLICA_DRAINING))
     gateway->has_news = true;
-  if (object->removed)
-    roster_remove (gateway->roster, now, object->name);
-  else if (gs_platform_replica_decode (&replica, object, now) == GS_OK)
-    roster_put (gateway->roster, now, &replica);
-  else
+  if (known)
     {
-      gs_log (GS_LOG_WARN, "replica_skipped",
-              "id=%s revision=%llu reason=\"%s\"", object->name,
-              (unsigned long long)object->revision, gs_error_last ());
-      roster_remove (gateway->roster, now, object->name);
+      roster_put (gateway->roster, now, &replica);
+      return;
     }
+  if (!object->removed)
+    gs_log (GS_LOG_WARN, "replica_skipped",
+            "id=%s revision=%llu reason=\"%s\"", object->name,
+            (unsigned long long)object->revision, gs_error_last ());
+  roster_remove (gateway->roster, now, object->name);
 }
 
 static void
@@ -401,7 +393,8 @@
   if (digest->config_revision > own && now >= gateway->config_copy_due)
     {
       gateway->config_copy_due = now + COPY_INTERVAL;
-      copy_from (gateway, now, digest, gateway->config_feed, "/config");
+      copy_from (gateway, now, digest, gateway->config_feed,
+                 PEERS_CONFIG_PATH);
     }
   if ((feed_lost_at (gateway->replica_feed) != 0 || !gateway->follows
        || feed_revision (gateway->replica_feed) == 0)
@@ -409,7 +402,8 @@
       && now >= gateway->replica_copy_due)
     {
       gateway->replica_copy_due = now + COPY_INTERVAL;
-      copy_from (gateway, now, digest, gateway->replica_feed, "/replicas");
+      copy_from (gateway, now, digest, gateway->replica_feed,
+                 PEERS_REPLICAS_PATH);
     }
 }
 
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -6,7 +6,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define DIGEST_PATH "/digest"
 /* Within a region an answer takes some milliseconds; a node that is slowed
    takes some tens.  */
 #define CALL_TIME (500 * GS_MSEC)
@@ -280,8 +279,8 @@
   gs_http_request_t request = GS_HTTP_REQUEST_INIT;
   GByteArray *body = own_digest (peers);
   call_t *call = g_new0 (call_t, 1);
-  char *url = g_strdup_printf ("http://%s:%u" DIGEST_PATH, endpoint->host,
-                               endpoint->port);
+  char *url = g_strdup_printf ("http://%s:%u" PEERS_DIGEST_PATH,
+                               endpoint->host, endpoint->port);
 
   call->peers = peers;
   g_strlcpy (call->name, name, sizeof call->name);
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -22,6 +22,12 @@
     usage reports. */
 #define PEERS_REMEMBERED (30 * GS_SEC)
 
+/** What nodes ask each other for: a digest for a digest, and copies of what
+    the store holds of the configuration and of replicas. */
+#define PEERS_DIGEST_PATH "/digest"
+#define PEERS_CONFIG_PATH "/config"
+#define PEERS_REPLICAS_PATH "/replicas"
+
 typedef struct peers peers_t;
 
 typedef struct
