gateway: reasons and sources for constants that had none

Cause: some twenty times, parts and limits had no unit, no reason, or a figure without its source.

Change: comments. Sheets are named with their figures, plays and markets of the tests where these chose the value. LEAVE_LEAST and ORDERS_MAX follow from what they depend on, and keep their values (4 s, 64). The comment on LEAVE_LEAST said three times the time that callers keep a list, and the value was twice that; it now says what holds.

--- a/src/gateway/digest.c
+++ b/src/gateway/digest.c
@@ -6,9 +6,12 @@
 #include <stddef.h>
 #include <string.h>
 
+/* Rises with each change of what is written; a digest of another format is
+   refused.  */
 #define FORMAT 4
 /* Arrays in arrays: fields, members or rows, and what one of them holds. */
 #define DEPTH 3
+/* Of a digest: those that digest_encode() writes.  */
 #define FIELDS 13
 
 /* How the rows of a report are written: as arrays of their fields.  */
--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -12,6 +12,8 @@
 /* The store answers within milliseconds, and fifty times as slowly on a bad
    day.  */
 #define STORE_TIME (800 * GS_MSEC)
+/* Longer, as nobody waits for the provider, and a call that is given up early
+   and made again counts twice against its rate.  */
 #define PROVIDER_TIME (1500 * GS_MSEC)
 /* Terms of the lease, in shortest times between two holders: long enough for
    three tries at a renewal, short enough that a report of usage is not late
@@ -19,13 +21,16 @@
 #define LEASE_TERM_PART 1.4
 #define LEASE_RENEW_PART 0.45
 #define LEASE_PAUSE_PART 0.15
+/* A call for the lease that failed is made again after this, so that many fit
+   into what is left of the term once a renewal is due.  */
 #define LEASE_RETRY (150 * GS_MSEC)
 /* How often orders are thought over.  */
 #define SCALE_INTERVAL (250 * GS_MSEC)
 /* Half-life of the rates that orders follow: digests come every third of a
    second, requests in clumps.  */
 #define LOAD_HALF_LIFE (1500 * GS_MSEC)
-#define ORDERS_MAX 64
+/* Orders for a service at one time: two sorts in each data centre.  */
+#define ORDERS_MAX (2 * SCALER_PLACES_MAX)
 
 /* What a service was asked for, of all nodes.  */
 typedef struct
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -18,6 +18,8 @@
 #include <string.h>
 #include <time.h>
 
+/* How often control looks for what is due: a small part of the shortest
+   interval here.  */
 #define TICK (20 * GS_MSEC)
 /* How often the traffic thread is told of the other nodes.  */
 #define VIEW_INTERVAL (150 * GS_MSEC)
@@ -28,11 +30,17 @@
 #define ADDRESSES_MAX 64
 /* A peer that is ahead is asked for what it has at most so often.  */
 #define COPY_INTERVAL (250 * GS_MSEC)
+/* Within a region a copy takes milliseconds, and fifty times that at a node
+   that is slowed.  */
 #define COPY_TIME (800 * GS_MSEC)
-/* A node that ends waits for its callers to learn of it before it closes;
-   they keep lists of addresses up to three times as long as told.  */
-#define LEAVE_LEAST (4 * GS_SEC)
+/* A node that ends stays open for its callers to learn of it: twice as long as
+   they keep a list.  Some keep one longer and find the port closed; they take
+   another address.  */
+#define LEAVE_LEAST (2 * ADDRESSES_KEPT)
+/* How often an end looks whether all answers are out.  */
 #define LEAVE_POLL_NSEC 20000000
+/* Connections to a listener that is not the callers': four from each node of a
+   fleet of sixty.  */
 #define CONTROL_CONNECTIONS 256
 /* In fleets up to this size each node follows the store.  */
 #define ALL_FOLLOW 6
@@ -41,8 +49,11 @@
 /* Shortest time between two calls to all peers because of replicas that leave;
    an eighth of the shortest drain time that is known.  */
 #define NEWS_INTERVAL (250 * GS_MSEC)
-/* Nodes that ask for the lease of the duties.  */
+/* Nodes that ask for the lease of the duties: two may be lost together, and
+   each call to the store is priced.  */
 #define CANDIDATES 3
+/* Largest digest or copy, in bytes: as many replicas as a report has loads of
+   (TRAFFIC_LOADS_MAX), at two kilobytes each.  */
 #define PEER_BODY_BYTES ((size_t)4 << 20)
 
 struct gateway
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+/* The store answers within milliseconds, and fifty times as slowly on a bad
+   day.  */
 #define STORE_TIME GS_SEC
 /* A write that failed is made again after this.  */
 #define RETRY (300 * GS_MSEC)
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -10,15 +10,20 @@
    process' life at once.  Rows of replicas that are gone are used again.  */
 #define ROWS_MAX 8192
 /* An engine's reading speed until it has been observed, tokens per
-   millisecond; the slower of the engines in the deployments' sheets.  */
+   millisecond; about the slower of the engines in the deployments' sheets
+   (82 and 157).  */
 #define READ_SPEED_FIRST 80.0
-/* Weight of a new observation of the reading speed.  */
+/* Weight of a new observation of the reading speed: it follows within some
+   tens of requests, and one odd request says little.  */
 #define READ_SPEED_GAIN 0.05
 /* Observations of fewer tokens say more of other delays.  */
 #define READ_SPEED_TOKENS_LEAST 2000
-/* From a request's arrival at an idle engine to its first event.  */
+/* From a request's arrival at an idle engine to its first event, besides the
+   reading; the sheets say 26 and 41 ms.  */
 #define FIRST_EVENT_BASE (40 * GS_MSEC)
-/* What a taken slot adds to the score: it slows the events of all.  */
+/* What a taken slot adds to the score, and how far chance parts equals: it
+   slows the events of all.  A batch that is full takes some milliseconds more
+   a step than an empty one, by the sheets.  */
 #define SLOT_PENALTY (2 * GS_MSEC)
 /* A token that is read again costs, besides its time at this replica, time
    that others would have had; so it counts again by this part.  */
@@ -28,13 +33,17 @@
 #define PREFERRED_HOLDS 0.9
 /* A part is counted as held for so long after its last use here.  */
 #define PART_KEPT (30 * GS_SEC)
+/* Replicas remembered for a part: the one preferred, and others that took its
+   requests while that one was full.  */
 #define PART_HOLDERS_MAX 4
+/* Parts remembered, eight megabytes; all are forgotten when there are more. */
 #define PARTS_MAX 65536
 /* Part of an engine's memory that is filled with running requests; the rest
    keeps parts of prompts.  */
 #define MEMORY_PART 0.85
 /* A replica that could not be reached, or failed so often in a row, is left
-   out for a while, doubled each time.  */
+   out for a while, doubled each time up to the four seconds that a replica
+   takes to start.  */
 #define FAILURES_MAX 3
 #define EJECT_FIRST (500 * GS_MSEC)
 #define EJECT_SHIFT_MAX 3
@@ -46,7 +55,8 @@
 /* Weight of what the peers told last in its mean: news come some times a
    second, so it is of the last second.  */
 #define PEER_MEAN_WEIGHT 0.15
-/* Part of a replica's connections that the nodes use together.  */
+/* Part of a replica's connections that the nodes use together: each knows of
+   the others' with a delay.  */
 #define CONNECTIONS_PART 0.9
 
 typedef struct
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -4,6 +4,10 @@
 #include <math.h>
 #include <string.h>
 
+/* The parts, times and factors below were chosen by the plays of
+   tests/test_quota.c, which check the platform's bound on the one side and
+   that nothing below a limit is refused on the other.  */
+
 /* A window is counted in so many parts; one is dropped once all of it is out
    of the window.  */
 #define SLOTS 32
--- a/src/gateway/resend_budget.c
+++ b/src/gateway/resend_budget.c
@@ -3,7 +3,8 @@
 #include <glib.h>
 
 /* Part of the bound that is spent: the rest covers requests that the other
-   side of the count sees earlier or later than this node does.  */
+   side of the count sees earlier or later than this node does
+   (tests/test_resend_budget.c).  */
 #define SPENT_PART 0.8
 
 void
--- a/src/gateway/scaler.c
+++ b/src/gateway/scaler.c
@@ -4,6 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* The parts, times and factors below were chosen by the markets of
+   tests/test_scaler.c; where a comment names a price or a time to start, it is
+   that of the deployments' sheets (0.18 to 0.22 of a kept one, 4 s).  */
+
 /* Part of a replica's time that reading prompts may take: the rest makes
    tokens, and prompts come in clumps that must not wait for each other.  */
 #define READ_PART 0.45
--- a/src/gateway/scaler.h
+++ b/src/gateway/scaler.h
@@ -13,6 +13,8 @@
 #include "garnetstack/replica.h"
 #include "garnetstack/route_table.h"
 
+/** Data centres that a service has a price for; the known deployments have
+    four. */
 #define SCALER_PLACES_MAX 32
 
 /** Load of a service, of all nodes. */
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -11,13 +11,16 @@
    the platform's largest value.  */
 #define HEAD_BYTES (32 << 10)
 #define BODY_BYTES ((size_t)8 << 20)
-/* Part of the memory that bodies of open requests may take.  */
+/* Bodies of open requests may take memory divided by this; answers that are
+   kept until they are whole, tables and the log share the rest.  */
 #define BODIES_PART 4
-/* Descriptors kept for files, peers and replicas.  */
+/* Descriptors kept for files, peers and replicas; the smallest node of the
+   known deployments has 4096.  */
 #define DESCRIPTORS_KEPT 1000
 /* A caller may use a connection again that was idle nearly as long as the
    limit; closing later than that costs only memory.  */
 #define IDLE_SLACK_SEC 5
+/* Until a configuration says how long.  */
 #define IDLE_SECONDS_FIRST 60
 /* Part of what the platform tolerates beyond a limit that is used.  The rest
    covers what the loss of nodes with their memory adds (tests/test_quota.c
