--- a/include/garnetstack/passing.h
+++ b/include/garnetstack/passing.h
@@ -56,7 +56,7 @@
   unsigned status;
   bool complete;          /**< the empty line has come */
   bool not_run;           /**< the replica says so */
-  bool sealed;            /**< the replica has signed it */
+  bool is_signed;         /**< the replica has signed it */
   bool encoded;           /**< the body is not in the form asked for */
   char id[GS_NAME_BYTES]; /**< attempt that it answers; "" if not told */
   char content_type[GS_URL_BYTES];
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -184,7 +184,7 @@
 is_stream (const relay_t *relay)
 {
   return relay->route->streaming && is_success (&relay->head)
-         && relay->head.sealed && !relay->head.encoded;
+         && relay->head.is_signed && !relay->head.encoded;
 }
 
 static bool
@@ -364,7 +364,7 @@
     on_lost (relay, now, result);
   else if (head->not_run)
     on_not_run (relay, now);
-  else if (head->encoded || (is_success (head) && !head->sealed)
+  else if (head->encoded || (is_success (head) && !head->is_signed)
            || (relay->started && !is_stream (relay))
            || (is_stream (relay) && relay->events.held->len > 0))
     on_lost (relay, now, result);
--- a/src/gateway/scaler.c
+++ b/src/gateway/scaler.c
@@ -6,7 +6,7 @@
 
 /* The parts, times and factors below were chosen by the markets of
    tests/test_scaler.c; where a comment names a price or a time to start, it is
-   that of the deployments' sheets (0.18 to 0.22 of a kept one, 4 s).  */
+   that of the deployments' sheets (0.18 to 0.22 of an on-demand one, 4 s).  */
 
 /* Part of a replica's time that reading prompts may take: the rest makes
    tokens, and prompts come in clumps that must not wait for each other.  */
@@ -20,7 +20,7 @@
 #define RUN_PART 0.6
 /* Reclaimable replicas are ordered for so many times the need: the load is
    carried when half of the data centres lose theirs, and a burst finds room
-   while new ones start.  They cost about a fifth of a kept one.  */
+   while new ones start.  They cost about a fifth of an on-demand one.  */
 #define SPOT_SPREAD 2.0
 /* The need is the highest of so many seconds; the swing of the load by day is
    slower, and starting a replica again takes a third of this.  */
@@ -34,18 +34,19 @@
 #define REFUSED_PAUSE (2 * GS_SEC)
 /* A place counts as without reclaimable replicas until it was asked again. */
 #define DRY_TIME (3 * GS_SEC)
-/* Kept replicas that fill in are given back after so long without need.  */
+/* On-demand replicas that fill in are given back after so long without
+   need.  */
 #define FILL_IN_TIME (6 * GS_SEC)
-/* Kept replicas fill in for the highest need of so many seconds, and for this
-   part of it: with that many, prompts wait for each other but nothing is
-   refused, and a kept replica costs as much as four or five others.  */
+/* On-demand replicas fill in for the highest need of so many seconds, and for
+   this part of it: with that many, prompts wait for each other but nothing is
+   refused, and an on-demand replica costs as much as four or five others.  */
 #define SHORTAGE_SECONDS 3
 #define SHORTAGE_PART 0.7
 /* Data centres that have lost all of theirs, and get none, when the next loss
    is reckoned with.  */
 #define SERIES_LOST 2
-/* Part of the reclaimable replicas that must be ready before kept ones that
-   were there at first are given back.  */
+/* Part of the reclaimable replicas that must be ready before on-demand ones
+   that were there at first are given back.  */
 #define TAKEN_OVER_PART 0.8
 
 typedef struct
@@ -61,9 +62,9 @@
 {
   char name[GS_NAME_BYTES];
   double price;
-  sort_t sorts[2]; /* kept, spot */
+  sort_t sorts[2]; /* on demand, spot */
   unsigned ready[2];
-  unsigned kept_wanted;
+  unsigned on_demand_wanted;
   gs_time_t dry_until; /* no reclaimable ones were to be had lately */
 } place_t;
 
@@ -73,7 +74,7 @@
   int64_t second;             /* of the last need */
   bool begun;                 /* needs were noted */
   unsigned first_total;       /* replicas found before any load came */
-  unsigned fill_in;           /* kept replicas wanted while short */
+  unsigned fill_in;           /* on-demand replicas wanted while short */
   gs_time_t fill_in_until;
   unsigned place_count;
   place_t places[SCALER_PLACES_MAX];
@@ -242,8 +243,8 @@
   return lost >= SERIES_LOST ? most : 0;
 }
 
-/* When reclaimable replicas are fewer than the load needs, kept ones fill in:
-   they can be had when reclaimable ones can't.  */
+/* When reclaimable replicas are fewer than the load needs, on-demand ones fill
+   in: they can be had when reclaimable ones can't.  */
 static void
 note_shortage (plan_t *plan, gs_time_t now, unsigned spot_ready)
 {
@@ -305,7 +306,8 @@
                                       : strcmp (left->name, right->name);
 }
 
-/* Deal the kept replicas that fill in one by one, the cheapest place first. */
+/* Deal the on-demand replicas that fill in one by one, to the cheapest place
+   first.  */
 static void
 deal_kept (plan_t *plan, const gs_scale_limits_t *limits)
 {
@@ -316,24 +318,25 @@
   for (unsigned i = 0; i < plan->place_count; i++)
     {
       by_price[i] = &plan->places[i];
-      by_price[i]->kept_wanted = 0;
+      by_price[i]->on_demand_wanted = 0;
     }
   qsort (by_price, plan->place_count, sizeof (place_t *), compare_price);
   while (left > 0 && dealt)
     {
       dealt = false;
       for (unsigned i = 0; i < plan->place_count && left > 0; i++)
-        if (by_price[i]->kept_wanted + by_price[i]->ready[1] < limits->most)
+        if (by_price[i]->on_demand_wanted + by_price[i]->ready[1]
+            < limits->most)
           {
-            by_price[i]->kept_wanted++;
+            by_price[i]->on_demand_wanted++;
             left--;
             dealt = true;
           }
     }
 }
 
-/* Kept ones that were there at first stay until reclaimable ones have taken
-   over.  */
+/* On-demand ones that were there at first stay until reclaimable ones have
+   taken over.  */
 static void
 plan_kept (plan_t *plan, const gs_scale_limits_t *limits, unsigned spot_ready,
            double spot_total)
@@ -344,8 +347,8 @@
     return;
   for (unsigned i = 0; i < plan->place_count; i++)
     if (!plan->places[i].sorts[0].known)
-      plan->places[i].kept_wanted
-          = MAX (plan->places[i].kept_wanted, plan->places[i].ready[0]);
+      plan->places[i].on_demand_wanted
+          = MAX (plan->places[i].on_demand_wanted, plan->places[i].ready[0]);
 }
 
 /* What changes is ordered soon; what shows no effect is ordered again only
@@ -434,8 +437,8 @@
                      spot_at (plan, place, now, limits, total, &spare), now,
                      need))
         count++;
-      if (add_order (&out[count], service, place, false, place->kept_wanted,
-                     now, need))
+      if (add_order (&out[count], service, place, false,
+                     place->on_demand_wanted, now, need))
         count++;
     }
   return count;
--- a/src/gateway/scaler.h
+++ b/src/gateway/scaler.h
@@ -1,10 +1,10 @@
 /**
  * @file scaler.h
- * Decides how many replicas a service has, reclaimable and kept ones, and in
+ * Decides how many replicas a service has, reclaimable and on demand, and in
  * which data centres.  Reclaimable replicas of a data centre may go all at
  * once, so they are spread such that half of the data centres carry the load;
- * kept ones fill in when no reclaimable ones are to be had.  Answers the load
- * of all nodes as the holder of the duty sees it.  Plain functions over
+ * on-demand ones fill in when no reclaimable ones are to be had.  Answers the
+ * load of all nodes as the holder of the duty sees it.  Plain functions over
  * tables; no clock, no call.
  */
 #ifndef GS_GATEWAY_SCALER_H
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -34,7 +34,7 @@
   { "/a/never/full", 503, 4, "" }, /* offered again, then refused */
   { "/a/never/moved-once", 200, 2, "=" },
   /* Not the replica's whole answer to this request. */
-  { "/a/never/noseal", 502, 1, "" },
+  { "/a/never/unsigned", 502, 1, "" },
   { "/a/never/encoded", 502, 1, "" },
   { "/a/never/foreign", 502, 1, "" },
   { "/a/free/foreign-once", 200, 2, "=" },
--- a/tests/test_scaler.c
+++ b/tests/test_scaler.c
@@ -25,10 +25,10 @@
 {
   scaler_t *scaler;
   gs_path_service_t service;
-  stock_t stock[PLACES][2]; /* kept, spot */
+  stock_t stock[PLACES][2]; /* on demand, spot */
   gs_time_t now;
   gs_time_t dry_until;
-  double price; /* paid so far, in seconds of a kept replica */
+  double price; /* paid so far, in seconds of an on-demand replica */
   unsigned orders;
   double requests_per_sec; /* told with the load */
   double refused_per_sec;
@@ -37,7 +37,7 @@
 } market_t;
 
 static void
-market_init (market_t *market, unsigned kept)
+market_init (market_t *market, unsigned on_demand)
 {
   *market = (market_t){ .now = 100 * GS_SEC };
   scaler_create (&market->scaler);
@@ -56,7 +56,7 @@
       g_hash_table_insert (market->service.scale.data_centre_prices,
                            g_strdup (names[i]),
                            g_memdup2 (&price, sizeof price));
-      market->stock[i][0].ready = kept;
+      market->stock[i][0].ready = on_demand;
     }
 }
 
@@ -169,8 +169,8 @@
     }
 }
 
-/* Four kept replicas in each data centre are found, and after ten seconds a
-   load comes and stays for a while.  */
+/* Four on-demand replicas in each data centre are found, and after ten seconds
+   a load comes and stays for a while.  */
 static void
 market_start (market_t *market, gs_time_t time, double need)
 {
@@ -200,14 +200,14 @@
       CU_ASSERT_EQUAL (market.stock[place][0].ready, 0);
       CU_ASSERT (market.stock[place][1].ready >= 3);
     }
-  /* Sixteen kept ones for forty seconds would cost 640.  */
+  /* Sixteen on-demand ones for forty seconds would cost 640.  */
   CU_ASSERT (market.price < 640 / 2.0);
   market_clear (&market);
 }
 
 /* Each data centre in turn loses its reclaimable replicas, and there are none
-   to be had: kept ones carry the load after the time one takes to start.  A
-   need of ten leaves more than half of each replica free; seven carry it. */
+   to be had: on-demand ones carry the load after the time one takes to start.
+   A need of ten leaves more than half of each replica free; seven carry it. */
 #define CARRIES 7
 static void
 the_load_is_carried_while_no_reclaimable_replica_is_to_be_had (void)
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -88,7 +88,8 @@
   bool closes;
   bool resets;
 } canned[] = {
-  { "noseal", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", false, false },
+  { "unsigned", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", false,
+    false },
   { "encoded",
     "HTTP/1.1 200 OK\r\n" CANNED_SEAL "Content-Encoding: gzip\r\n"
     "Content-Length: 2\r\n\r\nno",
