--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -180,6 +180,16 @@
   feed_tick (feed, gs_clock_now () + GS_SEC, follow);
 }
 
+/* A feed that follows and has had a list.  */
+static void
+start_listed (feed_t **feed, store_t *store, ear_t *ear, uint64_t revision,
+              const char *text)
+{
+  start (feed, store, ear);
+  tick (*feed, true);
+  answer_objects (store, revision, false, text);
+}
+
 /* The feed that follows hears of changes.  */
 static void
 hear_ahead (pair_t *pair, uint64_t revision, const char *events)
@@ -231,9 +241,7 @@
   store_t store;
   ear_t ear;
 
-  start (&feed, &store, &ear);
-  tick (feed, true);
-  answer_objects (&store, 10, false, "a5 b7");
+  start_listed (&feed, &store, &ear, 10, "a5 b7");
   tick (feed, true);
   answer_status (&store, GS_ELIMIT);
   CU_ASSERT_EQUAL (ear.lost, 0);
@@ -251,9 +259,7 @@
   store_t store;
   ear_t ear;
 
-  start (&feed, &store, &ear);
-  tick (feed, true);
-  answer_objects (&store, 10, false, "a5");
+  start_listed (&feed, &store, &ear, 10, "a5");
   for (unsigned i = 0; i < 5; i++)
     {
       tick (feed, true);
@@ -495,9 +501,7 @@
   store_t store;
   ear_t ear;
 
-  start (&feed, &store, &ear);
-  tick (feed, true);
-  answer_objects (&store, 10, false, "a5");
+  start_listed (&feed, &store, &ear, 10, "a5");
   tick (feed, true);
   answer_status (&store, GS_ETIMEOUT);
   CU_ASSERT_EQUAL (ear.lost, 1);
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -155,6 +155,18 @@
   CU_ASSERT_EQUAL (floods, GS_FLOOD_LINES_PER_SEC);
 }
 
+/* What the log's thread has written by now.  */
+static void
+read_lines (int fd, char *out, size_t size)
+{
+  ssize_t count;
+
+  g_usleep (100000);
+  count = read (fd, out, size - 1);
+  CU_ASSERT_FATAL (count > 0);
+  out[count] = '\0';
+}
+
 /* Nobody reads the other end, and the pipe is full long before the end.  */
 static void
 a_reader_that_stops_holds_up_nobody (void)
@@ -163,7 +175,6 @@
   int ends[2];
   gs_time_t begin;
   char last[65536];
-  ssize_t count;
 
   memset (block, 'x', sizeof block - 1);
   CU_ASSERT_EQUAL_FATAL (pipe (ends), 0);
@@ -181,10 +192,7 @@
       g_usleep (1000);
     }
   gs_log (GS_LOG_INFO, "after", "a=1");
-  g_usleep (100000);
-  count = read (ends[0], last, sizeof last - 1);
-  CU_ASSERT_FATAL (count > 0);
-  last[count] = '\0';
+  read_lines (ends[0], last, sizeof last);
   CU_ASSERT_PTR_NOT_NULL (
       strstr (last, "event=log_left_out reason=slow_reader lines="));
   CU_ASSERT_PTR_NOT_NULL (strstr (last, "event=after"));
@@ -218,7 +226,6 @@
   int ends[2];
   int closed = open ("/dev/null", O_RDONLY);
   char text[4096];
-  ssize_t count;
 
   CU_ASSERT_FATAL (closed >= 0);
   CU_ASSERT_EQUAL_FATAL (pipe (ends), 0);
@@ -227,10 +234,7 @@
   g_usleep (100000);
   CU_ASSERT_EQUAL_FATAL (dup2 (ends[1], closed), closed);
   gs_log (GS_LOG_INFO, "after", "a=1");
-  g_usleep (100000);
-  count = read (ends[0], text, sizeof text - 1);
-  CU_ASSERT_FATAL (count > 0);
-  text[count] = '\0';
+  read_lines (ends[0], text, sizeof text);
   CU_ASSERT_PTR_NOT_NULL (
       strstr (text, "event=log_left_out reason=write_failed errno="));
   CU_ASSERT_PTR_NOT_NULL (strstr (text, " lines=1\n"));
