bench: end a measured operation in one place

Cause: eleven of the slopes' measurements ended with the same two lines.

Change: gs_slope_take().

Measured: slopes and capacity pass; gs_bench builds.

--- a/bench/slope_common.c
+++ b/bench/slope_common.c
@@ -42,6 +42,13 @@
   upstream->running = index % 7;
 }
 
+void
+gs_slope_take (gs_sample_t *sample, double start)
+{
+  sample->usec = (gs_processor_usec () - start) / gs_slope_repeats;
+  sample->operations = gs_slope_repeats;
+}
+
 gs_snapshot_t *
 gs_slope_snapshot (uint32_t nodes, uint32_t upstreams)
 {
--- a/bench/slope_control.c
+++ b/bench/slope_control.c
@@ -22,8 +22,7 @@
   start = gs_processor_usec ();
   for (unsigned i = 0; i < gs_slope_repeats; i++)
     gs_snapshot_publish (hub, gs_slope_snapshot (nodes, upstreams));
-  sample.usec = (gs_processor_usec () - start) / gs_slope_repeats;
-  sample.operations = gs_slope_repeats;
+  gs_slope_take (&sample, start);
   gs_snapshot_hub_destroy (hub);
   return sample;
 }
@@ -59,8 +58,7 @@
       gs_catalogue_parse (&catalogue, text, length, "bench", NULL, NULL);
       gs_catalogue_unref (catalogue);
     }
-  sample.usec = (gs_processor_usec () - start) / gs_slope_repeats;
-  sample.operations = gs_slope_repeats;
+  gs_slope_take (&sample, start);
   g_free (text);
   return sample;
 }
@@ -90,8 +88,7 @@
       sample.wire = (double)bytes->len * count;
       g_byte_array_unref (bytes);
     }
-  sample.usec = (gs_processor_usec () - start) / gs_slope_repeats;
-  sample.operations = gs_slope_repeats;
+  gs_slope_take (&sample, start);
   return sample;
 }
 
@@ -127,8 +124,7 @@
       g_array_unref (out);
       g_byte_array_unref (bytes);
     }
-  sample.usec = (gs_processor_usec () - start) / gs_slope_repeats;
-  sample.operations = gs_slope_repeats;
+  gs_slope_take (&sample, start);
   g_free (records);
   return sample;
 }
@@ -151,8 +147,7 @@
   start = gs_processor_usec ();
   for (unsigned i = 0; i < gs_slope_repeats; i++)
     gs_membership_listed (&members, (i + 2) * GS_SEC, i + 2, rows, n, true);
-  sample.usec = (gs_processor_usec () - start) / gs_slope_repeats;
-  sample.operations = gs_slope_repeats;
+  gs_slope_take (&sample, start);
   gs_membership_clear (&members);
   g_free (rows);
   return sample;
--- a/bench/slope_roles.h
+++ b/bench/slope_roles.h
@@ -53,6 +53,10 @@
     in pairs around what is measured. */
 double gs_processor_usec (void);
 
+/** End what gs_slope_repeats operations have taken since @p start, a time of
+    gs_processor_usec(). */
+void gs_slope_take (gs_sample_t *sample, double start);
+
 /** @return a picture of that many connected nodes and live engines. */
 gs_snapshot_t *gs_slope_snapshot (uint32_t nodes, uint32_t upstreams);
 
--- a/bench/slope_service.c
+++ b/bench/slope_service.c
@@ -29,8 +29,7 @@
   start = gs_processor_usec ();
   for (unsigned i = 0; i < gs_slope_repeats; i++)
     gs_addresses_choose (chosen, snapshot, "node-0", account, &rng);
-  sample.usec = (gs_processor_usec () - start) / gs_slope_repeats;
-  sample.operations = gs_slope_repeats;
+  gs_slope_take (&sample, start);
   gs_snapshot_free (snapshot);
   g_free (text);
   return sample;
@@ -61,8 +60,7 @@
       g_string_free (out, TRUE);
       g_ptr_array_unref (conflicts);
     }
-  sample.usec = (gs_processor_usec () - start) / gs_slope_repeats;
-  sample.operations = gs_slope_repeats;
+  gs_slope_take (&sample, start);
   g_free (text);
   return sample;
 }
@@ -111,8 +109,7 @@
       g_array_set_size (actions, 0);
       gs_placement_tick (&placement, (i + 2) * GS_SEC, vms, n, actions);
     }
-  sample.usec = (gs_processor_usec () - start) / gs_slope_repeats;
-  sample.operations = gs_slope_repeats;
+  gs_slope_take (&sample, start);
   gs_placement_clear (&placement);
   g_array_unref (actions);
   g_free (vms);
--- a/bench/slope_traffic.c
+++ b/bench/slope_traffic.c
@@ -105,8 +105,7 @@
 
   for (unsigned i = 0; i < gs_slope_repeats; i++)
     step (core, i, (gs_event_t){ .type = GS_EVENT_TICK }, ids[0], actions);
-  sample.usec = (gs_processor_usec () - start) / gs_slope_repeats;
-  sample.operations = gs_slope_repeats;
+  gs_slope_take (&sample, start);
   gs_request_core_destroy (core);
   g_array_unref (actions);
   g_free (ids);
@@ -259,8 +258,7 @@
                        bytes->len - GS_FRAME_HEAD_BYTES);
       gs_frame_release (memory);
     }
-  sample.usec = (gs_processor_usec () - start) / gs_slope_repeats;
-  sample.operations = gs_slope_repeats;
+  gs_slope_take (&sample, start);
   g_byte_array_unref (bytes);
   g_bytes_unref (spec.body);
   return sample;
@@ -296,8 +294,7 @@
                           router, decision.candidates[decision.chosen].slot),
                       GS_OK);
     }
-  sample.usec = (gs_processor_usec () - start) / gs_slope_repeats;
-  sample.operations = gs_slope_repeats;
+  gs_slope_take (&sample, start);
   gs_router_destroy (router);
   gs_snapshot_free (snapshot);
   return sample;
