--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -146,6 +146,9 @@
       readable
           = text != NULL
             && gs_lease_record_read (&record, text, strlen (text)) == GS_OK;
+      if (!readable)
+        gs_log (GS_LOG_WARN, "lease_not_readable", "reason=\"%s\"",
+                gs_error_last ());
     }
   gs_lease_read_done (&duties->lease, now,
                       result->status == GS_OK && !readable ? GS_EINVAL
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -269,6 +269,9 @@
   if (whole
       && take_digest (peers, now, result->body, result->body_length) != GS_OK)
     gs_log (GS_LOG_WARN, "digest_refused", "reason=\"%s\"", gs_error_last ());
+  else if (result->status == GS_OK && !whole)
+    gs_log (GS_LOG_WARN, "digest_not_taken", "peer=%s http=%ld", call->name,
+            result->http_status);
   g_free (call);
 }
 
