tests: reserve the ports of gateway processes where they listen

Cause: free_port_find() tried a port on 127.0.0.1 and gave it up again, while node N listens on 127.0.0.(N+2).

Change: reserved_port_take() binds a port on the address where the process will listen and keeps it bound without listening, so that the kernel gives it to no one else; the process takes it by SO_REUSEADDR, which libmicrohttpd sets. test_peer, which tried a port in the same way, uses it too.

Ruled out: TIME-WAIT alone, as the listener sets SO_REUSEADDR.

--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -144,26 +144,42 @@
     }
 }
 
-static uint16_t
-free_port_find (void)
+static void
+ports_reserve (world_gateway_t *gateway, unsigned host)
 {
-  raw_server_t *server;
-  uint16_t port;
+  reserved_port_take (&gateway->caller_port, host);
+  reserved_port_take (&gateway->readiness_port, host);
+  reserved_port_take (&gateway->address_port, host);
+  reserved_port_take (&gateway->peer_port, host);
+  reserved_port_take (&gateway->metrics_port, host);
+}
 
-  raw_server_create (&server, NULL, NULL);
-  port = raw_server_port (server);
-  raw_server_destroy (server);
-  return port;
+static void
+ports_release (world_gateway_t *gateway)
+{
+  reserved_port_release (&gateway->caller_port);
+  reserved_port_release (&gateway->readiness_port);
+  reserved_port_release (&gateway->address_port);
+  reserved_port_release (&gateway->peer_port);
+  reserved_port_release (&gateway->metrics_port);
+}
+
+/* @return the number that gateway INDEX adds to 127.0.0.0 for its address.  */
+static unsigned
+gateway_host (unsigned index)
+{
+  return index + 2;
 }
 
 static void
 settings_write (gateway_world_t *world, unsigned index)
 {
   world_gateway_t *gateway = &world->gateways[index];
-  unsigned host = index + 2;
-  char *seeds = index == 0 ? g_strdup ("")
-                           : g_strdup_printf ("seed_nodes=127.0.0.2:%u\n",
-                                              world->gateways[0].peer_port);
+  unsigned host = gateway_host (index);
+  char *seeds = index == 0
+                    ? g_strdup ("")
+                    : g_strdup_printf ("seed_nodes=127.0.0.2:%u\n",
+                                       world->gateways[0].peer_port.port);
   char *text = g_strdup_printf (
       "node=%s\nzone=a\nregion=r\nbind.front=127.0.0.%u:%u\n"
       "bind.ready=127.0.0.%u:%u\nbind.directory=127.0.0.%u:%u\n"
@@ -172,8 +188,9 @@
       "bounds.window_s=1\nbounds.usage_late_s=10\nbounds.lease_ms=500\n"
       "bounds.grace_s=8\nbounds.drain_ms=2000\nbounds.retry_slack=50\n"
       "bootstrap=true\nunknown.key=1\n",
-      gateway->name, host, gateway->caller_port, host, gateway->readiness_port,
-      host, gateway->address_port, host, gateway->peer_port, seeds,
+      gateway->name, host, gateway->caller_port.port, host,
+      gateway->readiness_port.port, host, gateway->address_port.port, host,
+      gateway->peer_port.port, seeds,
       raw_server_port (world->stores[index].server),
       raw_server_port (world->provider));
 
@@ -190,7 +207,7 @@
 
   if (binary == NULL)
     _exit (127);
-  g_snprintf (metrics, sizeof metrics, "%u", gateway->metrics_port);
+  g_snprintf (metrics, sizeof metrics, "%u", gateway->metrics_port.port);
   int log = open (gateway->log_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
   prctl (PR_SET_PDEATHSIG, SIGKILL);
@@ -210,11 +227,7 @@
   if (gateway->settings_path == NULL)
     {
       g_snprintf (gateway->name, sizeof gateway->name, "node-%u", index);
-      gateway->caller_port = free_port_find ();
-      gateway->readiness_port = free_port_find ();
-      gateway->address_port = free_port_find ();
-      gateway->peer_port = free_port_find ();
-      gateway->metrics_port = free_port_find ();
+      ports_reserve (gateway, gateway_host (index));
       gateway->settings_path
           = g_strdup_printf ("%s/%s.conf", world->directory, gateway->name);
       gateway->log_path
@@ -276,7 +289,7 @@
   conn->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   conn->received = g_string_new (NULL);
   address.sin_port = htons (port);
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK + index + 1);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK - 1 + gateway_host (index));
   if (connect (conn->fd, (struct sockaddr *)&address, sizeof address) == 0)
     return true;
   raw_close (conn);
@@ -290,7 +303,8 @@
   GString *answer;
   bool ready;
 
-  if (!gateway_connect (&conn, index, world->gateways[index].readiness_port))
+  if (!gateway_connect (&conn, index,
+                        world->gateways[index].readiness_port.port))
     return false;
   raw_printf (&conn, "GET /garnetstack/ready HTTP/1.1\r\nHost: x\r\n"
                      "Connection: close\r\n\r\n");
@@ -307,7 +321,8 @@
   raw_conn_t conn;
   GString *answer;
 
-  if (!gateway_connect (&conn, index, world->gateways[index].metrics_port))
+  if (!gateway_connect (&conn, index,
+                        world->gateways[index].metrics_port.port))
     return g_strdup ("");
   raw_printf (&conn, "GET /metrics HTTP/1.1\r\nHost: x\r\n"
                      "Connection: close\r\n\r\n");
@@ -333,7 +348,8 @@
 bool
 gw_connect (raw_conn_t *conn, gateway_world_t *world, unsigned index)
 {
-  return gateway_connect (conn, index, world->gateways[index].caller_port);
+  return gateway_connect (conn, index,
+                          world->gateways[index].caller_port.port);
 }
 
 void
@@ -426,6 +442,8 @@
     directory_remove (world);
   for (unsigned i = 0; i < WORLD_GATEWAYS_MAX; i++)
     {
+      if (world->gateways[i].settings_path != NULL)
+        ports_release (&world->gateways[i]);
       g_free (world->gateways[i].settings_path);
       g_free (world->gateways[i].log_path);
     }
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -8,6 +8,7 @@
 #define GS_TESTS_GATEWAY_WORLD_H
 
 #include "raw_http.h"
+#include "reserved_port.h"
 
 #include <jansson.h>
 #include <pthread.h>
@@ -66,11 +67,11 @@
 {
   pid_t pid;
   char name[16];
-  uint16_t caller_port;
-  uint16_t readiness_port;
-  uint16_t address_port;
-  uint16_t peer_port;
-  uint16_t metrics_port;
+  reserved_port_t caller_port;
+  reserved_port_t readiness_port;
+  reserved_port_t address_port;
+  reserved_port_t peer_port;
+  reserved_port_t metrics_port;
   char *settings_path;
   char *log_path;
 } world_gateway_t;
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -1,4 +1,5 @@
 #include "check.h"
+#include "reserved_port.h"
 
 #include "garnetstack/frame.h"
 #include "garnetstack/metrics.h"
@@ -47,31 +48,17 @@
 {
 }
 
-/* @return a port that the kernel chose; it is free at the time of the call. */
-static uint16_t
-free_port (void)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  CU_ASSERT_EQUAL_FATAL (
-      bind (fd, (struct sockaddr *)&address, sizeof address), 0);
-  getsockname (fd, (struct sockaddr *)&address, &size);
-  close (fd);
-  return ntohs (address.sin_port);
-}
-
 static gs_peer_t *
 start_peer (void)
 {
   static const gs_peer_handler_t handler
       = { NULL, on_up, on_down, on_replaced, on_frame };
   gs_settings_t settings = { .name = "a" };
+  reserved_port_t reserved;
   gs_peer_t *peer;
 
-  port = free_port ();
+  reserved_port_take (&reserved, 1);
+  port = reserved.port;
   settings.peer_port = port;
   g_strlcpy (settings.address, "127.0.0.1", sizeof settings.address);
   g_strlcpy (settings.region, "here", sizeof settings.region);
@@ -79,6 +66,7 @@
   g_strlcpy (settings.peer_key, PEER_KEY, sizeof settings.peer_key);
   CU_ASSERT_EQUAL_FATAL (
       gs_peer_create (&peer, &settings, OWN_INCARNATION, &handler), GS_OK);
+  reserved_port_release (&reserved);
   return peer;
 }
 
