--- a/src/gateway/digest.h
+++ b/src/gateway/digest.h
@@ -17,6 +17,7 @@
   uint64_t incarnation;  /**< random number of the process */
   gs_endpoint_t callers; /**< where it accepts requests */
   gs_endpoint_t peers;   /**< where it accepts calls of other nodes */
+  char data_centre[GS_NAME_BYTES]; /**< "" if unknown */
 } digest_member_t;
 
 typedef struct
--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -234,51 +234,32 @@
   return (gs_duty_t){ duties->options.deployment->node, duties->fencing };
 }
 
-static void
-add_usage (json_t *counts, int64_t window, const GArray *usage)
-{
-  for (guint i = 0; i < usage->len; i++)
-    {
-      const traffic_usage_t *row = &g_array_index (usage, traffic_usage_t, i);
-      json_int_t sum
-          = json_integer_value (json_object_get (counts, row->account));
-
-      if (row->window == window)
-        json_object_set_new (counts, row->account,
-                             json_integer (sum + (json_int_t)row->requests));
-    }
-}
-
-typedef struct
-{
-  json_t *counts;
-  int64_t window;
-} usage_sum_t;
-
-static void
-add_peer_usage (void *context, const digest_t *digest, gs_time_t received_at)
-{
-  usage_sum_t *sum = context;
-
-  (void)received_at;
-  add_usage (sum->counts, sum->window, digest->report->usage);
-}
-
+/* @return account -> requests in a window, over all processes  */
 static json_t *
 sum_window_usage (const duties_t *duties, gs_time_t now, int64_t window)
 {
-  usage_sum_t sum = { json_object (), window };
+  json_t *counts = json_object ();
+  aggregate_t sum;
 
+  aggregate_init (&sum);
   for (unsigned i = 0; duties->table != NULL
                        && i < gs_route_table_account_count (duties->table);
        i++)
-    json_object_set_new (sum.counts,
+    json_object_set_new (counts,
                          gs_route_table_account (duties->table, i)->name,
                          json_integer (0));
-  if (duties->report != NULL)
-    add_usage (sum.counts, window, duties->report->usage);
-  peers_digest_foreach (duties->options.peers, now, add_peer_usage, &sum);
-  return sum.counts;
+  peers_fleet_sum (duties->options.peers, now, &sum);
+  for (guint i = 0; i < sum.usage->len; i++)
+    {
+      const traffic_usage_t *row
+          = &g_array_index (sum.usage, traffic_usage_t, i);
+
+      if (row->window == window)
+        json_object_set_new (counts, row->account,
+                             json_integer ((json_int_t)row->requests));
+    }
+  aggregate_clear (&sum);
+  return counts;
 }
 
 static void
@@ -369,47 +350,6 @@
     }
 }
 
-/* Demand for a service, summed over all nodes.  */
-typedef struct
-{
-  const char *service;
-  gs_time_t now;
-  /* A node counts as present this long after its last digest.  */
-  gs_time_t presence_timeout;
-  uint64_t requests;
-  uint64_t rejected;
-  uint64_t uncached_tokens;
-  double in_flight;
-  double queued;
-} demand_sum_t;
-
-static void
-add_demand (demand_sum_t *sum, const GArray *demand, bool present)
-{
-  for (guint i = 0; i < demand->len; i++)
-    {
-      const traffic_demand_t *row
-          = &g_array_index (demand, traffic_demand_t, i);
-
-      if (strcmp (row->service, sum->service) != 0)
-        continue;
-      sum->requests += row->requests;
-      sum->rejected += row->rejected;
-      sum->uncached_tokens += row->uncached_tokens;
-      sum->in_flight += present ? row->in_flight : 0;
-      sum->queued += present ? row->queued : 0;
-    }
-}
-
-static void
-add_peer_demand (void *context, const digest_t *digest, gs_time_t received_at)
-{
-  demand_sum_t *sum = context;
-
-  add_demand (sum, digest->report->demand,
-              sum->now <= received_at + sum->presence_timeout);
-}
-
 /* Updates the smoothed rate of a counter.  The sum over the nodes drops when a
    process's digest expires; such a drop is left out of the rate.  */
 static void
@@ -425,13 +365,25 @@
   *last_count = count;
 }
 
+static traffic_demand_t
+find_demand (const aggregate_t *fleet, const char *service)
+{
+  for (guint i = 0; i < fleet->demand->len; i++)
+    {
+      const traffic_demand_t *row
+          = &g_array_index (fleet->demand, traffic_demand_t, i);
+
+      if (strcmp (row->service, service) == 0)
+        return *row;
+    }
+  return (traffic_demand_t){ .requests = 0 };
+}
+
 static scaler_load_t
-measure_load (duties_t *duties, gs_time_t now, const char *service)
+measure_load (duties_t *duties, gs_time_t now, const aggregate_t *fleet,
+              const char *service)
 {
-  demand_sum_t sum
-      = { .service = service,
-          .now = now,
-          .presence_timeout = peers_silence_timeout (duties->options.peers) };
+  traffic_demand_t sum = find_demand (fleet, service);
   demand_rates_t *rates = g_hash_table_lookup (duties->rates, service);
   double elapsed
       = duties->scaled_at != 0 ? (double)(now - duties->scaled_at) : 0;
@@ -442,8 +394,6 @@
       rates = g_new0 (demand_rates_t, 1);
       g_hash_table_insert (duties->rates, g_strdup (service), rates);
     }
-  add_demand (&sum, duties->report->demand, true);
-  peers_digest_foreach (duties->options.peers, now, add_peer_demand, &sum);
   update_rate (&rates->uncached_tokens_per_sec, &rates->uncached_tokens,
                sum.uncached_tokens, elapsed);
   update_rate (&rates->requests_per_sec, &rates->requests, sum.requests,
@@ -500,16 +450,19 @@
 tick_scaler (duties_t *duties, gs_time_t now)
 {
   scaler_order_t orders[ORDERS_MAX];
+  aggregate_t fleet;
 
   if (now < duties->scale_due || duties->table == NULL
       || duties->replicas == NULL || duties->report == NULL)
     return;
   duties->scale_due = now + SCALE_INTERVAL;
+  aggregate_init (&fleet);
+  peers_fleet_sum (duties->options.peers, now, &fleet);
   for (unsigned i = 0; i < gs_route_table_service_count (duties->table); i++)
     {
       const gs_path_service_t *service
           = gs_route_table_service (duties->table, i);
-      scaler_load_t load = measure_load (duties, now, service->name);
+      scaler_load_t load = measure_load (duties, now, &fleet, service->name);
       unsigned count
           = scaler_plan (duties->scaler, now, service, duties->replicas, &load,
                          orders, ORDERS_MAX);
@@ -518,6 +471,7 @@
         send_order (duties, now, &orders[j]);
     }
   duties->scaled_at = now;
+  aggregate_clear (&fleet);
 }
 
 void
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -10,6 +10,7 @@
 #include "gateway/gauges.h"
 #include "gateway/membership.h"
 #include "gateway/peers.h"
+#include "gateway/peers_http.h"
 #include "gateway/roster.h"
 #include "gateway/traffic.h"
 #include "platform/platform.h"
@@ -38,9 +39,9 @@
 #define LEAVE_TIME_MIN (2 * ADDRESSES_TTL)
 /* Interval at which a leaving node checks whether all responses are sent.  */
 #define LEAVE_POLL_INTERVAL_NSEC 20000000
-/* Maximum connections of each listener of the control thread; enough for four
-   from each node of a fleet of sixty.  */
-#define CONTROL_CONNECTIONS_MAX 256
+/* Maximum connections of each listener of the control thread; enough for two
+   from each node of a data centre with five hundred.  */
+#define CONTROL_CONNECTIONS_MAX 1024
 /* In fleets of up to this many nodes, every node follows the store.  */
 #define ALL_FOLLOW_NODES_MAX 6
 /* Nodes of a larger fleet that follow the store; one of them may be
@@ -52,7 +53,7 @@
 /* Nodes that request the lease of the duties.  Two of them may be lost
    together, and each call to the store costs money.  */
 #define LEASE_CANDIDATES_MAX 3
-/* Maximum size of a digest or copy: two kilobytes for each of
+/* Maximum size of a message or copy: two kilobytes for each of
    TRAFFIC_LOADS_MAX replicas.  */
 #define PEER_BODY_BYTES_MAX ((size_t)4 << 20)
 
@@ -81,6 +82,7 @@
   gs_time_t server_tick_due;
   gs_time_t config_copy_due;
   gs_time_t replica_copy_due;
+  gs_time_t member_copy_due;
   bool leaving;
   bool follows_store;         /* true for only some nodes of a large fleet */
   gs_server_t *servers[4];    /* readiness, addresses, peers, metrics */
@@ -157,34 +159,42 @@
   g_free (text);
 }
 
+static void
+reply_peer_message (gs_exchange_t *exchange, peers_t *peers)
+{
+  size_t length;
+  const char *body = gs_exchange_body (exchange, &length);
+  GByteArray *answer = peers_message_receive (
+      peers, gs_clock_now (), gs_exchange_path (exchange), body, length);
+
+  if (answer == NULL)
+    {
+      reply_status (exchange, 400);
+      return;
+    }
+  gs_exchange_reply (exchange, 200, "application/octet-stream", NULL,
+                     (const char *)answer->data, answer->len);
+  g_byte_array_unref (answer);
+}
+
 static void
 on_peer (void *context, gs_exchange_t *exchange)
 {
   gateway_t *gateway = context;
   const char *path = gs_exchange_path (exchange);
-  size_t length;
-  const char *body = gs_exchange_body (exchange, &length);
-  GByteArray *digest;
 
   if (strcmp (path, PEERS_CONFIG_PATH) == 0)
     reply_feed (exchange, gateway->config_feed);
   else if (strcmp (path, PEERS_REPLICAS_PATH) == 0)
     reply_feed (exchange, gateway->replica_feed);
-  else if (strcmp (path, PEERS_DIGEST_PATH) != 0)
-    reply_status (exchange, 404);
+  else if (strcmp (path, PEERS_MEMBERS_PATH) == 0)
+    reply_feed (exchange, membership_feed (gateway->membership));
+  else if (strcmp (path, PEERS_DIGEST_PATH) == 0
+           || strcmp (path, PEERS_REPORT_PATH) == 0
+           || strcmp (path, PEERS_SUMMARY_PATH) == 0)
+    reply_peer_message (exchange, gateway->peers);
   else
-    {
-      digest = peers_digest_receive (gateway->peers, gs_clock_now (), body,
-                                     length);
-      if (digest == NULL)
-        {
-          reply_status (exchange, 400);
-          return;
-        }
-      gs_exchange_reply (exchange, 200, "application/octet-stream", NULL,
-                         (const char *)digest->data, digest->len);
-      g_byte_array_unref (digest);
-    }
+    reply_status (exchange, 404);
 }
 
 static double
@@ -325,30 +335,28 @@
 }
 
 static void
-append_rows (GArray *out, const GArray *rows)
+get_state (void *context, peers_state_t *out)
 {
-  g_array_append_vals (out, rows->data, rows->len);
+  const gateway_t *gateway = context;
+  bool store_lost = feed_store_lost_at (gateway->replica_feed) != 0;
+
+  *out = (peers_state_t){
+    .flags
+    = (is_ready (gateway) ? PEER_READY : 0)
+      | (gateway->leaving ? PEER_LEAVING : 0)
+      | (gateway->follows_store && !store_lost ? PEER_FOLLOWS_STORE : 0),
+    .store_lost = store_lost,
+    .config_revision
+    = gateway->table != NULL ? gs_route_table_revision (gateway->table) : 0,
+    .replicas_revision = feed_revision (gateway->replica_feed),
+    .members_revision = feed_revision (membership_feed (gateway->membership)),
+  };
 }
 
-static void
-fill_digest (void *context, digest_t *digest)
+static const traffic_report_t *
+get_report (void *context)
 {
-  gateway_t *gateway = context;
-  const traffic_report_t *report = duties_report (gateway->duties);
-
-  digest->ready = is_ready (gateway);
-  digest->leaving = gateway->leaving;
-  digest->config_revision
-      = gateway->table != NULL ? gs_route_table_revision (gateway->table) : 0;
-  digest->replicas_revision = feed_revision (gateway->replica_feed);
-  digest->follows_store = gateway->follows_store;
-  digest->store_lost = feed_store_lost_at (gateway->replica_feed) != 0;
-  if (report == NULL)
-    return;
-  append_rows (digest->report->loads, report->loads);
-  append_rows (digest->report->usage, report->usage);
-  append_rows (digest->report->demand, report->demand);
-  append_rows (digest->report->quota, report->quota);
+  return duties_report (((gateway_t *)context)->duties);
 }
 
 typedef struct
@@ -374,17 +382,22 @@
   g_free (copy);
 }
 
+/* Copies what a peer has of a feed, at most once per interval.  */
 static void
-request_copy (gateway_t *gateway, gs_time_t now, const digest_t *digest,
-              feed_t *feed, const char *path)
+request_copy (gateway_t *gateway, gs_time_t now, const gs_endpoint_t *peer,
+              feed_t *feed, const char *path, gs_time_t *due)
 {
   gs_http_request_t request = GS_HTTP_REQUEST_INIT;
-  feed_copy_t *copy = g_new (feed_copy_t, 1);
-  char *url = g_strdup_printf (
-      "http://%s:%u%s?above=%llu", digest->self.peers.host,
-      digest->self.peers.port, path, (unsigned long long)feed_revision (feed));
+  feed_copy_t *copy;
+  char *url;
 
+  if (now < *due)
+    return;
+  *due = now + COPY_INTERVAL;
+  copy = g_new (feed_copy_t, 1);
   *copy = (feed_copy_t){ gateway, feed };
+  url = g_strdup_printf ("http://%s:%u%s?above=%llu", peer->host, peer->port,
+                         path, (unsigned long long)feed_revision (feed));
   request.url = url;
   request.deadline = now + COPY_TIMEOUT;
   request.on_done = on_copy_done;
@@ -395,35 +408,39 @@
   g_free (url);
 }
 
-/* Copies the configuration or the replicas from a peer that has a newer
-   revision.  This node may be behind because the store rejects its calls, its
-   watch has become silent, or it does not follow the store.  Replicas are not
-   copied while this node's own watch works, as it delivers the changes a
-   moment later.  */
+/* @return whether this node copies a feed although it may watch the store: it
+   does not watch it, the store rejects its calls, or the first list has not
+   come yet.  While its own watch works, that delivers the changes a moment
+   later.  */
+static bool
+needs_copies (const gateway_t *gateway, const feed_t *feed)
+{
+  return feed_store_lost_at (feed) != 0 || !gateway->follows_store
+         || feed_revision (feed) == 0;
+}
+
+/* Copies the configuration, the replicas or the nodes from a peer that has a
+   newer revision.  */
 static void
-on_digest (void *context, gs_time_t now, const digest_t *digest)
+on_peer_state (void *context, gs_time_t now, const gs_endpoint_t *endpoint,
+               const peers_state_t *state)
 {
   gateway_t *gateway = context;
+  feed_t *members = membership_feed (gateway->membership);
   uint64_t own_revision
       = gateway->table != NULL ? gs_route_table_revision (gateway->table) : 0;
 
-  if (digest->config_revision > own_revision
-      && now >= gateway->config_copy_due)
-    {
-      gateway->config_copy_due = now + COPY_INTERVAL;
-      request_copy (gateway, now, digest, gateway->config_feed,
-                    PEERS_CONFIG_PATH);
-    }
-  if ((feed_store_lost_at (gateway->replica_feed) != 0
-       || !gateway->follows_store
-       || feed_revision (gateway->replica_feed) == 0)
-      && digest->replicas_revision > feed_revision (gateway->replica_feed)
-      && now >= gateway->replica_copy_due)
-    {
-      gateway->replica_copy_due = now + COPY_INTERVAL;
-      request_copy (gateway, now, digest, gateway->replica_feed,
-                    PEERS_REPLICAS_PATH);
-    }
+  if (state->config_revision > own_revision)
+    request_copy (gateway, now, endpoint, gateway->config_feed,
+                  PEERS_CONFIG_PATH, &gateway->config_copy_due);
+  if (state->replicas_revision > feed_revision (gateway->replica_feed)
+      && needs_copies (gateway, gateway->replica_feed))
+    request_copy (gateway, now, endpoint, gateway->replica_feed,
+                  PEERS_REPLICAS_PATH, &gateway->replica_copy_due);
+  if (state->members_revision > feed_revision (members)
+      && needs_copies (gateway, members))
+    request_copy (gateway, now, endpoint, members, PEERS_MEMBERS_PATH,
+                  &gateway->member_copy_due);
 }
 
 typedef struct
@@ -578,7 +595,9 @@
                              ignore_feed_event, ignore_feed_event };
   feed_listener_t replicas = { gateway, on_replica, on_replicas_listed,
                                on_replica_feed_lost, on_replica_feed_back };
-  peers_listener_t peers_listener = { gateway, fill_digest, on_digest };
+  peers_listener_t peers_listener
+      = { gateway, get_state, get_report, on_peer_state };
+  peers_transport_t transport;
   duties_options_t duties = { &gateway->settings, &gateway->store,
                               &gateway->provider, NULL, gateway->incarnation };
 
@@ -591,8 +610,10 @@
                &config, seed);
   feed_create (&gateway->replica_feed, &gateway->store,
                GS_PLATFORM_KIND_REPLICAS, &replicas, seed + 1);
-  peers_create (&gateway->peers, gateway->loop, &gateway->self,
-                &gateway->settings, &peers_listener, seed + 2);
+  peers_http_init (&transport, gateway->loop);
+  peers_create (&gateway->peers, &gateway->self, gateway->settings.seeds,
+                gateway->settings.seed_count, &peers_listener, &transport,
+                seed + 2);
   membership_create (&gateway->membership, &gateway->store, gateway->peers,
                      &gateway->self, seed + 3);
   duties.peers = gateway->peers;
@@ -617,6 +638,8 @@
   gateway->self.callers = settings->caller_endpoint;
   gateway->self.peers = settings->peer_endpoint;
   g_strlcpy (gateway->self.name, settings->node, sizeof gateway->self.name);
+  g_strlcpy (gateway->self.data_centre, settings->data_centre,
+             sizeof gateway->self.data_centre);
   gs_loop_create (&gateway->loop);
   gs_loop_tick_set (gateway->loop, TICK_INTERVAL, on_tick, gateway);
   create_controllers (gateway);
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -1,7 +1,6 @@
 #include "gateway/membership.h"
 
 #include "garnetstack/log.h"
-#include "gateway/feed.h"
 
 #include <string.h>
 
@@ -44,7 +43,6 @@
   membership_t *membership = context;
   digest_member_t member = { .incarnation = 0 };
 
-  (void)now;
   if (strcmp (object->name, membership->self.name) == 0)
     return;
   if (object->removed)
@@ -55,7 +53,7 @@
               object->name, gs_error_last ());
       return;
     }
-  peers_listed_set (membership->peers, &member, !object->removed);
+  peers_listed_set (membership->peers, now, &member, !object->removed);
 }
 
 void
@@ -82,6 +80,12 @@
   g_free (membership);
 }
 
+feed_t *
+membership_feed (const membership_t *membership)
+{
+  return membership->feed;
+}
+
 static void
 on_written (void *argument, const gs_object_result_t *result)
 {
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -7,6 +7,7 @@
 #define GS_GATEWAY_MEMBERSHIP_H
 
 #include "garnetstack/object_store.h"
+#include "gateway/feed.h"
 #include "gateway/peers.h"
 
 /** Kind of the store's objects for the entries. */
@@ -30,6 +31,10 @@
     open. */
 void membership_destroy (membership_t *membership);
 
+/** @return the entries of all nodes, for copies between nodes; owned by
+    @p membership */
+feed_t *membership_feed (const membership_t *membership);
+
 /** Make the calls to the store that are due.  To be called often.
     @param follow whether this node watches the entries of other nodes; they
     are listed once in any case */
--- /dev/null
+++ b/src/gateway/peer_message.c
@@ -0,0 +1,168 @@
+#include "gateway/peer_message.h"
+
+#include "gateway/member_codec.h"
+#include "wire/shape.h"
+
+/* To be raised with each change of the encoding; a message of another format
+   is rejected.  */
+#define FORMAT_VERSION 1
+/* Nested arrays: the message, a list of rows, and a row.  */
+#define NESTING_MAX 3
+/* Elements of the message's array: those of the head and of the aggregate.  */
+#define HEAD_COUNT 10
+#define AGGREGATE_COUNT 6
+
+static const row_layout_t status_layout
+    = { sizeof (peer_status_t),
+        DIGEST_MEMBERS_MAX + 1,
+        2,
+        { ROW_COLUMN (ROW_NUMBER, peer_status_t, node),
+          ROW_COLUMN (ROW_NUMBER, peer_status_t, flags) } };
+static const row_layout_t load_layout
+    = { sizeof (placer_peer_load_t),
+        AGGREGATE_ROWS_MAX,
+        4,
+        { ROW_COLUMN (ROW_NUMBER, placer_peer_load_t, replica),
+          ROW_COLUMN (ROW_NUMBER, placer_peer_load_t, in_flight),
+          ROW_COLUMN (ROW_NUMBER, placer_peer_load_t, backlog_tokens),
+          ROW_COLUMN (ROW_NUMBER, placer_peer_load_t, reserved_tokens) } };
+static const row_layout_t quota_layout
+    = { sizeof (quota_row_t),
+        AGGREGATE_ROWS_MAX,
+        7,
+        { ROW_COLUMN (ROW_NUMBER, quota_row_t, account),
+          ROW_COLUMN (ROW_NUMBER, quota_row_t, nodes),
+          ROW_COLUMN (ROW_NUMBER, quota_row_t, used),
+          ROW_COLUMN (ROW_NUMBER, quota_row_t, predecessor_used),
+          ROW_COLUMN (ROW_NUMBER, quota_row_t, held),
+          ROW_COLUMN (ROW_NUMBER, quota_row_t, restarted_nodes),
+          ROW_COLUMN (ROW_NUMBER, quota_row_t, restarted_used) } };
+static const row_layout_t demand_layout
+    = { sizeof (traffic_demand_t),
+        AGGREGATE_ROWS_MAX,
+        6,
+        { ROW_COLUMN (ROW_TEXT, traffic_demand_t, service),
+          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, requests),
+          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, rejected),
+          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, uncached_tokens),
+          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, in_flight),
+          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, queued) } };
+static const row_layout_t usage_layout
+    = { sizeof (traffic_usage_t),
+        AGGREGATE_ROWS_MAX,
+        3,
+        { ROW_COLUMN (ROW_TEXT, traffic_usage_t, account),
+          ROW_COLUMN (ROW_NUMBER, traffic_usage_t, window),
+          ROW_COLUMN (ROW_NUMBER, traffic_usage_t, requests) } };
+
+void
+peer_message_init (peer_message_t *message)
+{
+  *message = (peer_message_t){ .statuses = g_array_new (
+                                   FALSE, TRUE, sizeof (peer_status_t)) };
+  aggregate_init (&message->aggregate);
+}
+
+void
+peer_message_clear (peer_message_t *message)
+{
+  if (message->statuses != NULL)
+    g_array_unref (message->statuses);
+  message->statuses = NULL;
+  aggregate_clear (&message->aggregate);
+}
+
+static GByteArray *
+take_bytes (msgpack_sbuffer *buffer)
+{
+  GByteArray *bytes = g_byte_array_sized_new ((guint)buffer->size);
+
+  g_byte_array_append (bytes, (const guint8 *)buffer->data,
+                       (guint)buffer->size);
+  msgpack_sbuffer_destroy (buffer);
+  return bytes;
+}
+
+GByteArray *
+peer_message_encode_aggregate (const aggregate_t *aggregate, bool with_usage)
+{
+  static const GArray none = { NULL, 0 };
+  msgpack_sbuffer buffer;
+  msgpack_packer out;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&out, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_unsigned_int (&out, aggregate->nodes);
+  row_codec_pack (&out, &load_layout, aggregate->loads);
+  row_codec_pack (&out, &quota_layout, aggregate->quota);
+  msgpack_pack_int (&out, with_usage);
+  row_codec_pack (&out, &demand_layout, aggregate->demand);
+  row_codec_pack (&out, &usage_layout, with_usage ? aggregate->usage : &none);
+  return take_bytes (&buffer);
+}
+
+GByteArray *
+peer_message_encode (const peer_message_t *message,
+                     const GByteArray *aggregate)
+{
+  GByteArray *bytes;
+  msgpack_sbuffer buffer;
+  msgpack_packer out;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&out, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&out, HEAD_COUNT + AGGREGATE_COUNT);
+  msgpack_pack_int (&out, FORMAT_VERSION);
+  member_pack (&out, &message->self, true);
+  msgpack_pack_uint32 (&out, message->flags);
+  msgpack_pack_uint64 (&out, message->config_revision);
+  msgpack_pack_uint64 (&out, message->replicas_revision);
+  msgpack_pack_uint64 (&out, message->members_revision);
+  msgpack_pack_uint64 (&out, message->sequence);
+  msgpack_pack_uint64 (&out, message->status_version);
+  msgpack_pack_int (&out, message->has_statuses);
+  row_codec_pack (&out, &status_layout, message->statuses);
+  bytes = take_bytes (&buffer);
+  g_byte_array_append (bytes, aggregate->data, aggregate->len);
+  return bytes;
+}
+
+gs_status_t
+peer_message_decode (peer_message_t *out, const char *data, size_t length)
+{
+  aggregate_t *aggregate = &out->aggregate;
+  msgpack_unpacked unpacked;
+  bool invalid = false;
+  row_reader_t reader = { NULL, 0, &invalid };
+
+  msgpack_unpacked_init (&unpacked);
+  if (gs_shape_is_bounded (data, length, NESTING_MAX)
+      && msgpack_unpack_next (&unpacked, data, length, NULL)
+             == MSGPACK_UNPACK_SUCCESS
+      && unpacked.data.type == MSGPACK_OBJECT_ARRAY)
+    reader.array = &unpacked.data.via.array;
+  if (row_reader_number (&reader) != FORMAT_VERSION)
+    invalid = true;
+  if (!invalid)
+    {
+      member_read (&reader, &out->self, true);
+      out->flags = (uint32_t)row_reader_number (&reader);
+      out->config_revision = row_reader_number (&reader);
+      out->replicas_revision = row_reader_number (&reader);
+      out->members_revision = row_reader_number (&reader);
+      out->sequence = row_reader_number (&reader);
+      out->status_version = row_reader_number (&reader);
+      out->has_statuses = row_reader_number (&reader) != 0;
+      row_reader_rows (&reader, &status_layout, out->statuses);
+      aggregate->nodes = (unsigned)row_reader_number (&reader);
+      row_reader_rows (&reader, &load_layout, aggregate->loads);
+      row_reader_rows (&reader, &quota_layout, aggregate->quota);
+      out->has_usage = row_reader_number (&reader) != 0;
+      row_reader_rows (&reader, &demand_layout, aggregate->demand);
+      row_reader_rows (&reader, &usage_layout, aggregate->usage);
+    }
+  msgpack_unpacked_destroy (&unpacked);
+  if (invalid)
+    return gs_error_set (GS_EINVAL, "malformed message from a peer");
+  return GS_OK;
+}
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -1,83 +1,60 @@
-#include "gateway/peers.h"
+#include "peers_private.h"
 
 #include "garnetstack/log.h"
-#include "garnetstack/rng.h"
 
+#include <limits.h>
 #include <string.h>
 #include <xxhash.h>
 
-/* Within a region a response takes a few milliseconds, and some tens of
-   milliseconds from a node that is slowed down.  */
-#define CALL_TIMEOUT (500 * GS_MSEC)
-#define CONNECT_TIMEOUT (300 * GS_MSEC)
-/* A peer's report of quota usage is fresh for this many exchange intervals, in
-   which a pair of nodes exchanges digests twice.  */
-#define QUOTA_FRESH_INTERVALS 2
-/* Allowed time to transfer a digest and to hand it over between the two
-   threads at each end, which process messages every 10 ms.  The part of this
-   time that they do not need covers slower nodes.  */
-#define DIGEST_DELAY_MAX (100 * GS_MSEC)
 /* A node that does not respond is called less often.  */
 #define SILENT_PEER_INTERVAL GS_SEC
-/* A node that is not listed in the store is removed when it has neither sent a
-   digest nor been mentioned in one for this long.  */
+/* Unreachable nodes that might be aggregators are called one after another at
+   this interval, however many they are.  */
+#define PROBE_INTERVAL (250 * GS_MSEC)
+/* A node that is not listed in the store is removed when nothing has been
+   heard of it for this long.  */
 #define PEER_TTL (10 * GS_SEC)
+/* Reports carry usage counts at this interval; windows last seconds.  */
+#define USAGE_INTERVAL GS_SEC
+/* Interval at which roles and expired peers are reviewed.  */
+#define REVIEW_INTERVAL (100 * GS_MSEC)
+/* Data centres that aggregators exchange summaries with.  */
+#define DATA_CENTRES_MAX 64
 
-typedef struct
-{
-  digest_t digest;
-  gs_time_t received_at;
-} peer_process_t;
-
-typedef struct
+uint64_t
+peers_hash (const char *name)
 {
-  digest_member_t member;
-  bool listed;                 /* in the store */
-  gs_time_t last_mentioned_at; /* by the digest of another node */
-  gs_time_t last_digest_at;    /* when its last digest came; 0 for never */
-  gs_time_t next_call_at;
-  bool call_pending;
-  bool silent; /* no digest has come yet, or its silence was logged */
-} peer_t;
-
-struct peers
-{
-  gs_loop_t *loop;
-  digest_member_t self;
-  peers_listener_t listener;
-  GHashTable *by_name;   /* name -> peer_t */
-  GHashTable *processes; /* incarnation -> peer_process_t */
-  gs_endpoint_t seeds[GS_SEEDS_MAX];
-  unsigned seed_count;
-  gs_time_t seeds_due;
-  gs_rng_t rng;
-};
-
-static void
-process_free (gpointer data)
-{
-  peer_process_t *process = data;
-
-  digest_clear (&process->digest);
-  g_free (process);
+  return name[0] != '\0' ? XXH3_64bits (name, strlen (name)) : 0;
 }
 
 void
-peers_create (peers_t **out, gs_loop_t *loop, const digest_member_t *self,
-              const gs_deployment_t *settings,
-              const peers_listener_t *listener, uint64_t seed)
+peers_create (peers_t **out, const digest_member_t *self,
+              const gs_endpoint_t *seeds, unsigned seed_count,
+              const peers_listener_t *listener,
+              const peers_transport_t *transport, uint64_t seed)
 {
   peers_t *peers = g_new0 (peers_t, 1);
 
-  peers->loop = loop;
   peers->self = *self;
+  peers->node = peers_hash (self->name);
+  peers->data_centre = peers_hash (self->data_centre);
   peers->listener = *listener;
+  peers->transport = *transport;
   peers->by_name
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   peers->processes = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
-                                            process_free);
-  memcpy (peers->seeds, settings->seeds, sizeof peers->seeds);
-  peers->seed_count = settings->seed_count;
+                                            peer_process_free);
+  peers->summaries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                            peer_summary_free);
+  peers->told
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  peers->fleet_view.included
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  peers->fleet_view.statuses
+      = g_array_new (FALSE, TRUE, sizeof (peer_status_t));
+  peer_message_init (&peers->view);
+  peers->seed_count = MIN (seed_count, GS_SEEDS_MAX);
+  memcpy (peers->seeds, seeds, peers->seed_count * sizeof *seeds);
   gs_rng_seed (&peers->rng, seed);
   *out = peers;
 }
@@ -87,26 +64,45 @@
 {
   if (peers == NULL)
     return;
+  for (unsigned i = 0; i < PEERS_SENT_REPORTS; i++)
+    aggregate_clear (&peers->sent[i].aggregate);
+  peer_message_clear (&peers->view);
+  if (peers->fleet_view.bytes != NULL)
+    g_byte_array_unref (peers->fleet_view.bytes);
+  g_array_unref (peers->fleet_view.statuses);
+  g_hash_table_unref (peers->fleet_view.included);
+  g_hash_table_unref (peers->told);
+  g_hash_table_unref (peers->summaries);
   g_hash_table_unref (peers->processes);
   g_hash_table_unref (peers->by_name);
   g_free (peers);
 }
 
-static gs_time_t
-exchange_interval (const peers_t *peers)
+gs_time_t
+peers_call_interval (const peers_t *peers, peer_call_t call)
 {
   unsigned nodes = g_hash_table_size (peers->by_name) + 1;
 
-  return nodes <= PEERS_SMALL_FLEET_MAX
+  return call != CALL_DIGEST || nodes <= PEERS_SMALL_FLEET_MAX
              ? PEERS_EXCHANGE_INTERVAL
              : PEERS_EXCHANGE_INTERVAL * nodes / PEERS_SMALL_FLEET_MAX;
 }
 
 gs_time_t
-peers_silence_timeout (const peers_t *peers)
+peers_silence_timeout (const peers_t *peers, peer_call_t call)
 {
   return (gs_time_t)(PEERS_MISSED_EXCHANGES_MAX
-                     * (double)exchange_interval (peers));
+                     * (double)peers_call_interval (peers, call));
+}
+
+bool
+peers_is_heard (const peers_t *peers, const peer_t *peer, gs_time_t now)
+{
+  return peer->last_heard_at != 0
+         && now <= peer->last_heard_at
+                       + peers_silence_timeout (peers, peer->data_centre != 0
+                                                           ? CALL_REPORT
+                                                           : CALL_DIGEST);
 }
 
 static bool
@@ -115,6 +111,19 @@
   return strcmp (peers->self.name, name) == 0;
 }
 
+/* Digests carry no data centre, so that one which is known stays.  */
+static void
+peer_set_member (peer_t *peer, const digest_member_t *member)
+{
+  digest_member_t updated = *member;
+
+  if (updated.data_centre[0] == '\0')
+    memcpy (updated.data_centre, peer->member.data_centre,
+            sizeof updated.data_centre);
+  peer->member = updated;
+  peer->data_centre = peers_hash (updated.data_centre);
+}
+
 static peer_t *
 peer_ensure (peers_t *peers, const digest_member_t *member)
 {
@@ -124,14 +133,16 @@
       || g_hash_table_size (peers->by_name) >= DIGEST_MEMBERS_MAX)
     return peer;
   peer = g_new0 (peer_t, 1);
-  peer->member = *member;
+  peer->node = peers_hash (member->name);
   peer->silent = true;
+  peer_set_member (peer, member);
   g_hash_table_insert (peers->by_name, peer->member.name, peer);
   return peer;
 }
 
 void
-peers_listed_set (peers_t *peers, const digest_member_t *member, bool listed)
+peers_listed_set (peers_t *peers, gs_time_t now, const digest_member_t *member,
+                  bool listed)
 {
   peer_t *peer = listed ? peer_ensure (peers, member)
                         : g_hash_table_lookup (peers->by_name, member->name);
@@ -140,10 +151,41 @@
     return;
   peer->listed = listed;
   /* A restarted node may have the same name and another address.  */
-  if (listed && peer->member.incarnation != member->incarnation
-      && gs_clock_now ()
-             > peer->last_digest_at + peers_silence_timeout (peers))
-    peer->member = *member;
+  if (listed
+      && (peer->data_centre == 0
+          || (peer->member.incarnation != member->incarnation
+              && !peers_is_heard (peers, peer, now))))
+    {
+      peer_set_member (peer, member);
+      peer->unreachable = false;
+    }
+}
+
+static void
+digest_fill (const peers_t *peers, digest_t *out)
+{
+  const traffic_report_t *report
+      = peers->listener.get_report (peers->listener.context);
+  peers_state_t state;
+
+  peers->listener.get_state (peers->listener.context, &state);
+  out->self = peers->self;
+  out->ready = (state.flags & PEER_READY) != 0;
+  out->leaving = (state.flags & PEER_LEAVING) != 0;
+  out->follows_store = (state.flags & PEER_FOLLOWS_STORE) != 0;
+  out->store_lost = state.store_lost;
+  out->config_revision = state.config_revision;
+  out->replicas_revision = state.replicas_revision;
+  if (report == NULL)
+    return;
+  g_array_append_vals (out->report->loads, report->loads->data,
+                       report->loads->len);
+  g_array_append_vals (out->report->usage, report->usage->data,
+                       report->usage->len);
+  g_array_append_vals (out->report->demand, report->demand->data,
+                       report->demand->len);
+  g_array_append_vals (out->report->quota, report->quota->data,
+                       report->quota->len);
 }
 
 static GByteArray *
@@ -155,8 +197,7 @@
   GByteArray *bytes;
 
   digest_init (&digest);
-  digest.self = peers->self;
-  peers->listener.fill (peers->listener.context, &digest);
+  digest_fill (peers, &digest);
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((peer_t *)value)->listed)
@@ -166,150 +207,281 @@
   return bytes;
 }
 
-/* Keeps the last digest of each process, also after another process has
-   replaced it on its node, because usage reports still need its counts.  */
-static void
-store_digest (peers_t *peers, gs_time_t now, digest_t *digest)
-{
-  peer_process_t *process
-      = g_hash_table_lookup (peers->processes, &digest->self.incarnation);
-
-  if (process == NULL)
-    {
-      process = g_new0 (peer_process_t, 1);
-      process->digest = *digest;
-      g_hash_table_insert (peers->processes, &process->digest.self.incarnation,
-                           process);
-    }
-  else
-    {
-      digest_clear (&process->digest);
-      process->digest = *digest;
-    }
-  process->received_at = now;
-}
-
-static gs_status_t
-accept_digest (peers_t *peers, gs_time_t now, const char *data, size_t length)
+/* Records that a message of a peer itself has come.
+   @return the peer; NULL if the message is rejected  */
+static peer_t *
+record_heard (peers_t *peers, gs_time_t now, const digest_member_t *member,
+              uint32_t flags)
 {
-  digest_t digest;
   peer_t *peer;
-  gs_status_t status;
 
-  digest_init (&digest);
-  status = digest_decode (&digest, data, length);
-  if (status == GS_OK && is_self (peers, digest.self.name))
-    status = gs_error_set (GS_EINVAL,
-                           "digest was sent under this node's own name");
-  if (status != GS_OK)
+  if (is_self (peers, member->name))
     {
-      digest_clear (&digest);
-      return status;
+      gs_error_set (GS_EINVAL, "message was sent under this node's own name");
+      return NULL;
     }
-  peer = peer_ensure (peers, &digest.self);
+  peer = peer_ensure (peers, member);
   if (peer == NULL)
     {
-      digest_clear (&digest);
-      return gs_error_set (GS_ELIMIT, "too many nodes in the fleet");
+      gs_error_set (GS_ELIMIT, "too many nodes in the fleet");
+      return NULL;
     }
   if (peer->silent)
     gs_log (GS_LOG_INFO, "peer_heard", "peer=%s incarnation=%llx away_ms=%lld",
-            digest.self.name, (unsigned long long)digest.self.incarnation,
-            peer->last_digest_at == 0
+            member->name, (unsigned long long)member->incarnation,
+            peer->last_heard_at == 0
                 ? -1LL
-                : (long long)((now - peer->last_digest_at) / GS_MSEC));
+                : (long long)((now - peer->last_heard_at) / GS_MSEC));
   peer->silent = false;
-  peer->member = digest.self;
-  peer->last_digest_at = now;
+  peer->unreachable = false;
+  peer_set_member (peer, member);
+  peer->flags = flags;
+  peer->last_heard_at = now;
+  return peer;
+}
+
+/* One exchange serves both nodes, so the next call to the peer is put off.  */
+static void
+schedule_call (peers_t *peers, gs_time_t now, peer_t *peer)
+{
+  gs_time_t interval = peers_call_interval (peers, peer->call);
+
   peer->next_call_at
-      = now + exchange_interval (peers)
-        + (gs_time_t)gs_rng_below (&peers->rng,
-                                   (uint64_t)exchange_interval (peers) / 3);
-  for (guint i = 0; i < digest.members->len; i++)
+      = now + interval
+        + (gs_time_t)gs_rng_below (&peers->rng, (uint64_t)interval / 3);
+}
+
+static void
+notify_listener (const peers_t *peers, gs_time_t now,
+                 const gs_endpoint_t *endpoint, const peers_state_t *state)
+{
+  peers->listener.on_peer_state (peers->listener.context, now, endpoint,
+                                 state);
+}
+
+static void
+digest_apply (peers_t *peers, gs_time_t now, peer_t *peer,
+              const digest_t *digest)
+{
+  peers_state_t state = { .flags = peer->flags,
+                          .store_lost = digest->store_lost,
+                          .config_revision = digest->config_revision,
+                          .replicas_revision = digest->replicas_revision };
+  aggregate_t aggregate;
+
+  schedule_call (peers, now, peer);
+  for (guint i = 0; i < digest->members->len; i++)
     {
       peer_t *mentioned = peer_ensure (
-          peers, &g_array_index (digest.members, digest_member_t, i));
+          peers, &g_array_index (digest->members, digest_member_t, i));
 
       if (mentioned != NULL)
         mentioned->last_mentioned_at = now;
     }
-  peers->listener.on_digest (peers->listener.context, now, &digest);
-  store_digest (peers, now, &digest);
-  return GS_OK;
+  notify_listener (peers, now, &digest->self.peers, &state);
+  aggregate_init (&aggregate);
+  aggregate_add_report (&aggregate, digest->report, true);
+  peers_report_store (peers, now, &digest->self, 0, &aggregate, true);
 }
 
-GByteArray *
-peers_digest_receive (peers_t *peers, gs_time_t now, const char *data,
-                      size_t length)
+static gs_status_t
+accept_digest (peers_t *peers, gs_time_t now, const char *data, size_t length)
 {
-  if (accept_digest (peers, now, data, length) != GS_OK)
+  digest_t digest;
+  gs_status_t status;
+  peer_t *peer = NULL;
+
+  digest_init (&digest);
+  status = digest_decode (&digest, data, length);
+  if (status == GS_OK)
     {
-      gs_log (GS_LOG_WARN, "digest_refused", "reason=\"%s\"",
-              gs_error_last ());
+      peer = record_heard (peers, now, &digest.self,
+                           (digest.ready ? PEER_READY : 0)
+                               | (digest.leaving ? PEER_LEAVING : 0)
+                               | (digest.follows_store && !digest.store_lost
+                                      ? PEER_FOLLOWS_STORE
+                                      : 0));
+      if (peer != NULL)
+        digest_apply (peers, now, peer, &digest);
+    }
+  digest_clear (&digest);
+  return peer != NULL ? GS_OK : GS_EINVAL;
+}
+
+/* @param out receives the message on success; to be cleared by the caller
+   @return the sender; NULL if the message was rejected  */
+static peer_t *
+accept_message (peers_t *peers, gs_time_t now, const char *data, size_t length,
+                peer_message_t *out)
+{
+  peer_t *peer = NULL;
+  peers_state_t state;
+
+  peer_message_init (out);
+  if (peer_message_decode (out, data, length) == GS_OK)
+    peer = record_heard (peers, now, &out->self, out->flags);
+  if (peer == NULL)
+    {
+      peer_message_clear (out);
       return NULL;
     }
-  return encode_own_digest (peers);
+  state = (peers_state_t){ .flags = out->flags,
+                           .config_revision = out->config_revision,
+                           .replicas_revision = out->replicas_revision,
+                           .members_revision = out->members_revision };
+  notify_listener (peers, now, &out->self.peers, &state);
+  return peer;
+}
+
+static GByteArray *
+receive_report (peers_t *peers, gs_time_t now, const char *data, size_t length)
+{
+  peer_message_t message;
+  GByteArray *bytes;
+
+  if (accept_message (peers, now, data, length, &message) == NULL)
+    return NULL;
+  peers_report_store (peers, now, &message.self, message.sequence,
+                      &message.aggregate, message.has_usage);
+  message.aggregate = (aggregate_t){ .nodes = 0 };
+  bytes = peers_view_encode (peers, now, &message);
+  peer_message_clear (&message);
+  return bytes;
+}
+
+static GByteArray *
+receive_summary (peers_t *peers, gs_time_t now, const char *data,
+                 size_t length)
+{
+  peer_message_t message;
+  peer_t *peer = accept_message (peers, now, data, length, &message);
+
+  if (peer == NULL)
+    return NULL;
+  if (peer->call == CALL_SUMMARY)
+    schedule_call (peers, now, peer);
+  peers_summary_store (peers, now, &message);
+  return peers_summary_encode (peers, now);
+}
+
+GByteArray *
+peers_message_receive (peers_t *peers, gs_time_t now, const char *path,
+                       const char *data, size_t length)
+{
+  GByteArray *bytes = NULL;
+
+  if (strcmp (path, PEERS_REPORT_PATH) == 0)
+    bytes = receive_report (peers, now, data, length);
+  else if (strcmp (path, PEERS_SUMMARY_PATH) == 0)
+    bytes = receive_summary (peers, now, data, length);
+  else if (accept_digest (peers, now, data, length) == GS_OK)
+    bytes = encode_own_digest (peers);
+  if (bytes == NULL)
+    gs_log (GS_LOG_WARN, "digest_refused", "reason=\"%s\"", gs_error_last ());
+  return bytes;
 }
 
 typedef struct
 {
   peers_t *peers;
   char name[GS_NAME_BYTES]; /* of the node; "" for a seed address */
-} digest_call_t;
+  peer_call_t call;
+  gs_time_t started_at;
+} peer_call_context_t;
+
+static bool
+accept_reply (peers_t *peers, gs_time_t now, peer_call_t call,
+              const peers_reply_t *reply)
+{
+  peer_message_t message;
+
+  if (call == CALL_DIGEST)
+    return accept_digest (peers, now, reply->body, reply->length) == GS_OK;
+  if (accept_message (peers, now, reply->body, reply->length, &message)
+      == NULL)
+    return false;
+  if (call == CALL_SUMMARY)
+    peers_summary_store (peers, now, &message);
+  else
+    peers_view_store (peers, now, &message);
+  return true;
+}
 
 static void
-on_call_done (void *context, const gs_http_result_t *result)
+on_reply (void *context, gs_time_t now, const peers_reply_t *reply)
 {
-  digest_call_t *call = context;
+  peer_call_context_t *call = context;
   peers_t *peers = call->peers;
   peer_t *peer = g_hash_table_lookup (peers->by_name, call->name);
-  gs_time_t now = gs_clock_now ();
-  bool succeeded = result->status == GS_OK && result->http_status == 200;
+  bool accepted = false;
 
+  if (reply->http_status == 200)
+    {
+      accepted = accept_reply (peers, now, call->call, reply);
+      if (!accepted)
+        gs_log (GS_LOG_WARN, "digest_refused", "reason=\"%s\"",
+                gs_error_last ());
+    }
+  else if (reply->http_status != 0)
+    gs_log (GS_LOG_WARN, "digest_not_taken", "peer=%s http=%ld", call->name,
+            reply->http_status);
   if (peer != NULL)
     {
       peer->call_pending = false;
+      peer->unreachable |= !accepted && peer->last_heard_at < call->started_at;
       peer->next_call_at
-          = now
-            + (now > peer->last_digest_at + peers_silence_timeout (peers)
-                   ? MAX (SILENT_PEER_INTERVAL, exchange_interval (peers))
-                   : exchange_interval (peers));
+          = MAX (call->started_at, now - PEERS_EXCHANGE_INTERVAL)
+            + (peers_is_heard (peers, peer, now)
+                   ? peers_call_interval (peers, call->call)
+                   : MAX (SILENT_PEER_INTERVAL,
+                          peers_call_interval (peers, call->call)));
+      if (call->call == CALL_DIGEST && accepted)
+        schedule_call (peers, now, peer);
     }
-  if (succeeded
-      && accept_digest (peers, now, result->body, result->body_length)
-             != GS_OK)
-    gs_log (GS_LOG_WARN, "digest_refused", "reason=\"%s\"", gs_error_last ());
-  else if (result->status == GS_OK && !succeeded)
-    gs_log (GS_LOG_WARN, "digest_not_taken", "peer=%s http=%ld", call->name,
-            result->http_status);
   g_free (call);
 }
 
 static void
 call_endpoint (peers_t *peers, gs_time_t now, const gs_endpoint_t *endpoint,
-               const char *name)
-{
-  gs_http_request_t request = GS_HTTP_REQUEST_INIT;
-  GByteArray *body = encode_own_digest (peers);
-  digest_call_t *call = g_new0 (digest_call_t, 1);
-  char *url = g_strdup_printf ("http://%s:%u" PEERS_DIGEST_PATH,
-                               endpoint->host, endpoint->port);
-
-  call->peers = peers;
-  g_strlcpy (call->name, name, sizeof call->name);
-  request.method = "POST";
-  request.url = url;
-  request.body = (const char *)body->data;
-  request.body_length = body->len;
-  request.deadline = now + CALL_TIMEOUT;
-  request.connect_deadline = now + CONNECT_TIMEOUT;
-  request.tcp_keepalive = true;
-  request.on_done = on_call_done;
-  request.context = call;
-  request.context_free = g_free;
-  gs_loop_http (NULL, peers->loop, &request);
+               const char *name, peer_call_t call, bool with_usage)
+{
+  peer_call_context_t *context = g_new0 (peer_call_context_t, 1);
+  const char *path = PEERS_DIGEST_PATH;
+  GByteArray *body;
+
+  context->peers = peers;
+  context->call = call;
+  context->started_at = now;
+  g_strlcpy (context->name, name, sizeof context->name);
+  switch (call)
+    {
+    case CALL_REPORT:
+      path = PEERS_REPORT_PATH;
+      body = peers_report_encode (peers, now, with_usage);
+      break;
+    case CALL_SUMMARY:
+      path = PEERS_SUMMARY_PATH;
+      body = peers_summary_encode (peers, now);
+      break;
+    default:
+      body = encode_own_digest (peers);
+      break;
+    }
+  peers->transport.post (peers->transport.context, now, endpoint, path, body,
+                         on_reply, context);
   g_byte_array_unref (body);
-  g_free (url);
+}
+
+static void
+call_peer (peers_t *peers, gs_time_t now, peer_t *peer, peer_call_t call)
+{
+  bool with_usage = now >= peer->usage_due;
+
+  if (with_usage)
+    peer->usage_due = now + USAGE_INTERVAL;
+  peer->call_pending = true;
+  call_endpoint (peers, now, &peer->member.peers, peer->member.name, call,
+                 with_usage);
 }
 
 static bool
@@ -339,19 +511,229 @@
   peers->seeds_due = now + SILENT_PEER_INTERVAL;
   for (unsigned i = 0; i < peers->seed_count; i++)
     if (!is_known_endpoint (peers, &peers->seeds[i]))
-      call_endpoint (peers, now, &peers->seeds[i], "");
+      call_endpoint (peers, now, &peers->seeds[i], "", CALL_DIGEST, true);
+}
+
+/* The first nodes of a data centre that may be its aggregators.  */
+typedef struct
+{
+  uint64_t data_centre;
+  unsigned count;
+  uint64_t nodes[PEERS_AGGREGATORS];
+  peer_t *peers[PEERS_AGGREGATORS]; /* NULL for this node */
+} aggregators_t;
+
+static void
+aggregators_insert (aggregators_t *row, uint64_t node, peer_t *peer)
+{
+  unsigned place = row->count;
+
+  while (place > 0 && row->nodes[place - 1] > node)
+    place--;
+  if (place >= PEERS_AGGREGATORS)
+    return;
+  for (unsigned i = MIN (row->count, PEERS_AGGREGATORS - 1); i > place; i--)
+    {
+      row->nodes[i] = row->nodes[i - 1];
+      row->peers[i] = row->peers[i - 1];
+    }
+  row->nodes[place] = node;
+  row->peers[place] = peer;
+  row->count = MIN (row->count + 1, PEERS_AGGREGATORS);
+}
+
+static aggregators_t *
+aggregators_find (aggregators_t *rows, unsigned *count, uint64_t data_centre)
+{
+  for (unsigned i = 0; i < *count; i++)
+    if (rows[i].data_centre == data_centre)
+      return &rows[i];
+  if (*count == DATA_CENTRES_MAX)
+    return NULL;
+  rows[*count] = (aggregators_t){ .data_centre = data_centre };
+  return &rows[(*count)++];
+}
+
+/* A node that was never called counts as reachable.  */
+static bool
+may_aggregate (const peers_t *peers, const peer_t *peer, gs_time_t now)
+{
+  uint32_t flags;
+  bool live = peers_is_live (peers, peer, now, &flags);
+
+  return !peer->unreachable && (live || peer->listed)
+         && !(live && (flags & PEER_LEAVING) != 0);
+}
+
+static unsigned
+find_aggregators (const peers_t *peers, gs_time_t now, aggregators_t *rows)
+{
+  unsigned count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  aggregators_insert (aggregators_find (rows, &count, peers->data_centre),
+                      peers->node, NULL);
+  g_hash_table_iter_init (&iter, peers->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      peer_t *peer = value;
+      aggregators_t *row
+          = peer->data_centre != 0
+                ? aggregators_find (rows, &count, peer->data_centre)
+                : NULL;
+
+      if (row != NULL && may_aggregate (peers, peer, now))
+        aggregators_insert (row, peer->node, peer);
+    }
+  return count;
+}
+
+static void
+set_role (peers_t *peers, peers_role_t role)
+{
+  static const char *const names[] = { "mesh", "leaf", "aggregator" };
+
+  if (role == peers->role)
+    return;
+  gs_log (GS_LOG_INFO, "peer_role", "role=%s before=%s nodes=%u", names[role],
+          names[peers->role], g_hash_table_size (peers->by_name) + 1);
+  peers->role = role;
+}
+
+static void
+set_call (peers_t *peers, gs_time_t now, peer_t *peer, peer_call_t call)
+{
+  if (call == peer->call)
+    return;
+  peer->call = call;
+  if (call != CALL_NONE)
+    peer->next_call_at
+        = now
+          + (gs_time_t)gs_rng_below (
+              &peers->rng, (uint64_t)peers_call_interval (peers, call) / 3);
+}
+
+static bool
+is_in (const aggregators_t *row, const peer_t *peer)
+{
+  for (unsigned i = 0; i < row->count; i++)
+    if (row->peers[i] == peer)
+      return true;
+  return false;
+}
+
+/* Decides the role of this node and which calls it makes.  */
+static void
+assign_calls (peers_t *peers, gs_time_t now)
+{
+  aggregators_t rows[DATA_CENTRES_MAX];
+  unsigned count = 0;
+  bool large = g_hash_table_size (peers->by_name) + 1 > PEERS_SMALL_FLEET_MAX
+               && peers->data_centre != 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (large)
+    {
+      count = find_aggregators (peers, now, rows);
+      set_role (peers, is_in (&rows[0], NULL) ? PEERS_ROLE_AGGREGATOR
+                                              : PEERS_ROLE_LEAF);
+    }
+  else
+    set_role (peers, PEERS_ROLE_MESH);
+  g_hash_table_iter_init (&iter, peers->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      peer_t *peer = value;
+      const aggregators_t *row
+          = large && peer->data_centre != 0
+                ? aggregators_find (rows, &count, peer->data_centre)
+                : NULL;
+
+      if (!large || peer->data_centre == 0)
+        set_call (peers, now, peer, CALL_DIGEST);
+      else if (row == NULL || !is_in (row, peer))
+        set_call (peers, now, peer, CALL_NONE);
+      else if (peer->data_centre == peers->data_centre)
+        set_call (peers, now, peer, CALL_REPORT);
+      else
+        set_call (peers, now, peer,
+                  peers->role == PEERS_ROLE_AGGREGATOR ? CALL_SUMMARY
+                                                       : CALL_NONE);
+    }
+}
+
+/* Calls the unreachable node that was called longest ago, if this node would
+   call it were it reachable.  */
+static void
+probe_unreachable (peers_t *peers, gs_time_t now)
+{
+  peer_t *next = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (peers->role == PEERS_ROLE_MESH || now < peers->probe_due)
+    return;
+  peers->probe_due = now + PROBE_INTERVAL;
+  g_hash_table_iter_init (&iter, peers->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      peer_t *peer = value;
+
+      if (peer->unreachable && !peer->call_pending && peer->data_centre != 0
+          && (peer->data_centre == peers->data_centre
+              || peers->role == PEERS_ROLE_AGGREGATOR)
+          && now >= peer->next_call_at
+          && (next == NULL || peer->next_call_at < next->next_call_at))
+        next = peer;
+    }
+  if (next == NULL)
+    return;
+  call_peer (peers, now, next,
+             next->data_centre == peers->data_centre ? CALL_REPORT
+                                                     : CALL_SUMMARY);
 }
 
 static void
 log_silence (const peers_t *peers, peer_t *peer, gs_time_t now)
 {
-  if (peer->silent
-      || now <= peer->last_digest_at + peers_silence_timeout (peers))
+  uint32_t flags;
+
+  if (peer->silent || peers_is_live (peers, peer, now, &flags))
     return;
   peer->silent = true;
   gs_log (GS_LOG_WARN, "peer_silent", "peer=%s silent_ms=%lld",
           peer->member.name,
-          (long long)((now - peer->last_digest_at) / GS_MSEC));
+          (long long)((now - peer->last_heard_at) / GS_MSEC));
+}
+
+static gs_time_t
+last_known_at (const peers_t *peers, const peer_t *peer, gs_time_t now)
+{
+  uint32_t flags;
+
+  return peers_is_live (peers, peer, now, &flags)
+             ? now
+             : MAX (peer->last_heard_at, peer->last_mentioned_at);
+}
+
+static void
+drop_expired (peers_t *peers, gs_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      peer_t *peer = value;
+
+      log_silence (peers, peer, now);
+      if (!peer->listed && !peer->call_pending
+          && now > last_known_at (peers, peer, now) + PEER_TTL)
+        g_hash_table_iter_remove (&iter);
+    }
 }
 
 void
@@ -361,28 +743,24 @@
   gpointer value;
 
   call_seeds (peers, now);
+  if (now >= peers->review_due)
+    {
+      peers->review_due = now + REVIEW_INTERVAL;
+      peers_fleet_tick (peers, now);
+      assign_calls (peers, now);
+      probe_unreachable (peers, now);
+      drop_expired (peers, now);
+    }
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       peer_t *peer = value;
 
-      log_silence (peers, peer, now);
-      if (!peer->listed && !peer->call_pending
-          && now > MAX (peer->last_digest_at, peer->last_mentioned_at)
-                       + PEER_TTL)
-        {
-          g_hash_table_iter_remove (&iter);
-          continue;
-        }
-      if (peer->call_pending || now < peer->next_call_at)
+      if (peer->call == CALL_NONE || peer->call_pending
+          || now < peer->next_call_at)
         continue;
-      peer->call_pending = true;
-      call_endpoint (peers, now, &peer->member.peers, peer->member.name);
+      call_peer (peers, now, peer, peer->call);
     }
-  g_hash_table_iter_init (&iter, peers->processes);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now > ((peer_process_t *)value)->received_at + PEERS_DIGEST_TTL)
-      g_hash_table_iter_remove (&iter);
 }
 
 void
@@ -393,7 +771,8 @@
 
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((peer_t *)value)->next_call_at = now;
+    if (!((peer_t *)value)->unreachable)
+      ((peer_t *)value)->next_call_at = now;
   peers_tick (peers, now);
 }
 
@@ -406,73 +785,79 @@
 
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((peer_t *)value)->listed
-        || now <= ((peer_t *)value)->last_digest_at + PEER_TTL)
-      count++;
+    {
+      const peer_t *peer = value;
+      uint32_t flags;
+
+      if (peer->listed || now <= peer->last_heard_at + PEER_TTL
+          || peers_is_live (peers, peer, now, &flags))
+        count++;
+    }
   return count;
 }
 
-static bool
-is_live (const peers_t *peers, const peer_t *peer, gs_time_t now)
+bool
+peers_name_is_live (const peers_t *peers, gs_time_t now, const char *name)
 {
-  return peer->last_digest_at != 0
-         && now <= peer->last_digest_at + peers_silence_timeout (peers);
+  const peer_t *peer = g_hash_table_lookup (peers->by_name, name);
+  uint32_t flags;
+
+  return peer != NULL && peers_is_live (peers, peer, now, &flags);
 }
 
 unsigned
 peers_live_count (const peers_t *peers, gs_time_t now)
 {
   unsigned count = 0;
+  uint32_t flags;
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    count += is_live (peers, value, now);
+    count += peers_is_live (peers, value, now, &flags);
   return count;
 }
 
-static const peer_process_t *
-find_process (const peers_t *peers, const peer_t *peer)
-{
-  return g_hash_table_lookup (peers->processes, &peer->member.incarnation);
-}
-
-static const digest_t *
-last_digest (const peers_t *peers, const peer_t *peer)
+static bool
+accepts_requests (const peers_t *peers, const peer_t *peer, gs_time_t now)
 {
-  const peer_process_t *process = find_process (peers, peer);
+  uint32_t flags;
 
-  return process != NULL ? &process->digest : NULL;
+  return peers_is_live (peers, peer, now, &flags) && (flags & PEER_READY) != 0
+         && (flags & PEER_LEAVING) == 0;
 }
 
 /* Nodes are ordered by a hash of their names.  By name, the nodes of one data
    centre would come one after another, so the first nodes could all be in the
    same data centre.  */
-static uint64_t
-name_hash (const char *name)
-{
-  return XXH3_64bits (name, strlen (name));
-}
-
 unsigned
 peers_rank (const peers_t *peers, gs_time_t now)
 {
-  uint64_t own = name_hash (peers->self.name);
+  aggregators_t rows[DATA_CENTRES_MAX];
   unsigned count = 0;
+  unsigned rank = 0;
   GHashTableIter iter;
   gpointer value;
 
+  if (peers->role == PEERS_ROLE_LEAF)
+    return UINT_MAX;
+  if (peers->role == PEERS_ROLE_AGGREGATOR)
+    count = find_aggregators (peers, now, rows);
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_t *peer = value;
-      const digest_t *digest = last_digest (peers, peer);
-
-      count += is_live (peers, peer, now) && digest != NULL && digest->ready
-               && !digest->leaving && name_hash (peer->member.name) < own;
+      const aggregators_t *row
+          = count > 0 && peer->data_centre != 0
+                ? aggregators_find (rows, &count, peer->data_centre)
+                : NULL;
+
+      rank += peer->node < peers->node && accepts_requests (peers, peer, now)
+              && (peers->role == PEERS_ROLE_MESH
+                  || (row != NULL && is_in (row, peer)));
     }
-  return count;
+  return rank;
 }
 
 bool
@@ -484,120 +869,55 @@
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const digest_t *digest = last_digest (peers, value);
+      uint32_t flags;
 
-      if (is_live (peers, value, now) && digest != NULL
-          && digest->follows_store && !digest->store_lost && !digest->leaving)
+      if (peers_is_live (peers, value, now, &flags)
+          && (flags & PEER_FOLLOWS_STORE) != 0 && (flags & PEER_LEAVING) == 0)
         return true;
     }
   return false;
 }
 
-unsigned
-peers_live_addresses (const peers_t *peers, gs_time_t now, gs_endpoint_t *out,
-                      unsigned max)
+typedef struct
 {
-  unsigned count = 0;
-  GHashTableIter iter;
-  gpointer value;
+  uint64_t order;
+  const peer_t *peer;
+} ordered_peer_t;
 
-  g_hash_table_iter_init (&iter, peers->by_name);
-  while (g_hash_table_iter_next (&iter, NULL, &value) && count < max)
-    {
-      const peer_t *peer = value;
-      const digest_t *digest = last_digest (peers, peer);
+static int
+compare_order (gconstpointer a, gconstpointer b)
+{
+  const ordered_peer_t *left = a;
+  const ordered_peer_t *right = b;
 
-      if (is_live (peers, peer, now) && digest != NULL && digest->ready
-          && !digest->leaving)
-        out[count++] = peer->member.callers;
-    }
-  return count;
+  return left->order < right->order ? -1 : left->order > right->order;
 }
 
-traffic_peers_t *
-peers_view_create (const peers_t *peers, gs_time_t now)
+/* The order differs between nodes, so that all addresses are told to callers
+   if one node may not tell them all.  */
+unsigned
+peers_live_addresses (const peers_t *peers, gs_time_t now, gs_endpoint_t *out,
+                      unsigned max)
 {
-  traffic_peers_t *view = g_new0 (traffic_peers_t, 1);
+  GArray *live = g_array_new (FALSE, FALSE, sizeof (ordered_peer_t));
   GHashTableIter iter;
   gpointer value;
+  unsigned count;
 
-  view->fleet.members = peers_member_count (peers, now);
-  view->fleet.report_ttl = QUOTA_FRESH_INTERVALS * exchange_interval (peers);
-  view->fleet.lag
-      = view->fleet.report_ttl + TRAFFIC_REPORT_INTERVAL + DIGEST_DELAY_MAX;
-  view->peers = g_array_new (FALSE, TRUE, sizeof (traffic_peer_t));
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_t *peer = value;
-      const digest_t *digest = last_digest (peers, peer);
-      traffic_peer_t row;
-
-      if (!is_live (peers, peer, now) || digest == NULL)
-        continue;
-      row.node = name_hash (peer->member.name);
-      row.received_at = find_process (peers, peer)->received_at;
-      row.loads = g_array_copy (digest->report->loads);
-      row.quota = g_array_copy (digest->report->quota);
-      g_array_append_val (view->peers, row);
-    }
-  return view;
-}
+      uint64_t words[] = { peers->node, peer->node };
+      ordered_peer_t row = { XXH3_64bits (words, sizeof words), peer };
 
-void
-peers_digest_foreach (const peers_t *peers, gs_time_t now,
-                      peers_digest_cb_t callback, void *context)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, peers->processes);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const peer_process_t *process = value;
-
-      if (now <= process->received_at + PEERS_DIGEST_TTL)
-        callback (context, &process->digest, process->received_at);
+      if (accepts_requests (peers, peer, now))
+        g_array_append_val (live, row);
     }
-}
-
-static char *
-endpoint_text (const gs_endpoint_t *endpoint)
-{
-  return g_strdup_printf ("%s:%u", endpoint->host, endpoint->port);
-}
-
-json_t *
-peers_member_encode (const digest_member_t *member)
-{
-  char *callers = endpoint_text (&member->callers);
-  char *peers = endpoint_text (&member->peers);
-  char *incarnation
-      = g_strdup_printf ("%016llx", (unsigned long long)member->incarnation);
-  json_t *value = json_pack ("{s:s, s:s, s:s}", "incarnation", incarnation,
-                             "callers", callers, "peers", peers);
-
-  g_free (incarnation);
-  g_free (peers);
-  g_free (callers);
-  return value;
-}
-
-gs_status_t
-peers_member_decode (digest_member_t *out, const char *name,
-                     const json_t *value)
-{
-  const char *incarnation
-      = json_string_value (json_object_get (value, "incarnation"));
-  const char *callers = json_string_value (json_object_get (value, "callers"));
-  const char *peers = json_string_value (json_object_get (value, "peers"));
-
-  *out = (digest_member_t){ .incarnation = 0 };
-  if (incarnation == NULL || callers == NULL || peers == NULL
-      || g_strlcpy (out->name, name, sizeof out->name) >= sizeof out->name
-      || gs_endpoint_parse (&out->callers, callers) != GS_OK
-      || gs_endpoint_parse (&out->peers, peers) != GS_OK)
-    return gs_error_set (GS_EINVAL, "entry of node %s is malformed", name);
-  out->incarnation = g_ascii_strtoull (incarnation, NULL, 16);
-  return GS_OK;
+  g_array_sort (live, compare_order);
+  count = MIN (live->len, max);
+  for (unsigned i = 0; i < count; i++)
+    out[i] = g_array_index (live, ordered_peer_t, i).peer->member.callers;
+  g_array_unref (live);
+  return count;
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -1,106 +1,179 @@
 /**
  * @file peers.h
- * The other nodes of the fleet: their addresses, when each last sent a digest,
- * and its content.  One HTTP exchange carries the digests of both nodes, so
- * each pair of nodes needs one exchange per interval.  A node is live until
- * its last digest is older than peers_silence_timeout().  Runs on the control
- * thread.
+ * The other nodes of the fleet: their addresses, which of them are live, and
+ * what they report.
+ *
+ * In a small fleet each pair of nodes exchanges digests.  In a fleet of more
+ * than PEERS_SMALL_FLEET_MAX nodes that would take bytes and time in
+ * proportion to the number of nodes.  There the first nodes of each data
+ * centre, in an order that all nodes share, are its aggregators: the other
+ * nodes send them reports and get back a view of the fleet; aggregators of
+ * different data centres exchange summaries, each of its own data centre.  So
+ * a report is known everywhere after three exchanges, and a node that is not
+ * an aggregator makes the same number of calls in a fleet of any size.  A node
+ * whose data centre is not known, such as one of an earlier version, exchanges
+ * digests with all.
+ *
+ * Runs on the control thread; makes no calls of its own but through its
+ * transport, and reads no clock.
  */
 #ifndef GS_GATEWAY_PEERS_H
 #define GS_GATEWAY_PEERS_H
 
-#include "garnetstack/loop.h"
-#include "garnetstack/object_store.h"
 #include "gateway/digest.h"
+#include "gateway/peer_message.h"
 
-/** Time between two exchanges of a pair of nodes, in fleets of up to
-    PEERS_SMALL_FLEET_MAX nodes.  In larger fleets the time grows in proportion
-    to the number of nodes, so that the traffic of a node does not grow. */
+#include <jansson.h>
+
+/** Time between two exchanges of a node with another one.  Only where all
+    nodes of a large fleet exchange digests, it grows in proportion to their
+    number. */
 #define PEERS_EXCHANGE_INTERVAL (300 * GS_MSEC)
 #define PEERS_SMALL_FLEET_MAX 10
+/** Aggregators of a data centre; either suffices while the other one fails. */
+#define PEERS_AGGREGATORS 2
 /** A node that misses this many exchanges is no longer live, and its address
     is not given to callers. */
 #define PEERS_MISSED_EXCHANGES_MAX 3.6
-/** The last digest of a process is used for usage reports for this long after
+/** The last report of a process is used for usage reports for this long after
     it was received. */
-#define PEERS_DIGEST_TTL (30 * GS_SEC)
-
-/** Paths of the peer port: exchange of digests, and copies of the store's
-    configuration and replicas. */
+#define PEERS_REPORT_TTL (30 * GS_SEC)
+/** Time that a call to a peer may take.  Within a region a response takes a
+    few milliseconds, and some tens of milliseconds from a node that is slowed
+    down. */
+#define PEERS_CALL_TIMEOUT (500 * GS_MSEC)
+
+/** Paths of the peer port: digests, reports and summaries, and copies of the
+    store's configuration, replicas and nodes. */
 #define PEERS_DIGEST_PATH "/digest"
+#define PEERS_REPORT_PATH "/report"
+#define PEERS_SUMMARY_PATH "/summary"
 #define PEERS_CONFIG_PATH "/config"
 #define PEERS_REPLICAS_PATH "/replicas"
+#define PEERS_MEMBERS_PATH "/members"
 
 typedef struct peers peers_t;
 
+/** How a call to a peer ended. */
+typedef struct
+{
+  long http_status; /**< 0 if there was no complete response */
+  const char *body;
+  size_t length;
+} peers_reply_t;
+
+typedef void (*peers_reply_cb_t) (void *context, gs_time_t now,
+                                  const peers_reply_t *reply);
+
+/** Carries calls to other nodes. */
 typedef struct
 {
   void *context;
-  /** Fill in the current digest of this node, except for its members. */
-  void (*fill) (void *context, digest_t *digest);
-  /** A peer's digest was received; valid during the call. */
-  void (*on_digest) (void *context, gs_time_t now, const digest_t *digest);
+  /**
+   * Start a POST, which ends by PEERS_CALL_TIMEOUT.
+   * @param body borrowed
+   * @param on_reply called once, unless the transport is destroyed before
+   * @param reply_context passed to @p on_reply, which frees it; freed with
+   * g_free() if the transport is destroyed
+   */
+  void (*post) (void *context, gs_time_t now, const gs_endpoint_t *endpoint,
+                const char *path, const GByteArray *body,
+                peers_reply_cb_t on_reply, void *reply_context);
+} peers_transport_t;
+
+/** State of a node that is sent with each message. */
+typedef struct
+{
+  uint32_t flags;             /**< PEER_READY etc. */
+  bool store_lost;            /**< the store does not answer it */
+  uint64_t config_revision;   /**< store revision; 0 for none */
+  uint64_t replicas_revision; /**< store revision; 0 for none */
+  uint64_t members_revision;  /**< store revision; 0 for none */
+} peers_state_t;
+
+typedef struct
+{
+  void *context;
+  /** Get the state of this node. */
+  void (*get_state) (void *context, peers_state_t *out);
+  /** @return the last report of this node's traffic thread, borrowed; NULL
+      before the first */
+  const traffic_report_t *(*get_report) (void *context);
+  /** A message of a peer was received.
+      @param endpoint of the peer, where its copies may be read */
+  void (*on_peer_state) (void *context, gs_time_t now,
+                         const gs_endpoint_t *endpoint,
+                         const peers_state_t *state);
 } peers_listener_t;
 
-void peers_create (peers_t **out, gs_loop_t *loop, const digest_member_t *self,
-                   const gs_deployment_t *settings,
-                   const peers_listener_t *listener, uint64_t seed);
+/** @param out receives the peers, freed with peers_destroy()
+    @param self copied; with the data centre of this node
+    @param seeds copied; addresses to contact first, of @p seed_count nodes
+    @param seed of the random part of intervals */
+void peers_create (peers_t **out, const digest_member_t *self,
+                   const gs_endpoint_t *seeds, unsigned seed_count,
+                   const peers_listener_t *listener,
+                   const peers_transport_t *transport, uint64_t seed);
 
-/** Must be called after gs_loop_destroy(), which ends the open calls. */
+/** No call may be open: the transport must have been destroyed. */
 void peers_destroy (peers_t *peers);
 
 /** Call the peers that are due and drop those that have expired; to be called
     periodically. */
 void peers_tick (peers_t *peers, gs_time_t now);
 
-/** Exchange digests with all peers now. */
+/** Make all calls now that this node makes periodically. */
 void peers_notify_all (peers_t *peers, gs_time_t now);
 
-/** Process a digest that a peer sent.
-    @return this node's digest, freed with g_byte_array_unref(), or NULL if the
-    peer's was rejected */
-GByteArray *peers_digest_receive (peers_t *peers, gs_time_t now,
-                                  const char *data, size_t length);
+/** Process a message that a peer sent.
+    @param path PEERS_DIGEST_PATH, PEERS_REPORT_PATH or PEERS_SUMMARY_PATH
+    @return this node's answer, freed with g_byte_array_unref(), or NULL if the
+    message was rejected */
+GByteArray *peers_message_receive (peers_t *peers, gs_time_t now,
+                                   const char *path, const char *data,
+                                   size_t length);
 
 /** Set whether a node is listed in the store. */
-void peers_listed_set (peers_t *peers, const digest_member_t *member,
-                       bool listed);
+void peers_listed_set (peers_t *peers, gs_time_t now,
+                       const digest_member_t *member, bool listed);
 
 /** @return number of nodes that share the fleet-wide limits: this one, those
-    listed in the store, and those that recently sent a digest. */
+    listed in the store, and those that were recently heard of. */
 unsigned peers_member_count (const peers_t *peers, gs_time_t now);
 
-/** @return how long a node is live after its last digest. */
-gs_time_t peers_silence_timeout (const peers_t *peers);
-
 /** @return position of this node, from 0, among the live nodes that accept
-    requests, in an order that all nodes share.  The first nodes in the order
-    perform the tasks that only a few nodes perform for all. */
+    requests, in an order that all nodes share; only aggregators count in a
+    large fleet, and UINT_MAX is returned for a node that is none.  The first
+    nodes in the order perform the tasks that only a few perform for all. */
 unsigned peers_rank (const peers_t *peers, gs_time_t now);
 
 /** @return true if another live node follows the store and gets responses from
     it. */
 bool peers_has_follower (const peers_t *peers, gs_time_t now);
 
+/** @return whether another node is live, by its name. */
+bool peers_name_is_live (const peers_t *peers, gs_time_t now,
+                         const char *name);
+
 /** @return number of other live nodes. */
 unsigned peers_live_count (const peers_t *peers, gs_time_t now);
 
-/** Write the callers' addresses of the other live nodes that accept requests.
+/** Write the callers' addresses of other live nodes that accept requests.  If
+    there are more than @p max, the choice differs between nodes but not over
+    time.
     @return number of addresses written */
 unsigned peers_live_addresses (const peers_t *peers, gs_time_t now,
                                gs_endpoint_t *out, unsigned max);
 
 /** @return the reports of the other live nodes, for traffic_peers_set(); freed
     with traffic_peers_free(). */
-traffic_peers_t *peers_view_create (const peers_t *peers, gs_time_t now);
-
-typedef void (*peers_digest_cb_t) (void *context, const digest_t *digest,
-                                   gs_time_t received_at);
+traffic_peers_t *peers_view_create (peers_t *peers, gs_time_t now);
 
-/** Call @p callback for the last digest of each process that was received
-    within PEERS_DIGEST_TTL, including processes that have ended. */
-void peers_digest_foreach (const peers_t *peers, gs_time_t now,
-                           peers_digest_cb_t callback, void *context);
+/** Add up usage counts and demand of all processes, including this one and
+    those that ended within PEERS_REPORT_TTL.  In a large fleet only
+    aggregators receive them all.
+    @param out initialized */
+void peers_fleet_sum (const peers_t *peers, gs_time_t now, aggregate_t *out);
 
 /** @return the value of a node's entry in the store; freed by the caller with
     json_decref() */
--- /dev/null
+++ b/src/gateway/peers_private.h
@@ -0,0 +1,165 @@
+/**
+ * @file peers_private.h
+ * State of the peers, shared by peers.c (who is called, and when),
+ * peers_fleet.c (what is known of the fleet) and peers_members.c.
+ */
+#ifndef GS_GATEWAY_PEERS_PRIVATE_H
+#define GS_GATEWAY_PEERS_PRIVATE_H
+
+#include "garnetstack/rng.h"
+#include "gateway/peers.h"
+
+/* Reports that a node remembers, to take its own part out of a view; more than
+   it sends until the view that includes the last one arrives.  */
+#define PEERS_SENT_REPORTS 32
+
+/* How this node exchanges what it knows.  */
+typedef enum
+{
+  PEERS_ROLE_MESH, /* small fleet: digests with all */
+  PEERS_ROLE_LEAF, /* reports to the aggregators of its data centre */
+  PEERS_ROLE_AGGREGATOR
+} peers_role_t;
+
+/* Periodic call to a peer.  */
+typedef enum
+{
+  CALL_NONE,
+  CALL_DIGEST,
+  CALL_REPORT,
+  CALL_SUMMARY
+} peer_call_t;
+
+/* The last report of a process.  It is kept after another process has replaced
+   it on its node, because usage reports still need its counts.  */
+typedef struct
+{
+  uint64_t incarnation;
+  uint64_t node;        /* hash of the name */
+  uint64_t data_centre; /* hash; 0 if unknown */
+  uint64_t sequence;    /* of the report */
+  gs_time_t received_at;
+  aggregate_t aggregate; /* of this process alone */
+} peer_process_t;
+
+/* The last summary of a data centre by one aggregator.  */
+typedef struct
+{
+  uint64_t incarnation; /* of the aggregator */
+  uint64_t data_centre;
+  gs_time_t received_at;
+  peer_message_t message;
+} peer_summary_t;
+
+typedef struct
+{
+  digest_member_t member;
+  uint64_t node;               /* hash of the name */
+  uint64_t data_centre;        /* hash; 0 if unknown */
+  bool listed;                 /* in the store */
+  gs_time_t last_mentioned_at; /* by the digest of another node */
+  gs_time_t last_heard_at;     /* when its last message came; 0 for never */
+  uint32_t flags;              /* in its last message */
+  peer_call_t call;
+  gs_time_t next_call_at;
+  gs_time_t usage_due; /* when a report to it carries usage counts again */
+  bool call_pending;
+  bool unreachable; /* the last call failed, and no message has come since */
+  bool silent;      /* no message has come yet, or its silence was logged */
+} peer_t;
+
+typedef struct
+{
+  uint64_t sequence; /* 0 for none */
+  aggregate_t aggregate;
+} sent_report_t;
+
+/* Aggregate of the whole fleet, encoded once for several views.  */
+typedef struct
+{
+  gs_time_t made_at;
+  GByteArray *bytes;
+  GHashTable *included; /* incarnation -> sequence of the included report */
+  GArray *statuses;
+  uint64_t status_version;
+} fleet_view_t;
+
+struct peers
+{
+  digest_member_t self;
+  uint64_t node;
+  uint64_t data_centre;
+  peers_listener_t listener;
+  peers_transport_t transport;
+  peers_role_t role;
+  GHashTable *by_name;   /* name -> peer_t */
+  GHashTable *processes; /* incarnation -> peer_process_t */
+  GHashTable *summaries; /* incarnation -> peer_summary_t */
+  gs_endpoint_t seeds[GS_SEEDS_MAX];
+  unsigned seed_count;
+  gs_time_t seeds_due;
+  gs_time_t probe_due;  /* of the next call to an unreachable peer */
+  gs_time_t review_due; /* of roles, calls to make and expired peers */
+  gs_rng_t rng;
+  uint64_t sequence; /* of the last report sent */
+  sent_report_t sent[PEERS_SENT_REPORTS];
+  /* Last view that an aggregator sent to this node.  */
+  peer_message_t view;
+  gs_time_t view_received_at; /* 0 for none */
+  GHashTable *told;           /* node -> flags, as aggregators say */
+  gs_time_t told_at;
+  uint64_t told_version;
+  gs_time_t told_due; /* when an aggregator updates it */
+  fleet_view_t fleet_view;
+};
+
+/* @return whether a message of the peer itself came recently.  */
+bool peers_is_heard (const peers_t *peers, const peer_t *peer, gs_time_t now);
+
+/* @param flags receives the peer's flags if it is live
+   @return whether the peer is live, by its own messages or those of
+   aggregators  */
+bool peers_is_live (const peers_t *peers, const peer_t *peer, gs_time_t now,
+                    uint32_t *flags);
+
+/* @return time between two calls of a kind to a peer.  */
+gs_time_t peers_call_interval (const peers_t *peers, peer_call_t call);
+
+/* @return how long a peer that makes calls of a kind is live after its last
+   message.  */
+gs_time_t peers_silence_timeout (const peers_t *peers, peer_call_t call);
+
+uint64_t peers_hash (const char *name);
+
+void peer_process_free (gpointer data);
+void peer_summary_free (gpointer data);
+
+/* Keep the report of a process.
+   @param aggregate of the process alone; taken over
+   @param has_usage false to keep the usage counts of the report before  */
+void peers_report_store (peers_t *peers, gs_time_t now,
+                         const digest_member_t *member, uint64_t sequence,
+                         aggregate_t *aggregate, bool has_usage);
+
+/* Keep the summary of an aggregator.
+   @param message taken over  */
+void peers_summary_store (peers_t *peers, gs_time_t now,
+                          peer_message_t *message);
+
+/* Keep the view that an aggregator has sent to this node, unless it covers
+   less than the present one.
+   @param message taken over  */
+void peers_view_store (peers_t *peers, gs_time_t now, peer_message_t *message);
+
+/* Encode the next report, summary, or the view for a peer.
+   @return freed with g_byte_array_unref()  */
+GByteArray *peers_report_encode (peers_t *peers, gs_time_t now,
+                                 bool with_usage);
+GByteArray *peers_summary_encode (const peers_t *peers, gs_time_t now);
+GByteArray *peers_view_encode (peers_t *peers, gs_time_t now,
+                               const peer_message_t *report);
+
+/* Update what aggregators say about nodes, and drop expired reports.  */
+void peers_fleet_tick (peers_t *peers, gs_time_t now);
+
+#endif
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -56,6 +56,11 @@
 /* Weight of the newest report in the moving mean of peer load.  Reports arrive
    several times a second, so the mean covers about the last second.  */
 #define PEER_MEAN_WEIGHT 0.15
+/* Up to this number of nodes each compares all replicas.  */
+#define COMPARE_ALL_NODES_MAX 10
+/* Replicas that a node of a larger fleet draws at random; two choices already
+   keep the load even, and more would be alike at many nodes.  */
+#define COMPARED_AT_RANDOM 2
 /* Share of a replica's connections that all nodes together use: a node learns
    of its peers' connections with a delay.  */
 #define CONNECTIONS_RATIO_MAX 0.9
@@ -65,7 +70,7 @@
   gs_replica_t replica;
   bool listed;         /* in the latest replica list */
   uint32_t generation; /* rises when the row gets another replica */
-  uint64_t hash;       /* of the replica's id */
+  uint64_t hash;       /* placer_replica_hash() of its id */
   uint32_t in_flight;
   uint64_t backlog_tokens;
   uint64_t reserved_tokens;
@@ -95,10 +100,13 @@
 
 struct placer
 {
-  GArray *rows;       /* of replica_row_t */
-  GHashTable *by_id;  /* id -> row + 1 */
-  GHashTable *blocks; /* id -> cached_block_t */
-  double read_speed;  /* tokens per millisecond */
+  GArray *rows;        /* of replica_row_t */
+  GHashTable *by_id;   /* id -> row + 1 */
+  GHashTable *by_hash; /* hash of the id -> row + 1 */
+  GHashTable *blocks;  /* id -> cached_block_t */
+  double read_speed;   /* tokens per millisecond */
+  unsigned peers;      /* other nodes that place requests */
+  GArray *available;   /* of uint32_t; scratch: rows that are not full */
   gs_rng_t rng;
 };
 
@@ -110,8 +118,11 @@
   placer->rows = g_array_new (FALSE, TRUE, sizeof (replica_row_t));
   placer->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  placer->by_hash
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   placer->blocks
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  placer->available = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   placer->read_speed = READ_SPEED_INITIAL;
   gs_rng_seed (&placer->rng, seed);
   *out = placer;
@@ -122,12 +133,20 @@
 {
   if (placer == NULL)
     return;
+  g_array_unref (placer->available);
   g_hash_table_unref (placer->blocks);
+  g_hash_table_unref (placer->by_hash);
   g_hash_table_unref (placer->by_id);
   g_array_unref (placer->rows);
   g_free (placer);
 }
 
+uint64_t
+placer_replica_hash (const char *id)
+{
+  return XXH3_64bits (id, strlen (id));
+}
+
 static replica_row_t *
 row_at (const placer_t *placer, uint32_t row)
 {
@@ -191,6 +210,7 @@
       if (row->listed || row->in_flight > 0 || row->replica.id[0] == '\0')
         continue;
       g_hash_table_remove (placer->by_id, row->replica.id);
+      g_hash_table_remove (placer->by_hash, &row->hash);
       *row = (replica_row_t){ .generation = row->generation + 1 };
     }
 }
@@ -204,6 +224,7 @@
     {
       const gs_replica_t *replica = &list->rows[i];
       replica_row_t *row = row_find (placer, replica->id);
+      guint number;
 
       if (row == NULL)
         {
@@ -214,10 +235,13 @@
                       replica->id);
               continue;
             }
-          row->hash = XXH3_64bits (replica->id, strlen (replica->id));
-          g_hash_table_insert (
-              placer->by_id, g_strdup (replica->id),
-              GUINT_TO_POINTER ((guint)(row - row_at (placer, 0)) + 1));
+          number = (guint)(row - row_at (placer, 0)) + 1;
+          row->hash = placer_replica_hash (replica->id);
+          g_hash_table_insert (placer->by_id, g_strdup (replica->id),
+                               GUINT_TO_POINTER (number));
+          g_hash_table_insert (placer->by_hash,
+                               g_memdup2 (&row->hash, sizeof row->hash),
+                               GUINT_TO_POINTER (number));
         }
       row_set_replica (placer, row, replica);
     }
@@ -225,9 +249,10 @@
 }
 
 void
-placer_peer_loads_set (placer_t *placer, const placer_load_t *loads,
-                       unsigned count)
+placer_peer_loads_set (placer_t *placer, const placer_peer_load_t *loads,
+                       unsigned count, unsigned peers)
 {
+  placer->peers = peers;
   for (guint i = 0; i < placer->rows->len; i++)
     {
       replica_row_t *row = row_at (placer, i);
@@ -238,7 +263,9 @@
     }
   for (unsigned i = 0; i < count; i++)
     {
-      replica_row_t *row = row_find (placer, loads[i].replica);
+      guint number = GPOINTER_TO_UINT (
+          g_hash_table_lookup (placer->by_hash, &loads[i].replica));
+      replica_row_t *row = number > 0 ? row_at (placer, number - 1) : NULL;
 
       if (row == NULL)
         continue;
@@ -442,43 +469,101 @@
   return out;
 }
 
+/* The best replica so far, and the one to avoid if there is another one.  */
+typedef struct
+{
+  uint32_t row;
+  prediction_t best;
+  prediction_t avoided;
+} comparison_t;
+
+static void
+compare_replica (placer_t *placer, gs_time_t now, const placer_query_t *query,
+                 uint32_t index, uint32_t preferred, comparison_t *out)
+{
+  prediction_t prediction
+      = predict (placer, now, query, index, index == preferred);
+
+  if (index == query->avoid)
+    out->avoided = prediction;
+  else if (prediction.score < out->best.score)
+    {
+      out->best = prediction;
+      out->row = index;
+    }
+}
+
+/* @return whether this node has sent the session of a request to a replica  */
+static bool
+holds_session (const placer_t *placer, const placer_query_t *query,
+               uint32_t index)
+{
+  uint64_t session = session_block_id (query);
+
+  return query->engine
+         && block_find_holder (g_hash_table_lookup (placer->blocks, &session),
+                               index, row_at (placer, index)->generation)
+                != NULL;
+}
+
+/* Compares the replicas in placer->available.  The nodes of a large fleet know
+   the same loads, so if each compared all replicas, those with the least load
+   would get the requests of all nodes until the next reports arrive.  There a
+   node compares a few that it draws at random, and those that may have the
+   prompt in their cache.  */
+static void
+compare_available (placer_t *placer, gs_time_t now,
+                   const placer_query_t *query, uint32_t preferred,
+                   comparison_t *out)
+{
+  GArray *available = placer->available;
+  bool all = placer->peers + 1 <= COMPARE_ALL_NODES_MAX
+             || available->len <= COMPARED_AT_RANDOM;
+
+  for (guint i = 0; i < available->len; i++)
+    {
+      uint32_t index = g_array_index (available, uint32_t, i);
+
+      if (all || index == preferred || holds_session (placer, query, index))
+        compare_replica (placer, now, query, index, preferred, out);
+    }
+  for (unsigned i = 0; !all && i < COMPARED_AT_RANDOM; i++)
+    compare_replica (
+        placer, now, query,
+        g_array_index (available, uint32_t,
+                       gs_rng_below (&placer->rng, available->len)),
+        preferred, out);
+}
+
 gs_status_t
 placer_pick (placer_t *placer, gs_time_t now, const placer_query_t *query,
              placer_choice_t *out)
 {
   gs_time_t eject_time = eject_check_time (placer, now, query->service);
   uint32_t preferred = preferred_row_find (placer, eject_time, query);
-  prediction_t best = { .score = INFINITY };
-  prediction_t avoided = { .score = INFINITY };
+  comparison_t comparison = { .row = PLACER_ROW_NONE,
+                              .best = { .score = INFINITY },
+                              .avoided = { .score = INFINITY } };
 
   *out = (placer_choice_t){ .row = PLACER_ROW_NONE };
+  g_array_set_size (placer->available, 0);
   for (guint i = 0; i < placer->rows->len; i++)
     {
       const replica_row_t *row = row_at (placer, i);
-      prediction_t prediction;
 
       if (!is_usable (row, eject_time, query->service))
         continue;
       out->candidates++;
       if (is_full (row, now, query))
-        {
-          out->full++;
-          continue;
-        }
-      prediction = predict (placer, now, query, i, i == preferred);
-      if (i == query->avoid)
-        {
-          avoided = prediction;
-          continue;
-        }
-      if (prediction.score >= best.score)
-        continue;
-      best = prediction;
-      out->row = i;
+        out->full++;
+      else
+        g_array_append_val (placer->available, i);
     }
-  if (out->row == PLACER_ROW_NONE && isfinite (avoided.score))
+  compare_available (placer, now, query, preferred, &comparison);
+  out->row = comparison.row;
+  if (out->row == PLACER_ROW_NONE && isfinite (comparison.avoided.score))
     {
-      best = avoided;
+      comparison.best = comparison.avoided;
       out->row = query->avoid;
     }
   if (out->row == PLACER_ROW_NONE)
@@ -489,8 +574,8 @@
                : gs_error_set (GS_ELIMIT,
                                "all replicas of service %s are full",
                                query->service);
-  out->uncached_tokens = best.uncached_tokens;
-  out->first_event_expected_at = best.first_event_at;
+  out->uncached_tokens = comparison.best.uncached_tokens;
+  out->first_event_expected_at = comparison.best.first_event_at;
   out->in_flight = slots_taken (row_at (placer, out->row), query->engine);
   out->backlog_tokens
       = (uint32_t)(row_at (placer, out->row)->backlog_tokens
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -58,6 +58,15 @@
   uint32_t reserved_tokens; /**< memory reserved for running requests */
 } placer_load_t;
 
+/** Load that a set of other nodes puts on a replica. */
+typedef struct
+{
+  uint64_t replica;   /**< placer_replica_hash() of its id */
+  uint32_t in_flight; /**< as in placer_load_t, added up */
+  uint64_t backlog_tokens;
+  uint64_t reserved_tokens;
+} placer_peer_load_t;
+
 /** What an attempt occupies at a replica, from placer_attempt_begin() to
     placer_attempt_end(). */
 typedef struct
@@ -80,9 +89,13 @@
     keeps its load. */
 void placer_replicas_set (placer_t *placer, const gs_replica_list_t *list);
 
-/** Replace the load that all peers put on replicas. */
-void placer_peer_loads_set (placer_t *placer, const placer_load_t *loads,
-                            unsigned count);
+/** @return hash that stands for a replica in the reports of other nodes */
+uint64_t placer_replica_hash (const char *id);
+
+/** Replace the load that all peers put on replicas.
+    @param peers number of nodes that place requests besides this one */
+void placer_peer_loads_set (placer_t *placer, const placer_peer_load_t *loads,
+                            unsigned count, unsigned peers);
 
 /**
  * Choose a replica for a request.
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -48,17 +48,12 @@
 /* Marks a bin in which no use was reported to the peers.  */
 #define NOT_REPORTED (-1.0)
 
-/* A peer's report on an account.  */
-typedef struct
-{
-  double used;
-  double predecessor_used;
-} peer_use_t;
-
+/* A report of a peer, or of several peers added up.  */
 typedef struct
 {
   gs_time_t received_at;
-  GHashTable *uses; /* account -> peer_use_t */
+  unsigned nodes;
+  GHashTable *uses; /* account -> quota_row_t */
 } peer_report_t;
 
 typedef struct
@@ -91,7 +86,7 @@
   unsigned members;        /* highest number in the last window */
   gs_time_t members_until; /* the number does not fall before */
   GHashTable *accounts;    /* account -> account_state_t */
-  GHashTable *peers;       /* id -> peer_report_t */
+  GHashTable *peers;       /* source -> peer_report_t */
   gs_time_t sum_due;
 };
 
@@ -159,35 +154,58 @@
     }
 }
 
+/* The report of a single node may come without the fields that are needed to
+   add reports up.  */
+static quota_row_t
+complete_row (const quota_row_t *row)
+{
+  quota_row_t out = *row;
+
+  if (out.nodes > 0)
+    return out;
+  out.nodes = 1;
+  out.held = out.used + out.predecessor_used;
+  out.restarted_nodes = out.predecessor_used > 0;
+  out.restarted_used = out.predecessor_used > 0 ? out.used : 0;
+  return out;
+}
+
 void
-quota_report_import (quota_t *quota, gs_time_t received_at, uint64_t node,
-                     const quota_row_t *rows, size_t count)
+quota_report_import (quota_t *quota, gs_time_t received_at, uint64_t source,
+                     unsigned nodes, const quota_row_t *rows, size_t count)
 {
-  peer_report_t *peer = g_hash_table_lookup (quota->peers, &node);
+  peer_report_t *peer = g_hash_table_lookup (quota->peers, &source);
 
   if (peer == NULL)
     {
       peer = g_new0 (peer_report_t, 1);
-      peer->uses = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
-                                          g_free);
-      g_hash_table_insert (quota->peers, g_memdup2 (&node, sizeof node), peer);
+      peer->uses
+          = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+      g_hash_table_insert (quota->peers, g_memdup2 (&source, sizeof source),
+                           peer);
     }
   if (peer->received_at == received_at)
     return;
   peer->received_at = received_at;
+  peer->nodes = nodes;
   g_hash_table_remove_all (peer->uses);
   for (size_t i = 0; i < count; i++)
     {
-      peer_use_t use
-          = { (double)rows[i].used, (double)rows[i].predecessor_used };
+      quota_row_t *use = g_new (quota_row_t, 1);
 
-      g_hash_table_insert (
-          peer->uses, g_memdup2 (&rows[i].account, sizeof rows[i].account),
-          g_memdup2 (&use, sizeof use));
+      *use = complete_row (&rows[i]);
+      g_hash_table_replace (peer->uses, &use->account, use);
     }
   quota->sum_due = 0;
 }
 
+void
+quota_reports_clear (quota_t *quota)
+{
+  g_hash_table_remove_all (quota->peers);
+  quota->sum_due = 0;
+}
+
 static bool
 is_recently_started (const quota_t *quota, gs_time_t now)
 {
@@ -200,10 +218,10 @@
   return row->limit / quota->members;
 }
 
-/* Sums up the reports of the peers on an account.  A peer that is not fresh is
-   assumed to hold its whole share.  The predecessor of this process served the
-   same callers as the peers, so the mean use of fresh peers that have run for
-   a whole window is the best estimate of its use.  */
+/* Sums up the reports of the peers on an account.  Peers without a fresh
+   report are assumed to hold their whole shares.  The predecessor of this
+   process served the same callers as the peers, so the mean use of fresh peers
+   that have run for a whole window is the best estimate of its use.  */
 static void
 account_sum_reports (const quota_t *quota, gs_time_t now, account_state_t *row)
 {
@@ -220,19 +238,27 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_report_t *report = value;
-      const peer_use_t *use
+      const quota_row_t *use
           = g_hash_table_lookup (report->uses, &row->account);
       bool fresh = report->received_at + quota->fleet.report_ttl >= now;
-      double held = use != NULL ? use->used + use->predecessor_used : 0;
-
-      peers++;
+      unsigned users = use != NULL ? MIN (use->nodes, report->nodes) : 0;
+      double reserved = SHARE_RESERVED_RATIO * share;
+      double held = use != NULL ? (double)use->held : 0;
+      double used
+          = use != NULL ? (double)(use->used + use->predecessor_used) : 0;
+
+      peers += report->nodes;
+      held = MAX (held, used) + (report->nodes - users) * reserved;
       row->peers_held
-          += MAX (held, fresh ? SHARE_RESERVED_RATIO * share : share);
-      row->peers_used += fresh ? held : 0;
-      if (!fresh || (use != NULL && use->predecessor_used > 0))
+          += MAX (held, report->nodes * (fresh ? reserved : share));
+      row->peers_used += fresh ? used : 0;
+      if (!fresh)
+        continue;
+      older_peers += report->nodes;
+      if (use == NULL)
         continue;
-      older_peers++;
-      older_use += use != NULL ? use->used : 0;
+      older_peers -= MIN (use->restarted_nodes, report->nodes);
+      older_use += (double)(use->used - MIN (use->restarted_used, use->used));
     }
   if (peers + 1 < quota->members)
     row->peers_held += (quota->members - 1 - peers) * share;
@@ -525,6 +551,24 @@
     }
 }
 
+static quota_row_t
+export_row (const quota_t *quota, const account_state_t *row,
+            double predecessor_used)
+{
+  double reserved = SHARE_RESERVED_RATIO * account_share (quota, row);
+  bool restarted = (uint64_t)predecessor_used > 0;
+
+  return (quota_row_t){
+    .account = row->account,
+    .nodes = 1,
+    .used = (uint64_t)row->used,
+    .predecessor_used = (uint64_t)predecessor_used,
+    .held = (uint64_t)ceil (MAX (row->used + predecessor_used, reserved)),
+    .restarted_nodes = restarted,
+    .restarted_used = restarted ? (uint64_t)row->used : 0,
+  };
+}
+
 size_t
 quota_report_export (quota_t *quota, gs_time_t now, quota_row_t *rows,
                      size_t max)
@@ -547,8 +591,7 @@
           || row->used + predecessor_used < *reported)
         *reported = row->used + predecessor_used;
       if (row->used > 0 || predecessor_used > 0)
-        rows[count++] = (quota_row_t){ row->account, (uint64_t)row->used,
-                                       (uint64_t)predecessor_used };
+        rows[count++] = export_row (quota, row, predecessor_used);
     }
   return count;
 }
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -28,15 +28,21 @@
 
 typedef struct quota quota_t;
 
-/** What a node has used of an account in the last window, in tokens or
-    requests. */
+/** What a node, or several nodes together, have used of an account in the last
+    window, in tokens or requests. */
 typedef struct
 {
   uint64_t account; /**< gs_limits_name_hash() of the account */
+  uint32_t nodes;   /**< nodes with use; 0 in reports of a single node without
+                         the fields after predecessor_used */
   uint64_t used;
   /** Estimated use by the process that ran at this node before; 0 once the
       present process runs for longer than a window. */
   uint64_t predecessor_used;
+  uint64_t held; /**< by each node its use or its reserved share, whichever is
+                      more */
+  uint32_t restarted_nodes; /**< nodes with use of a predecessor */
+  uint64_t restarted_used;  /**< by these nodes, without predecessors */
 } quota_row_t;
 
 /** The nodes that share the limits. */
@@ -68,10 +74,18 @@
 void quota_fleet_set (quota_t *quota, gs_time_t now,
                       const quota_fleet_t *fleet);
 
-/** Replace a peer's report by the one received at @p received_at. */
-void quota_report_import (quota_t *quota, gs_time_t received_at, uint64_t node,
+/** Replace a report by the one received at @p received_at.
+    @param source identifies the node, or the set of nodes, that the report is
+    about; no node may be in two of them
+    @param nodes number of nodes added up in the report; those that a row does
+    not count have not used the account */
+void quota_report_import (quota_t *quota, gs_time_t received_at,
+                          uint64_t source, unsigned nodes,
                           const quota_row_t *rows, size_t count);
 
+/** Forget all reports, since the next ones come from other sets of nodes. */
+void quota_reports_clear (quota_t *quota);
+
 /** Write the report for the peers.
     @return number of rows written; accounts without use are left out */
 size_t quota_report_export (quota_t *quota, gs_time_t now, quota_row_t *rows,
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -350,24 +350,30 @@
   control_message_t *message = context;
   traffic_t *traffic = message->traffic;
   const traffic_peers_t *peers = message->peers;
-  GArray *loads = g_array_new (FALSE, FALSE, sizeof (placer_load_t));
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (placer_peer_load_t));
   gs_time_t now = gs_clock_now ();
+  unsigned nodes = 0;
 
   traffic->members = peers->fleet.members;
   traffic->peers_updated_at = now;
   quota_fleet_set (traffic->quota, now, &peers->fleet);
+  if (peers->source != traffic->peers_source)
+    quota_reports_clear (traffic->quota);
+  traffic->peers_source = peers->source;
   for (guint i = 0; i < peers->peers->len; i++)
     {
       const traffic_peer_t *peer
           = &g_array_index (peers->peers, traffic_peer_t, i);
 
-      quota_report_import (traffic->quota, peer->received_at, peer->node,
-                           (const quota_row_t *)(void *)peer->quota->data,
-                           peer->quota->len);
+      quota_report_import (
+          traffic->quota, peer->received_at, peer->source, peer->nodes,
+          (const quota_row_t *)(void *)peer->quota->data, peer->quota->len);
+      nodes += peer->nodes;
       g_array_append_vals (loads, peer->loads->data, peer->loads->len);
     }
-  placer_peer_loads_set (
-      traffic->placer, (const placer_load_t *)(void *)loads->data, loads->len);
+  placer_peer_loads_set (traffic->placer,
+                         (const placer_peer_load_t *)(void *)loads->data,
+                         loads->len, nodes);
   g_array_unref (loads);
   traffic_peers_free (message->peers);
   g_free (message);
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -62,12 +62,13 @@
 traffic_report_t *traffic_report_create (void);
 void traffic_report_free (traffic_report_t *report);
 
-/** The last report of another node. */
+/** The last report of another node, or those of several nodes added up. */
 typedef struct
 {
-  uint64_t node;         /**< hash of its name */
+  uint64_t source;       /**< identifies the node or the set of nodes */
+  unsigned nodes;        /**< number of nodes */
   gs_time_t received_at; /**< when the report was received */
-  GArray *loads;         /**< of placer_load_t */
+  GArray *loads;         /**< of placer_peer_load_t */
   GArray *quota;         /**< of quota_row_t */
 } traffic_peer_t;
 
@@ -75,7 +76,9 @@
 typedef struct
 {
   quota_fleet_t fleet;
-  GArray *peers; /**< of traffic_peer_t, one for each other live node */
+  unsigned source; /**< how the nodes are divided up; reports of different
+                        divisions overlap */
+  GArray *peers;   /**< of traffic_peer_t */
 } traffic_peers_t;
 
 void traffic_peers_free (traffic_peers_t *peers);
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -42,6 +42,7 @@
   GHashTable *relays; /* set of relay_t */
   gs_rng_t rng;
   unsigned members;           /* nodes of the fleet, this one included */
+  unsigned peers_source;      /* how the last data about them were divided */
   gs_time_t peers_updated_at; /* last update of the data about other nodes */
   gs_time_t last_tick_at;
   gs_time_t report_due;
--- /dev/null
+++ b/tests/test_peers.c
@@ -0,0 +1,396 @@
+/* What nodes know of each other, with the exchange between nodes in virtual
+   time.  A fleet of hundreds must know as fast as a small one, at the same
+   number of bytes a node, and the sums of what the nodes report must count
+   each node once.  */
+
+#include "check.h"
+#include "peers_world.h"
+
+#include <math.h>
+#include <string.h>
+
+/* A death must be known to nearly all nodes, and a configuration to all,
+   within these times.  */
+#define DEATH_TIME_MAX (2500 * GS_MSEC)
+#define CONFIG_TIME_MAX GS_SEC
+#define KNOWN_RATIO_MIN 0.99
+#define SETTLE_TIME (4 * GS_SEC)
+#define STEP (20 * GS_MSEC)
+
+static peers_world_t *
+make_world (unsigned nodes, double loss)
+{
+  peers_world_options_t options = PEERS_WORLD_OPTIONS_INIT;
+  peers_world_t *world;
+
+  options.nodes = nodes;
+  options.data_centres = nodes > 40 ? 6 : 4;
+  options.loss = loss;
+  options.seed = nodes;
+  peers_world_create (&world, &options);
+  return world;
+}
+
+static void
+add_load (peers_world_t *world, unsigned node, unsigned in_flight)
+{
+  traffic_report_t *report = peers_world_report (world, node);
+  placer_load_t load = { .replica = "i-0", .in_flight = in_flight };
+  traffic_demand_t demand
+      = { .service = "pool", .requests = in_flight, .in_flight = in_flight };
+  traffic_usage_t usage
+      = { .account = "a", .window = 7, .requests = in_flight };
+  quota_row_t quota
+      = { .account = 5, .nodes = 1, .used = in_flight, .held = in_flight };
+
+  g_array_set_size (report->loads, 0);
+  g_array_set_size (report->demand, 0);
+  g_array_set_size (report->usage, 0);
+  g_array_set_size (report->quota, 0);
+  g_array_append_val (report->loads, load);
+  g_array_append_val (report->demand, demand);
+  g_array_append_val (report->usage, usage);
+  g_array_append_val (report->quota, quota);
+}
+
+static const unsigned sizes[] = { 5, 10, 30, 118 };
+
+/* @return load of the replica "i-0" that other nodes have, as a node sees it,
+   and the number of these nodes  */
+static unsigned
+peer_load (peers_world_t *world, unsigned node, unsigned *nodes)
+{
+  traffic_peers_t *view = peers_view_create (peers_world_peers (world, node),
+                                             peers_world_now (world));
+  unsigned sum = 0;
+
+  *nodes = 0;
+  for (guint i = 0; i < view->peers->len; i++)
+    {
+      const traffic_peer_t *peer
+          = &g_array_index (view->peers, traffic_peer_t, i);
+
+      *nodes += peer->nodes;
+      for (guint j = 0; j < peer->loads->len; j++)
+        sum += g_array_index (peer->loads, placer_peer_load_t, j).in_flight;
+    }
+  traffic_peers_free (view);
+  return sum;
+}
+
+static void
+each_node_sees_the_load_of_all_others_once (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      peers_world_t *world = make_world (sizes[i], 0);
+      unsigned total = 0;
+
+      for (unsigned node = 0; node < sizes[i]; node++)
+        {
+          add_load (world, node, node + 1);
+          total += node + 1;
+        }
+      peers_world_run (world, SETTLE_TIME);
+      for (unsigned node = 0; node < sizes[i]; node++)
+        {
+          unsigned nodes;
+
+          CU_ASSERT_EQUAL (peer_load (world, node, &nodes),
+                           total - (node + 1));
+          CU_ASSERT_EQUAL (nodes, sizes[i] - 1);
+        }
+      peers_world_destroy (world);
+    }
+}
+
+/* Usage and demand are needed by the holder of the duties, which is one of the
+   first nodes in the common order.  A process that has ended still counts in
+   the usage.  */
+static void
+the_first_nodes_count_all_processes_once (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      peers_world_t *world = make_world (sizes[i], 0);
+      unsigned total = 0;
+      unsigned first = 0;
+
+      for (unsigned node = 0; node < sizes[i]; node++)
+        {
+          add_load (world, node, node + 1);
+          total += node + 1;
+        }
+      peers_world_run (world, SETTLE_TIME);
+      peers_world_kill (world, sizes[i] - 1);
+      peers_world_run (world, SETTLE_TIME);
+      for (unsigned node = 0; node + 1 < sizes[i]; node++)
+        {
+          peers_t *peers = peers_world_peers (world, node);
+          aggregate_t sum;
+
+          if (peers_rank (peers, peers_world_now (world)) >= 3)
+            continue;
+          first++;
+          aggregate_init (&sum);
+          peers_fleet_sum (peers, peers_world_now (world), &sum);
+          CU_ASSERT_EQUAL_FATAL (sum.usage->len, 1);
+          CU_ASSERT_EQUAL (
+              g_array_index (sum.usage, traffic_usage_t, 0).requests, total);
+          CU_ASSERT_EQUAL_FATAL (sum.demand->len, 1);
+          CU_ASSERT_EQUAL (
+              g_array_index (sum.demand, traffic_demand_t, 0).requests, total);
+          CU_ASSERT_EQUAL (
+              g_array_index (sum.demand, traffic_demand_t, 0).in_flight,
+              total - sizes[i]);
+          aggregate_clear (&sum);
+        }
+      CU_ASSERT_EQUAL (first, 3);
+      peers_world_destroy (world);
+    }
+}
+
+/* @return share of the other live nodes that count a node as live  */
+static double
+share_that_knows_live (peers_world_t *world, unsigned nodes, unsigned other)
+{
+  unsigned known = 0;
+  unsigned asked = 0;
+
+  for (unsigned node = 0; node < nodes; node++)
+    if (node != other && peers_world_peers (world, node) != NULL)
+      {
+        asked++;
+        known += peers_world_knows_live (world, node, other);
+      }
+  return (double)known / asked;
+}
+
+/* @return time until nearly all nodes know, or do not know, a node as live  */
+static gs_time_t
+time_until_known (peers_world_t *world, unsigned nodes, unsigned other,
+                  bool live)
+{
+  gs_time_t start = peers_world_now (world);
+
+  while (peers_world_now (world) < start + 20 * GS_SEC)
+    {
+      double share = share_that_knows_live (world, nodes, other);
+
+      if ((live ? share : 1 - share) >= KNOWN_RATIO_MIN)
+        break;
+      peers_world_run (world, STEP);
+    }
+  return peers_world_now (world) - start;
+}
+
+static const struct
+{
+  unsigned nodes;
+  double loss;
+} death_cases[]
+    = { { 5, 0 }, { 30, 0 }, { 118, 0 }, { 118, 0.025 }, { 372, 0.025 } };
+
+static void
+deaths_and_starts_are_known_in_time (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (death_cases); i++)
+    {
+      unsigned nodes = death_cases[i].nodes;
+      peers_world_t *world = make_world (nodes, death_cases[i].loss);
+
+      peers_world_run (world, SETTLE_TIME);
+      /* Neighbouring numbers are in different data centres, so all roles
+         occur.  */
+      for (unsigned node = 0; node < 5; node++)
+        {
+          peers_world_kill (world, node);
+          CU_ASSERT (time_until_known (world, nodes, node, false)
+                     <= DEATH_TIME_MAX);
+          peers_world_start (world, node);
+          CU_ASSERT (time_until_known (world, nodes, node, true)
+                     <= DEATH_TIME_MAX);
+        }
+      peers_world_destroy (world);
+    }
+}
+
+/* @return whether all live nodes have a revision of the configuration  */
+static bool
+all_have_config (peers_world_t *world, unsigned nodes, uint64_t revision)
+{
+  for (unsigned node = 0; node < nodes; node++)
+    if (peers_world_peers (world, node) != NULL
+        && peers_world_state (world, node)->config_revision != revision)
+      return false;
+  return true;
+}
+
+static unsigned
+node_of_rank (peers_world_t *world, unsigned nodes, unsigned rank)
+{
+  for (unsigned node = 0; node < nodes; node++)
+    if (peers_rank (peers_world_peers (world, node), peers_world_now (world))
+        == rank)
+      return node;
+  return 0;
+}
+
+/* A node that follows the store gets a configuration and notifies the peers
+   that it calls.  */
+static void
+configurations_are_known_in_time (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (death_cases); i++)
+    {
+      unsigned nodes = death_cases[i].nodes;
+      peers_world_t *world = make_world (nodes, 0);
+      unsigned follower;
+      gs_time_t start;
+
+      peers_world_run (world, SETTLE_TIME);
+      follower = node_of_rank (world, nodes, 0);
+      for (uint64_t revision = 10; revision < 16; revision++)
+        {
+          start = peers_world_now (world);
+          peers_world_state (world, follower)->config_revision = revision;
+          peers_notify_all (peers_world_peers (world, follower), start);
+          while (!all_have_config (world, nodes, revision)
+                 && peers_world_now (world) < start + 20 * GS_SEC)
+            peers_world_run (world, STEP);
+          CU_ASSERT (peers_world_now (world) - start <= CONFIG_TIME_MAX);
+        }
+      peers_world_destroy (world);
+    }
+}
+
+/* Loss, frozen nodes and cuts of one direction must not make a live node
+   count as dead at others for longer than a second.  */
+static void
+live_nodes_do_not_count_as_dead (void)
+{
+  enum
+  {
+    NODES = 118,
+    FROZEN = 3,
+    STEPS = 500,
+    STEPS_FALSE_MAX = (int)(GS_SEC / STEP)
+  };
+  peers_world_t *world = make_world (NODES, 0.025);
+  unsigned streak[NODES] = { 0 };
+  unsigned longest = 0;
+
+  peers_world_run (world, SETTLE_TIME);
+  for (unsigned step = 0; step < STEPS; step++)
+    {
+      if (step == 100)
+        for (unsigned i = 0; i < FROZEN; i++)
+          peers_world_freeze (
+              world, i < 2 ? node_of_rank (world, NODES, 2 * i) : 50, true);
+      if (step == 250)
+        for (unsigned i = 0; i < NODES; i++)
+          peers_world_freeze (world, i, false);
+      if (step == 300)
+        peers_world_cut (world, 60, false, true);
+      peers_world_run (world, STEP);
+      for (unsigned other = 0; other < NODES; other += 7)
+        {
+          bool dead = share_that_knows_live (world, NODES, other) < 0.9;
+
+          streak[other] = dead && other != 50 ? streak[other] + 1 : 0;
+          longest = MAX (longest, streak[other]);
+        }
+    }
+  CU_ASSERT (longest <= STEPS_FALSE_MAX);
+  peers_world_destroy (world);
+}
+
+/* All nodes are killed at once and start again.  */
+static void
+a_restarted_fleet_is_complete_in_time (void)
+{
+  enum
+  {
+    NODES = 372
+  };
+  peers_world_t *world = make_world (NODES, 0.025);
+  gs_time_t start;
+  unsigned least = 0;
+
+  peers_world_run (world, SETTLE_TIME);
+  for (unsigned node = 0; node < NODES; node++)
+    peers_world_kill (world, node);
+  peers_world_run (world, 2 * GS_SEC);
+  for (unsigned node = 0; node < NODES; node++)
+    peers_world_start (world, node);
+  start = peers_world_now (world);
+  while (least < KNOWN_RATIO_MIN * (NODES - 1)
+         && peers_world_now (world) < start + 20 * GS_SEC)
+    {
+      peers_world_run (world, STEP);
+      least = NODES;
+      for (unsigned node = 0; node < NODES; node++)
+        least = MIN (least, peers_live_count (peers_world_peers (world, node),
+                                              peers_world_now (world)));
+    }
+  CU_ASSERT (peers_world_now (world) - start <= 5 * GS_SEC);
+  peers_world_destroy (world);
+}
+
+/* Callers are told 64 addresses at most.  Whatever node they ask, each address
+   must be told by some.  */
+static void
+all_addresses_are_told_evenly (void)
+{
+  enum
+  {
+    NODES = 118,
+    MAX_TOLD = 63
+  };
+  peers_world_t *world = make_world (NODES, 0);
+  gs_endpoint_t told[MAX_TOLD];
+  gs_endpoint_t again[MAX_TOLD];
+  unsigned times[NODES] = { 0 };
+
+  peers_world_run (world, SETTLE_TIME);
+  for (unsigned node = 0; node < NODES; node++)
+    {
+      peers_t *peers = peers_world_peers (world, node);
+      gs_time_t now = peers_world_now (world);
+
+      memset (told, 0, sizeof told);
+      memset (again, 0, sizeof again);
+      CU_ASSERT_EQUAL (peers_live_addresses (peers, now, told, MAX_TOLD),
+                       MAX_TOLD);
+      peers_live_addresses (peers, now, again, MAX_TOLD);
+      CU_ASSERT_EQUAL (memcmp (told, again, sizeof told), 0);
+      for (unsigned i = 0; i < MAX_TOLD; i++)
+        times[told[i].port - 7000]++;
+    }
+  for (unsigned node = 0; node < NODES; node++)
+    {
+      CU_ASSERT (times[node] >= MAX_TOLD / 2);
+      CU_ASSERT (times[node] <= 2 * MAX_TOLD);
+    }
+  peers_world_destroy (world);
+}
+
+static const check_case_t cases[] = {
+  { "each node sees the load of all others once",
+    each_node_sees_the_load_of_all_others_once },
+  { "the first nodes count all processes once",
+    the_first_nodes_count_all_processes_once },
+  { "deaths and starts are known in time",
+    deaths_and_starts_are_known_in_time },
+  { "configurations are known in time", configurations_are_known_in_time },
+  { "live nodes do not count as dead", live_nodes_do_not_count_as_dead },
+  { "a restarted fleet is complete in time",
+    a_restarted_fleet_is_complete_in_time },
+  { "all addresses are told evenly", all_addresses_are_told_evenly },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("peers", cases);
+}
--- a/tests/test_placer.c
+++ b/tests/test_placer.c
@@ -1,6 +1,7 @@
 #include "check.h"
 #include "gateway/placer.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #define REPLICAS 8
@@ -133,10 +134,11 @@
 the_load_of_peers_counts (void)
 {
   placer_t *placer = make_placer (2, 1);
-  placer_load_t loads[] = { { "i-0", SLOTS, 0, 0 }, { "i-gone", 9, 9, 9 } };
+  placer_peer_load_t loads[] = { { placer_replica_hash ("i-0"), SLOTS, 0, 0 },
+                                 { placer_replica_hash ("i-gone"), 9, 9, 9 } };
   gs_prompt_block_t blocks[3];
 
-  placer_peer_loads_set (placer, loads, G_N_ELEMENTS (loads));
+  placer_peer_loads_set (placer, loads, G_N_ELEMENTS (loads), 1);
   for (uint64_t session = 1; session < 30; session++)
     {
       placer_query_t query = make_query (blocks, session);
@@ -169,14 +171,14 @@
 {
   placer_t *placer = make_placer (1, 1);
   placer_query_t query = { .service = "pool", .avoid = PLACER_ROW_NONE };
-  placer_load_t load = { .replica = "i-0" };
+  placer_peer_load_t load = { .replica = placer_replica_hash ("i-0") };
   placer_choice_t choice;
   unsigned rejected = 0;
 
   for (unsigned i = 0; i < 200; i++)
     {
       load.in_flight = i % 2 == 0 ? SLOTS : 0;
-      placer_peer_loads_set (placer, &load, 1);
+      placer_peer_loads_set (placer, &load, 1, 1);
       rejected
           += placer_pick (placer, GS_SEC + i * 150 * GS_MSEC, &query, &choice)
              != GS_OK;
@@ -185,7 +187,7 @@
   /* Peers that keep the replica busy all the time do fill it.  */
   load.in_flight = 2 * SLOTS;
   for (unsigned i = 0; i < 40; i++)
-    placer_peer_loads_set (placer, &load, 1);
+    placer_peer_loads_set (placer, &load, 1, 1);
   CU_ASSERT_EQUAL (placer_pick (placer, 60 * GS_SEC, &query, &choice),
                    GS_ELIMIT);
   placer_destroy (placer);
@@ -276,12 +278,75 @@
   placer_destroy (placer);
 }
 
+/* A hundred nodes know the same loads, and each places a few short prompts
+   before the next reports arrive.  A placer that compared all replicas would
+   send those of all nodes to the least loaded ones.  */
+static void
+nodes_with_the_same_loads_overfill_no_replica (void)
+{
+  enum
+  {
+    NODES = 100,
+    FLEET_REPLICAS = 60,
+    REQUESTS = 4,
+    FLEET_SLOTS = 16,
+    BUSY = 5
+  };
+  placer_peer_load_t loads[FLEET_REPLICAS];
+  unsigned taken[FLEET_REPLICAS];
+  unsigned most = 0;
+
+  for (unsigned i = 0; i < FLEET_REPLICAS; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "i-%u", i);
+      taken[i] = i * 7 % BUSY;
+      loads[i] = (placer_peer_load_t){ .replica = placer_replica_hash (id),
+                                       .in_flight = taken[i] };
+    }
+  for (unsigned node = 0; node < NODES; node++)
+    {
+      gs_replica_list_t *list = make_list (FLEET_REPLICAS);
+      placer_t *placer;
+
+      for (unsigned i = 0; i < FLEET_REPLICAS; i++)
+        list->rows[i].slots = FLEET_SLOTS;
+      placer_create (&placer, node + 1);
+      placer_replicas_set (placer, list);
+      gs_replica_list_unref (list);
+      placer_peer_loads_set (placer, loads, FLEET_REPLICAS, NODES - 1);
+      for (unsigned i = 0; i < REQUESTS; i++)
+        {
+          placer_query_t query = { .service = "pool",
+                                   .engine = true,
+                                   .prompt_tokens = 600,
+                                   .output_tokens = 30,
+                                   .avoid = PLACER_ROW_NONE };
+          placer_choice_t choice;
+          placer_ticket_t ticket;
+
+          CU_ASSERT_EQUAL_FATAL (placer_pick (placer, GS_SEC, &query, &choice),
+                                 GS_OK);
+          placer_attempt_begin (placer, GS_SEC, &query, &choice, &ticket);
+          taken[atoi (placer_replica (placer, choice.row)->id + 2)]++;
+        }
+      placer_destroy (placer);
+    }
+  for (unsigned i = 0; i < FLEET_REPLICAS; i++)
+    most = MAX (most, taken[i]);
+  CU_ASSERT (most <= FLEET_SLOTS);
+  printf ("most=%u ", most);
+}
+
 static const check_case_t cases[] = {
   { "all nodes choose the same replica for a session",
     all_nodes_choose_the_same_replica_for_a_session },
   { "a busy session does not overload its replica",
     a_busy_session_does_not_overload_its_replica },
   { "the load of peers counts", the_load_of_peers_counts },
+  { "nodes with the same loads overfill no replica",
+    nodes_with_the_same_loads_overfill_no_replica },
   { "alternating reports of short requests do not fill a replica",
     alternating_reports_of_short_requests_do_not_fill_a_replica },
   { "short requests may exceed the slots of a replica",
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -225,7 +225,7 @@
     return;
   for (unsigned to = 0; to < sim->scenario->nodes; to++)
     if (is_connected (sim, elapsed, from, to) && !is_down (sim, to, now))
-      quota_report_import (sim->nodes[to].quota, now, from + 1, node->report,
+      quota_report_import (sim->nodes[to].quota, now, from + 1, 1, node->report,
                            node->count);
 }
 
