lease, scaler: no wait for the first holder, spares for two data centres

And twice the need was ordered however many data centres share the risk.

Change: taken_from_other is false for a lease whose object the write created. The store creates an object only if there is none and loses none. Spot replicas cover the loss of two data centres: 1.5 times the need with six data centres, 2 with four as before.

--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -66,8 +66,11 @@
   bool own = is_own (lease, &lease->record);
   uint64_t token_floor = MAX (lease->record.fencing, lease->fencing_floor);
 
+  /* The store creates an object only if there is none, so nobody has held a
+     lease whose object this write creates.  */
   if (!own)
-    lease->taken_from_other = !is_of_predecessor (lease);
+    lease->taken_from_other
+        = lease->version != 0 && !is_of_predecessor (lease);
   action.version = lease->version;
   action.record = lease->record;
   /* Each attempt gets a new renewal number, so that a delayed earlier write
--- a/src/control/lease.h
+++ b/src/control/lease.h
@@ -83,8 +83,8 @@
   /** The object must be read before the next write: the outcome of the last
       write is unknown, or a higher token is in use. */
   bool record_stale;
-  /** The lease was not acquired from an earlier process of this node: another
-      node may have acted until then. */
+  /** The lease was acquired neither as its first holder nor from an earlier
+      process of this node: another node may have acted until then. */
   bool taken_from_other;
   gs_lease_record_t last_write; /**< record of the last write sent */
   gs_time_t last_write_at;      /**< just before that write was sent */
--- a/src/gateway/scaler.c
+++ b/src/gateway/scaler.c
@@ -18,11 +18,11 @@
 #define DEMAND_RATIO_MAX 3.0
 /* Share of the slots that may be taken on average.  */
 #define SLOTS_TAKEN_RATIO_MAX 0.6
-/* Spot replicas that are ordered, as a ratio of the need: the load is still
-   served when half of the data centres lose their spot replicas, and there is
-   capacity for a burst while new replicas start.  Spot replicas cost about a
-   fifth of on-demand ones.  */
-#define SPOT_NEED_RATIO 2.0
+/* Spot replicas are ordered so that the need is still met when this many data
+   centres have lost theirs, and for at most SPOT_NEED_RATIO_MAX times the
+   need.  What is not lost is capacity for a burst while new replicas start. */
+#define LOST_DATA_CENTRES_COVERED 2
+#define SPOT_NEED_RATIO_MAX 2.0
 /* The highest need of this many seconds counts.  The swing of the load over a
    day is slower, and to start a released replica again takes only a third of
    this time.  */
@@ -197,6 +197,18 @@
   return MAX (MAX (reading, running), 1.0) * demand_per_served (load);
 }
 
+/* @return spot replicas that are ordered for each replica that is needed  */
+static double
+spot_need_ratio (const service_plan_t *plan)
+{
+  double remaining
+      = (double)plan->data_centre_count - LOST_DATA_CENTRES_COVERED;
+
+  if (remaining < 1)
+    return SPOT_NEED_RATIO_MAX;
+  return MIN (plan->data_centre_count / remaining, SPOT_NEED_RATIO_MAX);
+}
+
 /* Records the need.  Without a history the present replicas are taken as the
    need, so that a new holder of the duty releases none that the load may
    need.  */
@@ -208,7 +220,7 @@
   if (!plan->has_needs)
     {
       for (int i = 0; i < NEED_SECONDS; i++)
-        plan->needs[i] = ready / SPOT_NEED_RATIO;
+        plan->needs[i] = ready / spot_need_ratio (plan);
       plan->has_needs = true;
       plan->second = second;
     }
@@ -449,8 +461,9 @@
       need_record (plan, now, need, ready);
       fill_in_update (plan, now, spot_ready);
     }
-  total = load->has_requests ? need_max (plan, NEED_SECONDS) * SPOT_NEED_RATIO
-                             : plan->initial_replicas;
+  total = load->has_requests
+              ? need_max (plan, NEED_SECONDS) * spot_need_ratio (plan)
+              : plan->initial_replicas;
   on_demand_plan (plan, limits, spot_ready, total);
   spare = (unsigned)MAX (spot_ready - ceil (total), 0);
   for (unsigned i = 0; i < plan->data_centre_count && count + 2 <= max; i++)
