quota: in a large fleet, shares bind only when the room is scarce

Cause: at 118 nodes a node's share of an account is a few requests, or less than one, while half of each share is reserved for its node.

Change: reports also carry the demand (asked for per second). While the limit leaves room for the demand of all nodes until they know of each other's use, shares do not bind; a node draws at most twice an even part, or four requests, in the time that others do not know of it. Reports and summaries go every 150 ms instead of 300 in a large fleet, so that use is known in 0.35 s on average. Fleets with digests do as before.

--- a/src/gateway/aggregate.c
+++ b/src/gateway/aggregate.c
@@ -124,6 +124,8 @@
 
   if (row == NULL)
     return;
+  row->tells_demand
+      = use->tells_demand && (row->nodes == 0 || row->tells_demand);
   row->account = use->account;
   row->nodes += use->nodes;
   row->used += use->used;
@@ -131,6 +133,7 @@
   row->held += use->held;
   row->restarted_nodes += use->restarted_nodes;
   row->restarted_used += use->restarted_used;
+  row->demand += use->demand;
 }
 
 static void
@@ -179,7 +182,12 @@
       add_load (sum, &row);
     }
   for (guint i = 0; i < report->quota->len; i++)
-    add_quota (sum, &g_array_index (report->quota, quota_row_t, i));
+    {
+      quota_row_t row = g_array_index (report->quota, quota_row_t, i);
+
+      quota_row_complete (&row);
+      add_quota (sum, &row);
+    }
   for (guint i = 0; i < report->demand->len; i++)
     add_demand (sum, &g_array_index (report->demand, traffic_demand_t, i),
                 true);
@@ -242,6 +250,7 @@
       SUBTRACT (held);
       SUBTRACT (restarted_nodes);
       SUBTRACT (restarted_used);
+      SUBTRACT (demand);
     }
 }
 
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -29,14 +29,16 @@
 static const row_layout_t quota_layout
     = { sizeof (quota_row_t),
         AGGREGATE_ROWS_MAX,
-        7,
+        9,
         { ROW_COLUMN (ROW_NUMBER, quota_row_t, account),
           ROW_COLUMN (ROW_NUMBER, quota_row_t, nodes),
           ROW_COLUMN (ROW_NUMBER, quota_row_t, used),
           ROW_COLUMN (ROW_NUMBER, quota_row_t, predecessor_used),
           ROW_COLUMN (ROW_NUMBER, quota_row_t, held),
           ROW_COLUMN (ROW_NUMBER, quota_row_t, restarted_nodes),
-          ROW_COLUMN (ROW_NUMBER, quota_row_t, restarted_used) } };
+          ROW_COLUMN (ROW_NUMBER, quota_row_t, restarted_used),
+          ROW_COLUMN (ROW_NUMBER, quota_row_t, demand),
+          ROW_COLUMN (ROW_NUMBER, quota_row_t, tells_demand) } };
 static const row_layout_t demand_layout
     = { sizeof (traffic_demand_t),
         AGGREGATE_ROWS_MAX,
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -83,7 +83,9 @@
 {
   unsigned nodes = g_hash_table_size (peers->by_name) + 1;
 
-  return call != CALL_DIGEST || nodes <= PEERS_SMALL_FLEET_MAX
+  if (call != CALL_DIGEST)
+    return PEERS_REPORT_INTERVAL;
+  return nodes <= PEERS_SMALL_FLEET_MAX
              ? PEERS_EXCHANGE_INTERVAL
              : PEERS_EXCHANGE_INTERVAL * nodes / PEERS_SMALL_FLEET_MAX;
 }
@@ -92,7 +94,8 @@
 peers_silence_timeout (const peers_t *peers, peer_call_t call)
 {
   return (gs_time_t)(PEERS_MISSED_EXCHANGES_MAX
-                     * (double)peers_call_interval (peers, call));
+                     * (double)MAX (peers_call_interval (peers, call),
+                                    PEERS_EXCHANGE_INTERVAL));
 }
 
 bool
@@ -430,7 +433,7 @@
       peer->call_pending = false;
       peer->unreachable |= !accepted && peer->last_heard_at < call->started_at;
       peer->next_call_at
-          = MAX (call->started_at, now - PEERS_EXCHANGE_INTERVAL)
+          = MAX (call->started_at, now - PEERS_REPORT_INTERVAL)
             + (peers_is_heard (peers, peer, now)
                    ? peers_call_interval (peers, call->call)
                    : MAX (SILENT_PEER_INTERVAL,
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -30,6 +30,9 @@
     number. */
 #define PEERS_EXCHANGE_INTERVAL (300 * GS_MSEC)
 #define PEERS_SMALL_FLEET_MAX 10
+/** Time between two reports to an aggregator, and between two summaries.  What
+    a node knows comes over three exchanges, each of them shorter. */
+#define PEERS_REPORT_INTERVAL (150 * GS_MSEC)
 /** Aggregators of a data centre; either suffices while the other one fails. */
 #define PEERS_AGGREGATORS 2
 /** A node that misses this many exchanges is no longer live, and its address
--- a/src/gateway/peers_fleet.c
+++ b/src/gateway/peers_fleet.c
@@ -3,16 +3,18 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* A report or summary counts as the present load of its nodes for this many
-   exchange intervals.  */
+/* A digest counts as the present load of its node for this many exchange
+   intervals; a report or summary counts for a longer time than two of its
+   intervals, as a call that is lost takes as long as several.  */
 #define FRESH_INTERVALS 2
+#define REPORT_FRESH_TTL (450 * GS_MSEC)
 /* What aggregators say about nodes is believed for this long after the last
    message of an aggregator: while one aggregator replaces another, the
    addresses of a data centre must not disappear.  */
 #define TOLD_TTL (2 * GS_SEC)
 /* Interval at which the aggregate for views is made anew, and at which an
    aggregator updates what the others say.  */
-#define AGGREGATE_INTERVAL (100 * GS_MSEC)
+#define AGGREGATE_INTERVAL (50 * GS_MSEC)
 /* Allowed time to transfer a message and to hand it over between the two
    threads at each end, which process messages every 10 ms.  The part of this
    time that they do not need covers slower nodes.  */
@@ -39,7 +41,7 @@
 static bool
 is_fresh (gs_time_t received_at, gs_time_t now)
 {
-  return now <= received_at + FRESH_INTERVALS * PEERS_EXCHANGE_INTERVAL;
+  return now <= received_at + REPORT_FRESH_TTL;
 }
 
 void
@@ -600,14 +602,15 @@
 peers_view_create (peers_t *peers, gs_time_t now)
 {
   traffic_peers_t *view = g_new0 (traffic_peers_t, 1);
-  gs_time_t interval = peers_call_interval (
-      peers, peers->role == PEERS_ROLE_MESH ? CALL_DIGEST : CALL_REPORT);
+  bool mesh = peers->role == PEERS_ROLE_MESH;
   /* From a leaf to its aggregator, on to another one, and to a leaf.  */
-  unsigned exchanges = peers->role == PEERS_ROLE_MESH ? 1 : 3;
+  unsigned exchanges = mesh ? 1 : 3;
 
   view->source = (unsigned)peers->role;
   view->fleet.members = peers_member_count (peers, now);
-  view->fleet.report_ttl = FRESH_INTERVALS * interval;
+  view->fleet.report_ttl
+      = mesh ? FRESH_INTERVALS * peers_call_interval (peers, CALL_DIGEST)
+             : REPORT_FRESH_TTL;
   view->fleet.lag = exchanges * (view->fleet.report_ttl + MESSAGE_DELAY_MAX)
                     + TRAFFIC_REPORT_INTERVAL;
   view->peers = g_array_new (FALSE, TRUE, sizeof (traffic_peer_t));
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -29,6 +29,14 @@
    leave nothing for most of the window.  */
 #define PACE_USED_RATIO_MIN 0.3
 #define SURGE_DEMAND_RATIO_MIN 1.4
+/* While the limit leaves plenty of room, a node may use twice what an even use
+   of the limit brings, or this many requests of mean size, within the time
+   that its use is unknown to others: half of the longest lag, on average.  */
+#define PLENTIFUL_RATE_RATIO 4
+#define PLENTIFUL_REQUESTS 4
+#define MEAN_LAG_RATIO 0.5
+/* Part of the longest lag for which the room must last.  */
+#define PLENTIFUL_LAG_RATIO 0.9
 /* Pace as a ratio of the rate of the share; the rest covers the burst that a
    limit allows and the use before the surge.  */
 #define PACE_RATIO 0.9
@@ -66,6 +74,9 @@
   double used;                /* sum of the bins */
   double peers_held;       /* held by all peers: used, reserved or assumed */
   double peers_used;       /* reported by peers whose reports are fresh */
+  double peers_assumed;    /* held by the other peers, as far as is known */
+  double peers_demand;     /* per second, of peers whose reports are fresh */
+  bool demand_known;       /* all fresh reports tell the demand */
   double predecessor_used; /* used by the process before this one */
   bool predecessor_known;  /* estimated from reports of older nodes */
   bool surged;             /* within a window from the start of the process */
@@ -154,20 +165,17 @@
     }
 }
 
-/* The report of a single node may come without the fields that are needed to
-   add reports up.  */
-static quota_row_t
-complete_row (const quota_row_t *row)
+void
+quota_row_complete (quota_row_t *row)
 {
-  quota_row_t out = *row;
-
-  if (out.nodes > 0)
-    return out;
-  out.nodes = 1;
-  out.held = out.used + out.predecessor_used;
-  out.restarted_nodes = out.predecessor_used > 0;
-  out.restarted_used = out.predecessor_used > 0 ? out.used : 0;
-  return out;
+  if (row->nodes > 0)
+    return;
+  row->nodes = 1;
+  row->held = row->used + row->predecessor_used;
+  row->restarted_nodes = row->predecessor_used > 0;
+  row->restarted_used = row->predecessor_used > 0 ? row->used : 0;
+  row->demand = 0;
+  row->tells_demand = false;
 }
 
 void
@@ -193,7 +201,8 @@
     {
       quota_row_t *use = g_new (quota_row_t, 1);
 
-      *use = complete_row (&rows[i]);
+      *use = rows[i];
+      quota_row_complete (use);
       g_hash_table_replace (peer->uses, &use->account, use);
     }
   quota->sum_due = 0;
@@ -234,6 +243,9 @@
 
   row->peers_held = 0;
   row->peers_used = 0;
+  row->peers_assumed = 0;
+  row->peers_demand = 0;
+  row->demand_known = true;
   g_hash_table_iter_init (&iter, quota->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -249,19 +261,27 @@
 
       peers += report->nodes;
       held = MAX (held, used) + (report->nodes - users) * reserved;
-      row->peers_held
-          += MAX (held, report->nodes * (fresh ? reserved : share));
-      row->peers_used += fresh ? used : 0;
+      held = MAX (held, report->nodes * (fresh ? reserved : share));
+      row->peers_held += held;
       if (!fresh)
-        continue;
+        {
+          row->peers_assumed += held;
+          continue;
+        }
+      row->peers_used += used;
       older_peers += report->nodes;
       if (use == NULL)
         continue;
+      row->peers_demand += (double)use->demand;
+      row->demand_known &= use->tells_demand;
       older_peers -= MIN (use->restarted_nodes, report->nodes);
       older_use += (double)(use->used - MIN (use->restarted_used, use->used));
     }
   if (peers + 1 < quota->members)
-    row->peers_held += (quota->members - 1 - peers) * share;
+    {
+      row->peers_held += (quota->members - 1 - peers) * share;
+      row->peers_assumed += (quota->members - 1 - peers) * share;
+    }
   row->predecessor_known = older_peers > 0;
   row->predecessor_used = older_peers > 0 ? older_use / older_peers : 0;
 }
@@ -453,6 +473,61 @@
               (gs_time_t)(PACE_BURST_REQUESTS * row->mean_size / pace));
 }
 
+static double
+demand_per_second (const account_state_t *row, gs_time_t now)
+{
+  return row->demand
+         * exp (-(double)(now - row->demand_at) / (double)DEMAND_DECAY_TIME)
+         * (double)GS_SEC / (double)DEMAND_DECAY_TIME;
+}
+
+static gs_time_t
+mean_lag (const quota_t *quota)
+{
+  return (gs_time_t)(MEAN_LAG_RATIO * (double)quota->fleet.lag);
+}
+
+/* @return use of this node that peers do not know of, on average  */
+static double
+recent_use (const quota_t *quota, gs_time_t now, const account_state_t *row)
+{
+  int64_t first = (now - mean_lag (quota)) / bin_length (quota);
+  double use = 0;
+
+  for (int64_t number = MAX (first, row->newest - BIN_COUNT + 1);
+       number <= row->newest; number++)
+    use += row->bins[number % BIN_COUNT];
+  return use;
+}
+
+/* In a large fleet a share is a few requests, or less than one, so that shares
+   would reject requests of accounts far below their limits.  They do not bind
+   while the limit leaves room for all that may be asked for at all nodes until
+   they know of it.  A node draws little at a time, as all nodes may draw at
+   once.
+   @return whether an amount can be admitted whatever the share is  */
+static bool
+is_plentiful (const quota_t *quota, gs_time_t now, const account_state_t *row,
+              double amount)
+{
+  double remaining = row->limit - row->peers_used - row->peers_assumed
+                     - row->used - predecessor_use (quota, now, row);
+  double demand = row->peers_demand + demand_per_second (row, now);
+  double decay = (double)DEMAND_DECAY_TIME / GS_SEC;
+  double demand_max
+      = SURGE_DEMAND_RATIO_MIN * row->limit * GS_SEC / (double)quota->window
+        + PACE_BURST_REQUESTS * row->mean_size / decay;
+  double draw_max
+      = MAX (PLENTIFUL_RATE_RATIO * account_share (quota, row)
+                 * (double)mean_lag (quota) / (double)quota->window,
+             PLENTIFUL_REQUESTS * row->mean_size);
+
+  return row->demand_known && !is_recently_started (quota, now)
+         && demand <= demand_max && recent_use (quota, now, row) <= draw_max
+         && remaining - amount > PLENTIFUL_LAG_RATIO * demand
+                                     * (double)quota->fleet.lag / GS_SEC;
+}
+
 /* @return time until an amount can be admitted, 0 for now  */
 static gs_time_t
 time_until_admitted (const quota_t *quota, gs_time_t now,
@@ -524,7 +599,8 @@
       row->surged = true;
       allowed = allowance (quota, now, row);
     }
-  *retry_after = time_until_admitted (quota, now, row, allowed, amount);
+  if (!is_plentiful (quota, now, row, amount))
+    *retry_after = time_until_admitted (quota, now, row, allowed, amount);
   if (*retry_after > 0)
     return gs_error_set (GS_EREFUSED, "account exceeds its limit");
   use_record (quota, now, row, allowed, amount);
@@ -552,7 +628,7 @@
 }
 
 static quota_row_t
-export_row (const quota_t *quota, const account_state_t *row,
+export_row (const quota_t *quota, gs_time_t now, const account_state_t *row,
             double predecessor_used)
 {
   double reserved = SHARE_RESERVED_RATIO * account_share (quota, row);
@@ -566,6 +642,8 @@
     .held = (uint64_t)ceil (MAX (row->used + predecessor_used, reserved)),
     .restarted_nodes = restarted,
     .restarted_used = restarted ? (uint64_t)row->used : 0,
+    .demand = (uint64_t)demand_per_second (row, now),
+    .tells_demand = true,
   };
 }
 
@@ -591,7 +669,7 @@
           || row->used + predecessor_used < *reported)
         *reported = row->used + predecessor_used;
       if (row->used > 0 || predecessor_used > 0)
-        rows[count++] = export_row (quota, row, predecessor_used);
+        rows[count++] = export_row (quota, now, row, predecessor_used);
     }
   return count;
 }
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -43,6 +43,8 @@
                       more */
   uint32_t restarted_nodes; /**< nodes with use of a predecessor */
   uint64_t restarted_used;  /**< by these nodes, without predecessors */
+  uint64_t demand; /**< asked for per second, admitted or not */
+  uint32_t tells_demand; /**< 0 if the demand of some node is not known */
 } quota_row_t;
 
 /** The nodes that share the limits. */
@@ -74,6 +76,10 @@
 void quota_fleet_set (quota_t *quota, gs_time_t now,
                       const quota_fleet_t *fleet);
 
+/** Fill in what the report of a single node lacks if it comes in a form that
+    has the first fields only. */
+void quota_row_complete (quota_row_t *row);
+
 /** Replace a report by the one received at @p received_at.
     @param source identifies the node, or the set of nodes, that the report is
     about; no node may be in two of them
--- a/src/gateway/row_codec.h
+++ b/src/gateway/row_codec.h
@@ -30,7 +30,7 @@
     KIND, offsetof (TYPE, FIELD), sizeof ((TYPE *)0)->FIELD                   \
   }
 
-#define ROW_COLUMNS_MAX 8
+#define ROW_COLUMNS_MAX 9
 
 /** Describes the struct of a row and which of its fields are encoded. */
 typedef struct
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -6,7 +6,7 @@
 #include <math.h>
 #include <string.h>
 
-#define NODES_MAX 40
+#define NODES_MAX 120
 #define ACCOUNT 42
 #define TICK (10 * GS_MSEC)
 #define SCENARIO_SEC 40
@@ -20,6 +20,14 @@
 /* How often nodes export their use.  */
 #define EXPORT_INTERVAL (200 * GS_MSEC)
 #define START_TIME (100 * GS_SEC)
+/* In a fleet with aggregators the reports of all other nodes come added up, at
+   this interval; each is this old when it comes.  */
+#define VIEW_INTERVAL (80 * GS_MSEC)
+#define VIEW_AGE_MIN (60 * GS_MSEC)
+#define VIEW_AGE_RANGE (560 * GS_MSEC)
+/* Reports that are older are left out of the sum.  */
+#define VIEW_AGE_MAX (1500 * GS_MSEC)
+#define HISTORY 16
 
 /* A scenario: the demand, and the failures of nodes.  Times are in seconds
    from the start of the scenario.  */
@@ -39,7 +47,8 @@
   unsigned kill_from;
   unsigned partition_from; /* start of a partition into two halves */
   unsigned partition_to;
-  bool failover; /* callers of killed nodes use the other nodes */
+  bool failover;   /* callers of killed nodes use the other nodes */
+  bool aggregated; /* the fleet has aggregators */
   /* Highest percentage of rejected requests, from the second window on; 0 if
      the demand exceeds the limit and the percentage is not checked.  */
   double rejected_percent_max;
@@ -58,6 +67,10 @@
 /* A ratio of the nodes is killed at the given second.  */
 #define KILLED(RATIO, FROM) .killed_ratio = (RATIO), .kill_from = (FROM)
 
+/* A fleet of hundred and eighteen nodes, in which a node's share of an account
+   is a few requests, or less than one.  */
+#define LARGE_FLEET .aggregated = true
+
 static const scenario_t scenarios[] = {
   /* An account that uses less than its limit is not rejected, although a few
      in a hundred of its requests are many times as large as the others.  */
@@ -123,6 +136,44 @@
   { .name = "surge after all are killed",
     SURGING (30, 1219e3, 9, 25),
     KILLED (1, 8) },
+  { .name = "large fleet", LARGE_FLEET, STEADY (118, 150e3, 0.55) },
+  { .name = "large fleet, small account",
+    LARGE_FLEET,
+    STEADY (118, 40e3, 0.55) },
+  { .name = "large fleet, large account",
+    LARGE_FLEET,
+    STEADY (118, 1200e3, 0.7) },
+  { .name = "large fleet, ten nodes are dead",
+    LARGE_FLEET,
+    STEADY (118, 150e3, 0.5),
+    .dead_nodes = 10 },
+  { .name = "large fleet, surge", LARGE_FLEET, SURGING (118, 1219e3, 5, 25) },
+  { .name = "large fleet, surge of a small account",
+    LARGE_FLEET,
+    SURGING (118, 150e3, 5, 25) },
+  { .name = "large fleet, surge during a partition",
+    LARGE_FLEET,
+    SURGING (118, 1219e3, 5, 25),
+    .partition_from = 7,
+    .partition_to = 20 },
+  { .name = "large fleet, surge as a partition begins",
+    LARGE_FLEET,
+    SURGING (118, 150e3, 5, 25),
+    .partition_from = 5,
+    .partition_to = 20 },
+  { .name = "large fleet, surge, a tenth is killed",
+    LARGE_FLEET,
+    SURGING (118, 1219e3, 5, 25),
+    KILLED (0.1, 7),
+    .failover = true },
+  { .name = "large fleet, surge, all are killed",
+    LARGE_FLEET,
+    SURGING (118, 1219e3, 5, 25),
+    KILLED (1, 7) },
+  { .name = "large fleet, surge after all are killed",
+    LARGE_FLEET,
+    SURGING (118, 150e3, 9, 25),
+    KILLED (1, 8) },
 };
 
 typedef struct
@@ -130,6 +181,9 @@
   quota_t *quota;
   quota_row_t report[1];
   size_t count;
+  quota_row_t history[HISTORY]; /* earlier reports; .nodes is 0 for none */
+  gs_time_t history_at[HISTORY];
+  unsigned history_next;
   gs_time_t exported_at;
   gs_time_t restarts_at; /* down until then */
 } sim_node_t;
@@ -155,7 +209,10 @@
 node_start (const scenario_t *scenario, sim_node_t *node, gs_time_t now,
             bool first)
 {
-  const quota_fleet_t fleet
+  const quota_fleet_t aggregated = { .members = scenario->nodes,
+                                     .report_ttl = 450 * GS_MSEC,
+                                     .lag = 1850 * GS_MSEC };
+  const quota_fleet_t mesh
       = { .members = scenario->nodes,
           .report_ttl
           = (gs_time_t)(2.5 * (double)exchange_interval (scenario)),
@@ -164,11 +221,14 @@
   double limit = 9 * scenario->rate;
 
   quota_create (&node->quota, WINDOW, now, first);
-  quota_fleet_set (node->quota, now, &fleet);
+  quota_fleet_set (node->quota, now,
+                   scenario->aggregated ? &aggregated : &mesh);
   quota_limit_set (node->quota, ACCOUNT,
                    limit + 0.6 * (EXCESS_RATIO * limit + EXCESS_TOKENS));
   node->count = 0;
   node->exported_at = 0;
+  memset (node->history, 0, sizeof node->history);
+  memset (node->history_at, 0, sizeof node->history_at);
 }
 
 static bool
@@ -207,25 +267,101 @@
              || (from < scenario->nodes / 2) == (to < scenario->nodes / 2));
 }
 
+static void
+add_row (quota_row_t *sum, const quota_row_t *row)
+{
+  sum->account = ACCOUNT;
+  sum->nodes += row->nodes;
+  sum->used += row->used;
+  sum->predecessor_used += row->predecessor_used;
+  sum->held += row->held;
+  sum->restarted_nodes += row->restarted_nodes;
+  sum->restarted_used += row->restarted_used;
+  sum->demand += row->demand;
+  sum->tells_demand &= row->nodes == 0 || row->tells_demand;
+}
+
+/* @return index of the newest report that is older than the given time, or -1
+ */
+static int
+history_find (const sim_node_t *node, gs_time_t before)
+{
+  int found = -1;
+
+  for (int i = 0; i < HISTORY; i++)
+    if (node->history_at[i] != 0 && node->history_at[i] <= before
+        && (found < 0 || node->history_at[i] > node->history_at[found]))
+      found = i;
+  return found;
+}
+
+static void
+receive_view (simulation_t *sim, gs_time_t now, gs_time_t elapsed,
+              unsigned index)
+{
+  quota_row_t sum = { .account = ACCOUNT, .tells_demand = true };
+  unsigned nodes = 0;
+
+  if ((now + index * VIEW_INTERVAL / sim->scenario->nodes) % VIEW_INTERVAL
+      >= TICK)
+    return;
+  for (unsigned from = 0; from < sim->scenario->nodes; from++)
+    {
+      const sim_node_t *node = &sim->nodes[from];
+      gs_time_t age
+          = VIEW_AGE_MIN + (gs_time_t)gs_rng_below (&sim->rng, VIEW_AGE_RANGE);
+      int found = history_find (node, now - age);
+
+      if (!is_connected (sim, elapsed, from, index) || found < 0
+          || node->history_at[found] < now - VIEW_AGE_MAX)
+        continue;
+      nodes++;
+      add_row (&sum, &node->history[found]);
+    }
+  quota_report_import (sim->nodes[index].quota, now, 1, nodes, &sum,
+                       sum.nodes > 0);
+}
+
+static void
+export_report (simulation_t *sim, gs_time_t now, unsigned index)
+{
+  sim_node_t *node = &sim->nodes[index];
+  unsigned next = node->history_next++ % HISTORY;
+
+  node->count = quota_report_export (node->quota, now, node->report, 1);
+  node->exported_at = now;
+  node->history[next]
+      = node->count > 0 ? node->report[0] : (quota_row_t){ .nodes = 0 };
+  node->history_at[next] = now;
+}
+
 static void
 send_report (simulation_t *sim, gs_time_t now, gs_time_t elapsed,
              unsigned from)
 {
   sim_node_t *node = &sim->nodes[from];
+  quota_row_t report;
 
   if (now % EXPORT_INTERVAL == 0)
+    export_report (sim, now, from);
+  if (sim->scenario->aggregated)
     {
-      node->count = quota_report_export (node->quota, now, node->report, 1);
-      node->exported_at = now;
+      receive_view (sim, now, elapsed, from);
+      return;
     }
   if ((now + from * exchange_interval (sim->scenario) / sim->scenario->nodes)
               % exchange_interval (sim->scenario)
           >= TICK
       || node->exported_at == 0)
     return;
+  /* Digests tell the use only.  */
+  report
+      = (quota_row_t){ .account = ACCOUNT,
+                       .used = node->report[0].used,
+                       .predecessor_used = node->report[0].predecessor_used };
   for (unsigned to = 0; to < sim->scenario->nodes; to++)
     if (is_connected (sim, elapsed, from, to) && !is_down (sim, to, now))
-      quota_report_import (sim->nodes[to].quota, now, from + 1, 1, node->report,
+      quota_report_import (sim->nodes[to].quota, now, from + 1, 1, &report,
                            node->count);
 }
 
