duties: the holder keeps the lease while other nodes come before it

Change: a node outside the first three renews a lease that it holds, and only nodes that can't do the duties release it: those that are not ready or, in a large fleet, no aggregators.

--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -228,6 +228,12 @@
          && gs_lease_is_valid (&duties->lease, now);
 }
 
+bool
+duties_is_holder (const duties_t *duties)
+{
+  return duties->fencing != 0;
+}
+
 static gs_duty_t
 own_duty (const duties_t *duties)
 {
@@ -475,9 +481,11 @@
 }
 
 void
-duties_tick (duties_t *duties, gs_time_t now, bool wanted)
+duties_tick (duties_t *duties, gs_time_t now, duties_wish_t wish)
 {
-  tick_lease (duties, now, wanted);
+  tick_lease (duties, now,
+              wish == DUTIES_SEEK
+                  || (wish == DUTIES_KEEP && duties->fencing != 0));
   update_holder (duties, now);
   if (!duties_may_act (duties, now))
     return;
--- a/src/gateway/duties.h
+++ b/src/gateway/duties.h
@@ -57,9 +57,20 @@
     @param list the duties take a reference of their own */
 void duties_replicas_set (duties_t *duties, gs_replica_list_t *list);
 
-/** Make the calls that are due.  To be called often.
-    @param wanted whether this node is to acquire or keep the lease */
-void duties_tick (duties_t *duties, gs_time_t now, bool wanted);
+/** @return whether this node holds the lease, also if it still waits until the
+    holder before can't act any more */
+bool duties_is_holder (const duties_t *duties);
+
+/** What a node does about the lease of the duties. */
+typedef enum
+{
+  DUTIES_RELEASE, /**< give it up if held */
+  DUTIES_KEEP,    /**< renew it if held */
+  DUTIES_SEEK     /**< take it if it is free */
+} duties_wish_t;
+
+/** Make the calls that are due.  To be called often. */
+void duties_tick (duties_t *duties, gs_time_t now, duties_wish_t wish);
 
 /** @return whether this node holds the lease and may act at @p now. */
 bool duties_may_act (const duties_t *duties, gs_time_t now);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -15,6 +15,7 @@
 #include "gateway/traffic.h"
 #include "platform/platform.h"
 
+#include <limits.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <time.h>
@@ -507,6 +508,19 @@
     peers_notify_all (gateway->peers, now);
 }
 
+/* The holder keeps the lease while others come before it in the order, as each
+   new holder first waits until the one before can't act any more.  Only nodes
+   that receive all reports can do the duties.  */
+static duties_wish_t
+duties_wish (const gateway_t *gateway, gs_time_t now)
+{
+  unsigned rank = peers_rank (gateway->peers, now);
+
+  if (!is_ready (gateway) || rank == UINT_MAX)
+    return DUTIES_RELEASE;
+  return rank < LEASE_CANDIDATES_MAX ? DUTIES_SEEK : DUTIES_KEEP;
+}
+
 static void
 on_tick (void *context)
 {
@@ -521,9 +535,7 @@
   roster_expire (gateway->roster, now);
   publish_replicas (gateway);
   notify_leaving_replicas (gateway, now);
-  duties_tick (gateway->duties, now,
-               is_ready (gateway)
-                   && peers_rank (gateway->peers, now) < LEASE_CANDIDATES_MAX);
+  duties_tick (gateway->duties, now, duties_wish (gateway, now));
   if (now >= gateway->view_due)
     {
       gateway->view_due = now + PEER_VIEW_INTERVAL;
