peers: bound the bytes of aggregators; gs_bench peers

Cause: gs_bench peers shows 1969 kB/s at an aggregator of 118 nodes and 3921 at one of 372, more than its link of 25 Mbit/s carries one way.

Change: summaries carry usage counts once a second only; in a data centre of more than 24 nodes reports come less often in proportion. gs_bench peers simulates the real exchange in virtual time at 5, 30, 118 and 372 nodes.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -13,6 +13,7 @@
 int bench_slopes (int argc, char **argv);
 int bench_node (int argc, char **argv);
 int bench_control (int argc, char **argv);
+int bench_peers (int argc, char **argv);
 int bench_capacity (int argc, char **argv);
 int bench_log (int argc, char **argv);
 int bench_catalogue (int argc, char **argv);
--- a/bench/bench_main.c
+++ b/bench/bench_main.c
@@ -15,6 +15,9 @@
   { "plot", bench_plot, "turn results of routing into a gnuplot script" },
   { "load", bench_load, "send requests to nodes at a given rate" },
   { "control", bench_control, "simulate the control of a fleet" },
+  { "peers", bench_peers,
+    "simulate what gateways tell each other: [NODES"
+    " [LOSS]]" },
   { "slopes", bench_slopes, "measure the cost of each role by size" },
   { "catalogue", bench_catalogue, "measure parsing and editing catalogues" },
   { "log", bench_log, "time log lines: [LINES]" },
--- /dev/null
+++ b/bench/bench_peers.c
@@ -0,0 +1,178 @@
+#include "bench.h"
+#include "peers_world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define SETTLE_TIME (4 * GS_SEC)
+#define MEASURED_TIME (10 * GS_SEC)
+#define STEP (20 * GS_MSEC)
+#define DEATHS 3
+#define WAIT_MAX (30 * GS_SEC)
+#define REPLICAS_PER_NODE 3 / 2
+#define ACCOUNTS 40
+/* Requests that a node has at replicas at one time.  */
+#define IN_FLIGHT 12
+
+static const unsigned default_sizes[] = { 5, 30, 118, 372 };
+
+static void
+fill_report (peers_world_t *world, unsigned node, unsigned nodes)
+{
+  traffic_report_t *report = peers_world_report (world, node);
+  unsigned replicas = MAX (nodes * REPLICAS_PER_NODE, 1);
+
+  for (unsigned i = 0; i < IN_FLIGHT; i++)
+    {
+      placer_load_t load = { .in_flight = 1,
+                             .backlog_tokens = 500 * i,
+                             .reserved_tokens = 12000 };
+
+      g_snprintf (load.replica, sizeof load.replica, "i-%08x",
+                  (node * 31 + i * 7) % replicas);
+      g_array_append_val (report->loads, load);
+    }
+  for (unsigned i = 0; i < ACCOUNTS; i++)
+    {
+      quota_row_t quota = { .account = i * UINT64_C (0x9e3779b97f4a7c15),
+                            .nodes = 1,
+                            .used = 20000,
+                            .held = 20000,
+                            .demand = 9000,
+                            .tells_demand = 1 };
+
+      g_array_append_val (report->quota, quota);
+      for (int64_t window = 0; window < TRAFFIC_USAGE_WINDOWS; window++)
+        {
+          traffic_usage_t usage
+              = { .window = 350000000 + window, .requests = 40 };
+
+          g_snprintf (usage.account, sizeof usage.account, "acct%04u", i);
+          g_array_append_val (report->usage, usage);
+        }
+    }
+}
+
+static double
+share_that_knows (peers_world_t *world, unsigned nodes, unsigned other)
+{
+  unsigned known = 0;
+
+  for (unsigned node = 0; node < nodes; node++)
+    if (node != other)
+      known += peers_world_knows_live (world, node, other);
+  return (double)known / (nodes - 1);
+}
+
+/* @return longest time until nearly all nodes knew of the death of a node  */
+static gs_time_t
+measure_deaths (peers_world_t *world, unsigned nodes)
+{
+  gs_time_t longest = 0;
+
+  for (unsigned node = 0; node < DEATHS; node++)
+    {
+      gs_time_t start = peers_world_now (world);
+
+      peers_world_kill (world, node);
+      while (share_that_knows (world, nodes, node) > 0.01
+             && peers_world_now (world) < start + WAIT_MAX)
+        peers_world_run (world, STEP);
+      longest = MAX (longest, peers_world_now (world) - start);
+      peers_world_start (world, node);
+      peers_world_run (world, 2 * GS_SEC);
+    }
+  return longest;
+}
+
+/* @return time until all nodes had a revision that one got from the store  */
+static gs_time_t
+measure_config (peers_world_t *world, unsigned nodes)
+{
+  gs_time_t start = peers_world_now (world);
+  unsigned follower = 0;
+  unsigned missing = nodes;
+
+  for (unsigned node = 0; node < nodes; node++)
+    if (peers_rank (peers_world_peers (world, node), start) == 0)
+      follower = node;
+  peers_world_state (world, follower)->config_revision = 9;
+  peers_notify_all (peers_world_peers (world, follower), start);
+  while (missing > 0 && peers_world_now (world) < start + WAIT_MAX)
+    {
+      peers_world_run (world, STEP);
+      missing = 0;
+      for (unsigned node = 0; node < nodes; node++)
+        missing += peers_world_state (world, node)->config_revision != 9;
+    }
+  return peers_world_now (world) - start;
+}
+
+static void
+measure_size (unsigned nodes, double loss)
+{
+  peers_world_options_t options = PEERS_WORLD_OPTIONS_INIT;
+  double mean = 0;
+  double most = 0;
+  double crossing = 0;
+  peers_world_t *world;
+
+  options.nodes = nodes;
+  options.data_centres = nodes > 40 ? 6 : 4;
+  options.loss = loss;
+  options.seed = nodes;
+  peers_world_create (&world, &options);
+  for (unsigned node = 0; node < nodes; node++)
+    fill_report (world, node, nodes);
+  peers_world_run (world, SETTLE_TIME);
+  for (unsigned node = 0; node < nodes; node++)
+    {
+      uint64_t crossed;
+
+      peers_world_bytes_take (world, node, &crossed);
+    }
+  peers_world_run (world, MEASURED_TIME);
+  for (unsigned node = 0; node < nodes; node++)
+    {
+      uint64_t crossed;
+      double rate = (double)peers_world_bytes_take (world, node, &crossed)
+                    * GS_SEC / MEASURED_TIME;
+
+      mean += rate / nodes;
+      most = MAX (most, rate);
+      crossing += (double)crossed * GS_SEC / MEASURED_TIME / nodes;
+    }
+  printf ("%5u  %4.1f%%  %9.1f  %9.1f  %9.1f", nodes, 100 * loss, mean / 1e3,
+          most / 1e3, crossing / 1e3);
+  printf ("  %8lld", (long long)(measure_config (world, nodes) / GS_MSEC));
+  printf ("  %8lld\n", (long long)(measure_deaths (world, nodes) / GS_MSEC));
+  peers_world_destroy (world);
+}
+
+int
+bench_peers (int argc, char **argv)
+{
+  double loss = argc > 2 ? g_ascii_strtod (argv[2], NULL) : 0;
+
+  if (argc > 1
+      && (atoi (argv[1]) < 2 || atoi (argv[1]) > PEERS_WORLD_NODES_MAX))
+    {
+      fprintf (stderr, "gs_bench peers: NODES must be 2 to %u\n",
+               PEERS_WORLD_NODES_MAX);
+      return 2;
+    }
+  if (loss < 0 || loss >= 1)
+    {
+      fprintf (stderr,
+               "gs_bench peers: LOSS must be at least 0 and below 1\n");
+      return 2;
+    }
+  printf ("nodes   loss  kB/s mean   kB/s max  kB/s to other data centres"
+          "  config ms  death ms\n");
+  if (argc > 1)
+    measure_size ((unsigned)atoi (argv[1]), loss);
+  else
+    for (size_t i = 0; i < G_N_ELEMENTS (default_sizes); i++)
+      measure_size (default_sizes[i], loss);
+  return 0;
+}
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -83,6 +83,10 @@
 {
   unsigned nodes = g_hash_table_size (peers->by_name) + 1;
 
+  if (call == CALL_REPORT
+      && peers->data_centre_nodes > PEERS_REPORTING_NODES_MAX)
+    return PEERS_REPORT_INTERVAL * peers->data_centre_nodes
+           / PEERS_REPORTING_NODES_MAX;
   if (call != CALL_DIGEST)
     return PEERS_REPORT_INTERVAL;
   return nodes <= PEERS_SMALL_FLEET_MAX
@@ -352,6 +356,16 @@
   return bytes;
 }
 
+/* @return whether the message to a peer carries usage counts  */
+static bool
+take_usage_turn (peer_t *peer, gs_time_t now)
+{
+  if (now < peer->usage_due)
+    return false;
+  peer->usage_due = now + USAGE_INTERVAL;
+  return true;
+}
+
 static GByteArray *
 receive_summary (peers_t *peers, gs_time_t now, const char *data,
                  size_t length)
@@ -364,7 +378,7 @@
   if (peer->call == CALL_SUMMARY)
     schedule_call (peers, now, peer);
   peers_summary_store (peers, now, &message);
-  return peers_summary_encode (peers, now);
+  return peers_summary_encode (peers, now, take_usage_turn (peer, now));
 }
 
 GByteArray *
@@ -464,7 +478,7 @@
       break;
     case CALL_SUMMARY:
       path = PEERS_SUMMARY_PATH;
-      body = peers_summary_encode (peers, now);
+      body = peers_summary_encode (peers, now, with_usage);
       break;
     default:
       body = encode_own_digest (peers);
@@ -478,13 +492,9 @@
 static void
 call_peer (peers_t *peers, gs_time_t now, peer_t *peer, peer_call_t call)
 {
-  bool with_usage = now >= peer->usage_due;
-
-  if (with_usage)
-    peer->usage_due = now + USAGE_INTERVAL;
   peer->call_pending = true;
   call_endpoint (peers, now, &peer->member.peers, peer->member.name, call,
-                 with_usage);
+                 take_usage_turn (peer, now));
 }
 
 static bool
@@ -645,6 +655,7 @@
     }
   else
     set_role (peers, PEERS_ROLE_MESH);
+  peers->data_centre_nodes = 1;
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -654,6 +665,7 @@
                 ? aggregators_find (rows, &count, peer->data_centre)
                 : NULL;
 
+      peers->data_centre_nodes += peer->data_centre == peers->data_centre;
       if (!large || peer->data_centre == 0)
         set_call (peers, now, peer, CALL_DIGEST);
       else if (row == NULL || !is_in (row, peer))
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -31,8 +31,12 @@
 #define PEERS_EXCHANGE_INTERVAL (300 * GS_MSEC)
 #define PEERS_SMALL_FLEET_MAX 10
 /** Time between two reports to an aggregator, and between two summaries.  What
-    a node knows comes over three exchanges, each of them shorter. */
+    a node knows comes over three exchanges, each of them shorter than between
+    two nodes of a small fleet. */
 #define PEERS_REPORT_INTERVAL (150 * GS_MSEC)
+/** In a data centre with more nodes than this the time between two reports
+    grows in proportion, so that the bytes of its aggregators do not. */
+#define PEERS_REPORTING_NODES_MAX 24
 /** Aggregators of a data centre; either suffices while the other one fails. */
 #define PEERS_AGGREGATORS 2
 /** A node that misses this many exchanges is no longer live, and its address
--- a/src/gateway/peers_fleet.c
+++ b/src/gateway/peers_fleet.c
@@ -4,10 +4,10 @@
 #include <xxhash.h>
 
 /* A digest counts as the present load of its node for this many exchange
-   intervals; a report or summary counts for a longer time than two of its
-   intervals, as a call that is lost takes as long as several.  */
-#define FRESH_INTERVALS 2
-#define REPORT_FRESH_TTL (450 * GS_MSEC)
+   intervals, a report, summary or view for more, as a call that is lost takes
+   as long as several.  */
+#define DIGEST_FRESH_INTERVALS 2
+#define REPORT_FRESH_INTERVALS 3
 /* What aggregators say about nodes is believed for this long after the last
    message of an aggregator: while one aggregator replaces another, the
    addresses of a data centre must not disappear.  */
@@ -38,10 +38,28 @@
   g_free (summary);
 }
 
+gs_time_t
+peers_fresh_ttl (const peers_t *peers, peer_call_t call)
+{
+  return (call == CALL_DIGEST ? DIGEST_FRESH_INTERVALS
+                              : REPORT_FRESH_INTERVALS)
+         * peers_call_interval (peers, call);
+}
+
 static bool
-is_fresh (gs_time_t received_at, gs_time_t now)
+is_fresh (const peers_t *peers, peer_call_t call, gs_time_t received_at,
+          gs_time_t now)
+{
+  return now <= received_at + peers_fresh_ttl (peers, call);
+}
+
+static void
+swap_usage (aggregate_t *a, aggregate_t *b)
 {
-  return now <= received_at + REPORT_FRESH_TTL;
+  GArray *usage = a->usage;
+
+  a->usage = b->usage;
+  b->usage = usage;
 }
 
 void
@@ -61,12 +79,7 @@
       g_hash_table_insert (peers->processes, &process->incarnation, process);
     }
   else if (!has_usage)
-    {
-      GArray *usage = process->aggregate.usage;
-
-      process->aggregate.usage = aggregate->usage;
-      aggregate->usage = usage;
-    }
+    swap_usage (&process->aggregate, aggregate);
   aggregate_clear (&process->aggregate);
   process->aggregate = *aggregate;
   process->data_centre = peer != NULL ? peer->data_centre : 0;
@@ -87,7 +100,11 @@
       g_hash_table_insert (peers->summaries, &summary->incarnation, summary);
     }
   else
-    peer_message_clear (&summary->message);
+    {
+      if (!message->has_usage)
+        swap_usage (&summary->message.aggregate, &message->aggregate);
+      peer_message_clear (&summary->message);
+    }
   summary->message = *message;
   summary->data_centre = peers_hash (message->self.data_centre);
   summary->received_at = now;
@@ -119,7 +136,7 @@
   GHashTable *told;
 
   if (message->aggregate.nodes < peers->view.aggregate.nodes
-      && is_fresh (peers->view_received_at, now))
+      && is_fresh (peers, CALL_REPORT, peers->view_received_at, now))
     {
       peer_message_clear (message);
       return;
@@ -164,7 +181,7 @@
       const peer_summary_t *summary = value;
 
       if (summary->data_centre != data_centre
-          || !is_fresh (summary->received_at, now))
+          || !is_fresh (peers, CALL_SUMMARY, summary->received_at, now))
         continue;
       if (best == NULL
           || summary->message.aggregate.nodes > best->message.aggregate.nodes
@@ -335,7 +352,7 @@
       const peer_process_t *process = current_process (peers, peer);
 
       if (process == NULL || peer->data_centre != peers->data_centre
-          || !is_fresh (process->received_at, now))
+          || !is_fresh (peers, CALL_REPORT, process->received_at, now))
         continue;
       aggregate_add (out, &process->aggregate);
       if (included != NULL)
@@ -479,7 +496,7 @@
 }
 
 GByteArray *
-peers_summary_encode (const peers_t *peers, gs_time_t now)
+peers_summary_encode (const peers_t *peers, gs_time_t now, bool with_usage)
 {
   peer_message_t message;
   GByteArray *aggregate;
@@ -495,7 +512,7 @@
   g_array_set_size (message.aggregate.demand, 0);
   g_clear_pointer (&message.aggregate.rows_by_key, g_hash_table_unref);
   add_process_counters (peers, now, peers->data_centre, &message.aggregate);
-  aggregate = peer_message_encode_aggregate (&message.aggregate, true);
+  aggregate = peer_message_encode_aggregate (&message.aggregate, with_usage);
   bytes = peer_message_encode (&message, aggregate);
   g_byte_array_unref (aggregate);
   peer_message_clear (&message);
@@ -532,8 +549,9 @@
           const peer_summary_t *summary = value;
 
           if (summary->data_centre == data_centre)
-            aggregate_raise (&part, &summary->message.aggregate,
-                             is_fresh (summary->received_at, now));
+            aggregate_raise (
+                &part, &summary->message.aggregate,
+                is_fresh (peers, CALL_SUMMARY, summary->received_at, now));
         }
       aggregate_add_counters (out, &part, true);
       aggregate_clear (&part);
@@ -609,8 +627,7 @@
   view->source = (unsigned)peers->role;
   view->fleet.members = peers_member_count (peers, now);
   view->fleet.report_ttl
-      = mesh ? FRESH_INTERVALS * peers_call_interval (peers, CALL_DIGEST)
-             : REPORT_FRESH_TTL;
+      = peers_fresh_ttl (peers, mesh ? CALL_DIGEST : CALL_REPORT);
   view->fleet.lag = exchanges * (view->fleet.report_ttl + MESSAGE_DELAY_MAX)
                     + TRAFFIC_REPORT_INTERVAL;
   view->peers = g_array_new (FALSE, TRUE, sizeof (traffic_peer_t));
--- a/src/gateway/peers_private.h
+++ b/src/gateway/peers_private.h
@@ -92,9 +92,10 @@
   peers_listener_t listener;
   peers_transport_t transport;
   peers_role_t role;
-  GHashTable *by_name;   /* name -> peer_t */
-  GHashTable *processes; /* incarnation -> peer_process_t */
-  GHashTable *summaries; /* incarnation -> peer_summary_t */
+  unsigned data_centre_nodes; /* of this node's data centre, itself included */
+  GHashTable *by_name;        /* name -> peer_t */
+  GHashTable *processes;      /* incarnation -> peer_process_t */
+  GHashTable *summaries;      /* incarnation -> peer_summary_t */
   gs_endpoint_t seeds[GS_SEEDS_MAX];
   unsigned seed_count;
   gs_time_t seeds_due;
@@ -141,7 +142,8 @@
                          const digest_member_t *member, uint64_t sequence,
                          aggregate_t *aggregate, bool has_usage);
 
-/* Keep the summary of an aggregator.
+/* Keep the summary of an aggregator; without usage counts it keeps those of
+   the summary before.
    @param message taken over  */
 void peers_summary_store (peers_t *peers, gs_time_t now,
                           peer_message_t *message);
@@ -155,10 +157,15 @@
    @return freed with g_byte_array_unref()  */
 GByteArray *peers_report_encode (peers_t *peers, gs_time_t now,
                                  bool with_usage);
-GByteArray *peers_summary_encode (const peers_t *peers, gs_time_t now);
+GByteArray *peers_summary_encode (const peers_t *peers, gs_time_t now,
+                                  bool with_usage);
 GByteArray *peers_view_encode (peers_t *peers, gs_time_t now,
                                const peer_message_t *report);
 
+/* @return how long a report, summary or view counts as the present load of its
+   nodes.  */
+gs_time_t peers_fresh_ttl (const peers_t *peers, peer_call_t call);
+
 /* Update what aggregators say about nodes, and drop expired reports.  */
 void peers_fleet_tick (peers_t *peers, gs_time_t now);
 
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -43,8 +43,8 @@
                       more */
   uint32_t restarted_nodes; /**< nodes with use of a predecessor */
   uint64_t restarted_used;  /**< by these nodes, without predecessors */
-  uint64_t demand; /**< asked for per second, admitted or not */
-  uint32_t tells_demand; /**< 0 if the demand of some node is not known */
+  uint64_t demand;          /**< asked for per second, admitted or not */
+  uint32_t tells_demand;    /**< 0 if the demand of some node is not known */
 } quota_row_t;
 
 /** The nodes that share the limits. */
