--- a/bench/bench_peers.c
+++ b/bench/bench_peers.c
@@ -9,7 +9,7 @@
 #define STEP (20 * GS_MSEC)
 #define DEATHS 3
 #define WAIT_MAX (30 * GS_SEC)
-#define REPLICAS_PER_NODE 3 / 2
+#define REPLICAS_PER_NODE 1.5
 #define ACCOUNTS 40
 /* Requests that a node has at replicas at one time.  */
 #define IN_FLIGHT 12
@@ -20,7 +20,7 @@
 fill_report (peers_world_t *world, unsigned node, unsigned nodes)
 {
   traffic_report_t *report = peers_world_report (world, node);
-  unsigned replicas = MAX (nodes * REPLICAS_PER_NODE, 1);
+  unsigned replicas = (unsigned)(nodes * REPLICAS_PER_NODE) + 1;
 
   for (unsigned i = 0; i < IN_FLIGHT; i++)
     {
--- a/bench/peers_world.h
+++ b/bench/peers_world.h
@@ -40,10 +40,10 @@
 peers_t *peers_world_peers (peers_world_t *world, unsigned node);
 
 /** Stop a process; its node does not answer. */
-void peers_world_kill (peers_world_t *world, unsigned node);
+void peers_world_kill (peers_world_t *world, unsigned index);
 
 /** Start a process at a node that was killed. */
-void peers_world_start (peers_world_t *world, unsigned node);
+void peers_world_start (peers_world_t *world, unsigned index);
 
 /** Stop a process from running without closing its port, or let it go on. */
 void peers_world_freeze (peers_world_t *world, unsigned node, bool frozen);
