--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -19,7 +19,7 @@
 typedef struct
 {
   uint64_t node;  /**< hash of its name */
-  uint32_t flags; /**< PEER_READY etc. */
+  uint64_t flags; /**< PEER_READY etc. */
 } peer_status_t;
 
 typedef struct
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -46,7 +46,7 @@
                                             peer_process_free);
   peers->summaries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                             peer_summary_free);
-  peers->told
+  peers->statuses
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   peers->fleet_view.included
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
@@ -71,7 +71,7 @@
     g_byte_array_unref (peers->fleet_view.bytes);
   g_array_unref (peers->fleet_view.statuses);
   g_hash_table_unref (peers->fleet_view.included);
-  g_hash_table_unref (peers->told);
+  g_hash_table_unref (peers->statuses);
   g_hash_table_unref (peers->summaries);
   g_hash_table_unref (peers->processes);
   g_hash_table_unref (peers->by_name);
--- a/src/gateway/peers_fleet.c
+++ b/src/gateway/peers_fleet.c
@@ -11,7 +11,7 @@
 /* What aggregators say about nodes is believed for this long after the last
    message of an aggregator: while one aggregator replaces another, the
    addresses of a data centre must not disappear.  */
-#define TOLD_TTL (2 * GS_SEC)
+#define STATUS_TTL (2 * GS_SEC)
 /* Interval at which the aggregate for views is made anew, and at which an
    aggregator updates what the others say.  */
 #define AGGREGATE_INTERVAL (50 * GS_MSEC)
@@ -111,21 +111,20 @@
 }
 
 static void
-told_add (GHashTable *told, const GArray *statuses)
+statuses_add (GHashTable *out, const GArray *statuses)
 {
   for (guint i = 0; i < statuses->len; i++)
     {
       const peer_status_t *status
           = &g_array_index (statuses, peer_status_t, i);
 
-      g_hash_table_insert (told,
-                           g_memdup2 (&status->node, sizeof status->node),
+      g_hash_table_insert (out, g_memdup2 (&status->node, sizeof status->node),
                            GUINT_TO_POINTER (status->flags));
     }
 }
 
 static GHashTable *
-told_new (void)
+statuses_new (void)
 {
   return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
 }
@@ -133,7 +132,7 @@
 void
 peers_view_store (peers_t *peers, gs_time_t now, peer_message_t *message)
 {
-  GHashTable *told;
+  GHashTable *statuses;
 
   if (message->aggregate.nodes < peers->view.aggregate.nodes
       && is_fresh (peers, CALL_REPORT, peers->view_received_at, now))
@@ -143,14 +142,14 @@
     }
   if (message->has_statuses)
     {
-      told = told_new ();
-      told_add (told, message->statuses);
-      g_hash_table_unref (peers->told);
-      peers->told = told;
-      peers->told_version = message->status_version;
+      statuses = statuses_new ();
+      statuses_add (statuses, message->statuses);
+      g_hash_table_unref (peers->statuses);
+      peers->statuses = statuses;
+      peers->statuses_version = message->status_version;
     }
-  if (message->status_version == peers->told_version)
-    peers->told_at = now;
+  if (message->status_version == peers->statuses_version)
+    peers->statuses_at = now;
   for (unsigned i = 0; i < PEERS_SENT_REPORTS; i++)
     if (message->sequence != 0 && peers->sent[i].sequence == message->sequence)
       aggregate_subtract (&message->aggregate, &peers->sent[i].aggregate);
@@ -214,18 +213,18 @@
 }
 
 /* While no summary of a data centre is fresh, the last ones count.  Before the
-   first summary, what this node was told as a leaf counts.  */
+   first summary, what this node was statuses as a leaf counts.  */
 static void
-update_told (peers_t *peers, gs_time_t now)
+update_statuses (peers_t *peers, gs_time_t now)
 {
-  GHashTable *told;
+  GHashTable *statuses;
   GHashTableIter iter;
   gpointer value;
 
-  if (now < peers->told_due)
+  if (now < peers->statuses_due)
     return;
-  told = told_new ();
-  peers->told_due = now + AGGREGATE_INTERVAL;
+  statuses = statuses_new ();
+  peers->statuses_due = now + AGGREGATE_INTERVAL;
   g_hash_table_iter_init (&iter, peers->summaries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -235,19 +234,19 @@
 
       if (summary->data_centre != peers->data_centre
           && (best == summary
-              || (best == NULL && now <= summary->received_at + TOLD_TTL)))
-        told_add (told, summary->message.statuses);
+              || (best == NULL && now <= summary->received_at + STATUS_TTL)))
+        statuses_add (statuses, summary->message.statuses);
     }
-  if (g_hash_table_size (told) == 0
-      && now <= peers->view_received_at + TOLD_TTL)
+  if (g_hash_table_size (statuses) == 0
+      && now <= peers->view_received_at + STATUS_TTL)
     {
-      g_hash_table_unref (told);
+      g_hash_table_unref (statuses);
       return;
     }
-  g_hash_table_unref (peers->told);
-  peers->told = told;
-  peers->told_at = now;
-  peers->told_version = 0;
+  g_hash_table_unref (peers->statuses);
+  peers->statuses = statuses;
+  peers->statuses_at = now;
+  peers->statuses_version = 0;
 }
 
 void
@@ -265,22 +264,23 @@
     if (now > ((peer_summary_t *)value)->received_at + PEERS_REPORT_TTL)
       g_hash_table_iter_remove (&iter);
   if (peers->role == PEERS_ROLE_AGGREGATOR)
-    update_told (peers, now);
+    update_statuses (peers, now);
 }
 
 bool
 peers_is_live (const peers_t *peers, const peer_t *peer, gs_time_t now,
                uint32_t *flags)
 {
-  gpointer told;
+  gpointer found;
 
   *flags = peer->flags;
   if (peers_is_heard (peers, peer, now))
     return true;
-  if (peers->role == PEERS_ROLE_MESH || now > peers->told_at + TOLD_TTL
-      || !g_hash_table_lookup_extended (peers->told, &peer->node, NULL, &told))
+  if (peers->role == PEERS_ROLE_MESH || now > peers->statuses_at + STATUS_TTL
+      || !g_hash_table_lookup_extended (peers->statuses, &peer->node, NULL,
+                                        &found))
     return false;
-  *flags = GPOINTER_TO_UINT (told);
+  *flags = GPOINTER_TO_UINT (found);
   return true;
 }
 
@@ -319,8 +319,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_t *peer = value;
-      peer_status_t status = { .node = peer->node };
-      bool live = peers_is_live (peers, peer, now, &status.flags);
+      uint32_t flags;
+      bool live = peers_is_live (peers, peer, now, &flags);
+      peer_status_t status = { .node = peer->node, .flags = flags };
 
       if (heard_only ? peer->data_centre == peers->data_centre
                            && peers_is_heard (peers, peer, now)
@@ -455,7 +456,7 @@
   remember_report (peers, &message.aggregate);
   message.sequence = peers->sequence;
   message.status_version
-      = now <= peers->told_at + TOLD_TTL ? peers->told_version : 0;
+      = now <= peers->statuses_at + STATUS_TTL ? peers->statuses_version : 0;
   aggregate = peer_message_encode_aggregate (&message.aggregate, with_usage);
   bytes = peer_message_encode (&message, aggregate);
   g_byte_array_unref (aggregate);
--- a/src/gateway/peers_private.h
+++ b/src/gateway/peers_private.h
@@ -107,10 +107,10 @@
   /* Last view that an aggregator sent to this node.  */
   peer_message_t view;
   gs_time_t view_received_at; /* 0 for none */
-  GHashTable *told;           /* node -> flags, as aggregators say */
-  gs_time_t told_at;
-  uint64_t told_version;
-  gs_time_t told_due; /* when an aggregator updates it */
+  GHashTable *statuses;       /* node -> flags, as aggregators say */
+  gs_time_t statuses_at;
+  uint64_t statuses_version;
+  gs_time_t statuses_due; /* when an aggregator updates it */
   fleet_view_t fleet_view;
 };
 
