--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -4,6 +4,7 @@
 #include "garnetstack/log.h"
 #include "gateway/usage_ledger.h"
 
+#include <limits.h>
 #include <math.h>
 #include <string.h>
 
@@ -25,6 +26,12 @@
 /* Time until a failed lease call is repeated, so that many attempts fit into
    the rest of the term once a renewal is due.  */
 #define LEASE_RETRY_INTERVAL (150 * GS_MSEC)
+/* Nodes that request the lease.  Two of them may be lost together, and each
+   call to the store costs money.  */
+#define LEASE_CANDIDATES_MAX 3
+/* A leaving node runs for at least a second more than this, in which it
+   releases the lease.  */
+#define LEAVE_KEEP_TIME (3 * GS_SEC)
 /* How often the scaler runs.  */
 #define SCALE_INTERVAL (250 * GS_MSEC)
 /* Half-life of the smoothed rates given to the scaler: digests arrive every
@@ -480,6 +487,19 @@
   aggregate_clear (&fleet);
 }
 
+duties_wish_t
+duties_wish_choose (const duties_standing_t *standing, gs_time_t now)
+{
+  if (!standing->can_serve || standing->rank == UINT_MAX)
+    return DUTIES_RELEASE;
+  if (standing->leave_started_at != 0)
+    return standing->all_report
+                   && now < standing->leave_started_at + LEAVE_KEEP_TIME
+               ? DUTIES_KEEP
+               : DUTIES_RELEASE;
+  return standing->rank < LEASE_CANDIDATES_MAX ? DUTIES_SEEK : DUTIES_KEEP;
+}
+
 void
 duties_tick (duties_t *duties, gs_time_t now, duties_wish_t wish)
 {
--- a/src/gateway/duties.h
+++ b/src/gateway/duties.h
@@ -69,6 +69,22 @@
   DUTIES_SEEK     /**< take it if it is free */
 } duties_wish_t;
 
+/** What decides whether a node seeks the lease. */
+typedef struct
+{
+  bool can_serve;  /**< routes and replicas are known */
+  unsigned rank;   /**< peers_rank() */
+  bool all_report; /**< all nodes exchange reports, so that a leaving node gets
+                        them until its end */
+  gs_time_t leave_started_at; /**< 0 if the node is not leaving */
+} duties_standing_t;
+
+/** @return what the node does about the lease.  A holder keeps it while other
+    nodes come before it, and for a part of the time in which it leaves, since
+    each new holder first waits until the one before can't act any more. */
+duties_wish_t duties_wish_choose (const duties_standing_t *standing,
+                                  gs_time_t now);
+
 /** Make the calls that are due.  To be called often. */
 void duties_tick (duties_t *duties, gs_time_t now, duties_wish_t wish);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -15,7 +15,6 @@
 #include "gateway/traffic.h"
 #include "platform/platform.h"
 
-#include <limits.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <time.h>
@@ -51,9 +50,6 @@
 /* Minimum time between two notifications of all peers about leaving replicas;
    an eighth of the shortest known drain time.  */
 #define REPLICA_NOTIFY_INTERVAL (250 * GS_MSEC)
-/* Nodes that request the lease of the duties.  Two of them may be lost
-   together, and each call to the store costs money.  */
-#define LEASE_CANDIDATES_MAX 3
 /* Maximum size of a message or copy: two kilobytes for each of
    TRAFFIC_LOADS_MAX replicas.  */
 #define PEER_BODY_BYTES_MAX ((size_t)4 << 20)
@@ -85,6 +81,7 @@
   gs_time_t replica_copy_due;
   gs_time_t member_copy_due;
   bool leaving;
+  gs_time_t leave_started_at; /* 0 if not leaving */
   bool follows_store;         /* true for only some nodes of a large fleet */
   gs_server_t *servers[4];    /* readiness, addresses, peers, metrics */
   atomic_uint open_exchanges; /* callers' exchanges in the last report */
@@ -508,17 +505,19 @@
     peers_notify_all (gateway->peers, now);
 }
 
-/* The holder keeps the lease while others come before it in the order, as each
-   new holder first waits until the one before can't act any more.  Only nodes
-   that receive all reports can do the duties.  */
 static duties_wish_t
-duties_wish (const gateway_t *gateway, gs_time_t now)
+choose_wish (const gateway_t *gateway, gs_time_t now)
 {
-  unsigned rank = peers_rank (gateway->peers, now);
+  const traffic_report_t *report = duties_report (gateway->duties);
+  duties_standing_t standing
+      = { .can_serve
+          = gateway->has_replicas && report != NULL && report->can_serve,
+          .rank = peers_rank (gateway->peers, now),
+          .all_report
+          = peers_member_count (gateway->peers, now) <= PEERS_SMALL_FLEET_MAX,
+          .leave_started_at = gateway->leave_started_at };
 
-  if (!is_ready (gateway) || rank == UINT_MAX)
-    return DUTIES_RELEASE;
-  return rank < LEASE_CANDIDATES_MAX ? DUTIES_SEEK : DUTIES_KEEP;
+  return duties_wish_choose (&standing, now);
 }
 
 static void
@@ -535,7 +534,7 @@
   roster_expire (gateway->roster, now);
   publish_replicas (gateway);
   notify_leaving_replicas (gateway, now);
-  duties_tick (gateway->duties, now, duties_wish (gateway, now));
+  duties_tick (gateway->duties, now, choose_wish (gateway, now));
   if (now >= gateway->view_due)
     {
       gateway->view_due = now + PEER_VIEW_INTERVAL;
@@ -677,6 +676,7 @@
   gs_time_t now = gs_clock_now ();
 
   gateway->leaving = true;
+  gateway->leave_started_at = now;
   membership_leave (gateway->membership, now);
   peers_notify_all (gateway->peers, now);
 }
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -54,7 +54,8 @@
       = g_array_new (FALSE, TRUE, sizeof (peer_status_t));
   peer_message_init (&peers->view);
   peers->seed_count = MIN (seed_count, GS_SEEDS_MAX);
-  memcpy (peers->seeds, seeds, peers->seed_count * sizeof *seeds);
+  for (unsigned i = 0; i < peers->seed_count; i++)
+    peers->seeds[i] = seeds[i];
   gs_rng_seed (&peers->rng, seed);
   *out = peers;
 }
