gateway: one layout of usage and demand for both kinds of messages

Cause: the search for repeated lines shows the layouts of two row types and the unpacking of an array in digest.c and again in peer_message.c.

Change: report_layout.c holds the layouts, row_reader_unpack() unpacks. The bytes of both messages are as before.

--- a/src/gateway/digest.c
+++ b/src/gateway/digest.c
@@ -1,7 +1,7 @@
 #include "gateway/digest.h"
 
 #include "gateway/member_codec.h"
-#include "wire/shape.h"
+#include "gateway/report_layout.h"
 
 #include <string.h>
 
@@ -21,23 +21,6 @@
           ROW_COLUMN (ROW_NUMBER, placer_load_t, in_flight),
           ROW_COLUMN (ROW_NUMBER, placer_load_t, backlog_tokens),
           ROW_COLUMN (ROW_NUMBER, placer_load_t, reserved_tokens) } };
-static const row_layout_t usage_layout
-    = { sizeof (traffic_usage_t),
-        TRAFFIC_LOADS_MAX,
-        3,
-        { ROW_COLUMN (ROW_TEXT, traffic_usage_t, account),
-          ROW_COLUMN (ROW_NUMBER, traffic_usage_t, window),
-          ROW_COLUMN (ROW_NUMBER, traffic_usage_t, requests) } };
-static const row_layout_t demand_layout
-    = { sizeof (traffic_demand_t),
-        TRAFFIC_LOADS_MAX,
-        6,
-        { ROW_COLUMN (ROW_TEXT, traffic_demand_t, service),
-          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, requests),
-          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, rejected),
-          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, uncached_tokens),
-          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, in_flight),
-          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, queued) } };
 static const row_layout_t quota_layout
     = { sizeof (quota_row_t),
         QUOTA_ROWS_MAX,
@@ -91,8 +74,8 @@
   msgpack_pack_int (&out, digest->store_lost);
   msgpack_pack_int (&out, digest->follows_store);
   row_codec_pack (&out, &load_layout, digest->report->loads);
-  row_codec_pack (&out, &usage_layout, digest->report->usage);
-  row_codec_pack (&out, &demand_layout, digest->report->demand);
+  row_codec_pack (&out, &report_usage_layout, digest->report->usage);
+  row_codec_pack (&out, &report_demand_layout, digest->report->demand);
   row_codec_pack (&out, &quota_layout, digest->report->quota);
   pack_members (&out, digest->members);
   bytes = g_byte_array_sized_new ((guint)buffer.size);
@@ -122,12 +105,7 @@
   bool invalid = false;
   row_reader_t reader = { NULL, 0, &invalid };
 
-  msgpack_unpacked_init (&unpacked);
-  if (gs_shape_is_bounded (data, length, NESTING_MAX)
-      && msgpack_unpack_next (&unpacked, data, length, NULL)
-             == MSGPACK_UNPACK_SUCCESS
-      && unpacked.data.type == MSGPACK_OBJECT_ARRAY)
-    reader.array = &unpacked.data.via.array;
+  row_reader_unpack (&reader, &unpacked, data, length, NESTING_MAX);
   if (row_reader_number (&reader) != FORMAT_VERSION)
     invalid = true;
   if (!invalid)
@@ -140,8 +118,8 @@
       out->store_lost = row_reader_number (&reader) != 0;
       out->follows_store = row_reader_number (&reader) != 0;
       row_reader_rows (&reader, &load_layout, out->report->loads);
-      row_reader_rows (&reader, &usage_layout, out->report->usage);
-      row_reader_rows (&reader, &demand_layout, out->report->demand);
+      row_reader_rows (&reader, &report_usage_layout, out->report->usage);
+      row_reader_rows (&reader, &report_demand_layout, out->report->demand);
       row_reader_rows (&reader, &quota_layout, out->report->quota);
       read_members (&reader, out->members);
     }
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -1,7 +1,7 @@
 #include "gateway/peer_message.h"
 
 #include "gateway/member_codec.h"
-#include "wire/shape.h"
+#include "gateway/report_layout.h"
 
 /* To be raised with each change of the encoding; a message of another format
    is rejected.  */
@@ -39,24 +39,6 @@
           ROW_COLUMN (ROW_NUMBER, quota_row_t, restarted_used),
           ROW_COLUMN (ROW_NUMBER, quota_row_t, demand),
           ROW_COLUMN (ROW_NUMBER, quota_row_t, tells_demand) } };
-static const row_layout_t demand_layout
-    = { sizeof (traffic_demand_t),
-        AGGREGATE_ROWS_MAX,
-        6,
-        { ROW_COLUMN (ROW_TEXT, traffic_demand_t, service),
-          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, requests),
-          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, rejected),
-          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, uncached_tokens),
-          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, in_flight),
-          ROW_COLUMN (ROW_NUMBER, traffic_demand_t, queued) } };
-static const row_layout_t usage_layout
-    = { sizeof (traffic_usage_t),
-        AGGREGATE_ROWS_MAX,
-        3,
-        { ROW_COLUMN (ROW_TEXT, traffic_usage_t, account),
-          ROW_COLUMN (ROW_NUMBER, traffic_usage_t, window),
-          ROW_COLUMN (ROW_NUMBER, traffic_usage_t, requests) } };
-
 void
 peer_message_init (peer_message_t *message)
 {
@@ -98,8 +80,9 @@
   row_codec_pack (&out, &load_layout, aggregate->loads);
   row_codec_pack (&out, &quota_layout, aggregate->quota);
   msgpack_pack_int (&out, with_usage);
-  row_codec_pack (&out, &demand_layout, aggregate->demand);
-  row_codec_pack (&out, &usage_layout, with_usage ? aggregate->usage : &none);
+  row_codec_pack (&out, &report_demand_layout, aggregate->demand);
+  row_codec_pack (&out, &report_usage_layout,
+                  with_usage ? aggregate->usage : &none);
   return take_bytes (&buffer);
 }
 
@@ -137,12 +120,7 @@
   bool invalid = false;
   row_reader_t reader = { NULL, 0, &invalid };
 
-  msgpack_unpacked_init (&unpacked);
-  if (gs_shape_is_bounded (data, length, NESTING_MAX)
-      && msgpack_unpack_next (&unpacked, data, length, NULL)
-             == MSGPACK_UNPACK_SUCCESS
-      && unpacked.data.type == MSGPACK_OBJECT_ARRAY)
-    reader.array = &unpacked.data.via.array;
+  row_reader_unpack (&reader, &unpacked, data, length, NESTING_MAX);
   if (row_reader_number (&reader) != FORMAT_VERSION)
     invalid = true;
   if (!invalid)
@@ -160,8 +138,8 @@
       row_reader_rows (&reader, &load_layout, aggregate->loads);
       row_reader_rows (&reader, &quota_layout, aggregate->quota);
       out->has_usage = row_reader_number (&reader) != 0;
-      row_reader_rows (&reader, &demand_layout, aggregate->demand);
-      row_reader_rows (&reader, &usage_layout, aggregate->usage);
+      row_reader_rows (&reader, &report_demand_layout, aggregate->demand);
+      row_reader_rows (&reader, &report_usage_layout, aggregate->usage);
     }
   msgpack_unpacked_destroy (&unpacked);
   if (invalid)
--- a/src/gateway/row_codec.c
+++ b/src/gateway/row_codec.c
@@ -1,5 +1,7 @@
 #include "gateway/row_codec.h"
 
+#include "wire/shape.h"
+
 #include <string.h>
 
 void
@@ -58,6 +60,18 @@
   return NULL;
 }
 
+void
+row_reader_unpack (row_reader_t *reader, msgpack_unpacked *unpacked,
+                   const char *data, size_t length, unsigned depth)
+{
+  msgpack_unpacked_init (unpacked);
+  if (gs_shape_is_bounded (data, length, depth)
+      && msgpack_unpack_next (unpacked, data, length, NULL)
+             == MSGPACK_UNPACK_SUCCESS
+      && unpacked->data.type == MSGPACK_OBJECT_ARRAY)
+    reader->array = &unpacked->data.via.array;
+}
+
 void
 row_reader_text (row_reader_t *reader, char *out, size_t size)
 {
--- a/src/gateway/row_codec.h
+++ b/src/gateway/row_codec.h
@@ -56,6 +56,14 @@
   bool *invalid;
 } row_reader_t;
 
+/** Unpack data that were packed as one array.
+    @param reader gets the array, or none if the data are malformed or nested
+    more deeply than @p depth
+    @param unpacked set up by the call; freed by the caller with
+    msgpack_unpacked_destroy() after the last use of @p reader */
+void row_reader_unpack (row_reader_t *reader, msgpack_unpacked *unpacked,
+                        const char *data, size_t length, unsigned depth);
+
 /** @param size of @p out; a longer text is invalid */
 void row_reader_text (row_reader_t *reader, char *out, size_t size);
 uint64_t row_reader_number (row_reader_t *reader);
