quota: where shares do not bind, a large request blocks nobody

Cause (read as a newcomer): a request above a whole share blocked its account at the node for as long as the share needs for it, also when the room was plentiful and the share had not decided. As soon as the room became scarce the account was refused there for up to a window.

Change: the block is set only where shares bind; the comment names no number.

--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -29,9 +29,10 @@
    leave nothing for most of the window.  */
 #define PACE_USED_RATIO_MIN 0.3
 #define SURGE_DEMAND_RATIO_MIN 1.4
-/* While the limit leaves plenty of room, a node may use twice what an even use
-   of the limit brings, or this many requests of mean size, within the time
-   that its use is unknown to others: half of the longest lag, on average.  */
+/* While the limit leaves plenty of room, a node may use this many times what
+   an even use of the limit brings it, or this many requests of mean size,
+   within the time that its use is unknown to others: half of the longest lag,
+   on average.  */
 #define PLENTIFUL_RATE_RATIO 4
 #define PLENTIFUL_REQUESTS 4
 #define MEAN_LAG_RATIO 0.5
@@ -564,14 +565,15 @@
 
 static void
 use_record (const quota_t *quota, gs_time_t now, account_state_t *row,
-            double allowed, double amount)
+            double allowed, bool plentiful, double amount)
 {
   double share = account_share (quota, row);
   double pace = PACE_RATIO * share_rate (quota, row, allowed);
 
-  /* An amount above a whole share is admitted alone; the account is then
-     blocked for as long as the share needs to allow such an amount.  */
-  if (amount > MAX (share, allowed))
+  /* Where shares bind, an amount above a whole share is admitted alone; the
+     account is then blocked for as long as the share needs to allow such an
+     amount.  */
+  if (!plentiful && amount > MAX (share, allowed))
     row->blocked_until
         = now + (gs_time_t)((double)quota->window * amount / MAX (share, 1));
   row->pace_due_at
@@ -587,6 +589,7 @@
 {
   account_state_t *row = account_find (quota, now, account);
   double allowed;
+  bool plentiful;
 
   *retry_after = 0;
   if (row == NULL)
@@ -599,11 +602,12 @@
       row->surged = true;
       allowed = allowance (quota, now, row);
     }
-  if (!is_plentiful (quota, now, row, amount))
+  plentiful = is_plentiful (quota, now, row, amount);
+  if (!plentiful)
     *retry_after = time_until_admitted (quota, now, row, allowed, amount);
   if (*retry_after > 0)
     return gs_error_set (GS_EREFUSED, "account exceeds its limit");
-  use_record (quota, now, row, allowed, amount);
+  use_record (quota, now, row, allowed, plentiful, amount);
   return GS_OK;
 }
 
