gateway: log and count copies between nodes

copy_failed now says it; copies_total and copy_bytes_total count by kind and result. Nothing else changes.

--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -315,6 +315,12 @@
     handle_success (feed, now);
 }
 
+const char *
+feed_kind (const feed_t *feed)
+{
+  return feed->kind;
+}
+
 uint64_t
 feed_revision (const feed_t *feed)
 {
--- a/src/gateway/feed.h
+++ b/src/gateway/feed.h
@@ -53,6 +53,9 @@
  */
 void feed_tick (feed_t *feed, gs_time_t now, bool follows_store);
 
+/** @return kind of the objects, borrowed */
+const char *feed_kind (const feed_t *feed);
+
 /** @return store revision that the feed's objects correspond to; 0 before the
     first complete list. */
 uint64_t feed_revision (const feed_t *feed);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -14,6 +14,7 @@
 #include "gateway/roster.h"
 #include "gateway/traffic.h"
 #include "platform/platform.h"
+#include "ports/http_status.h"
 
 #include <stdatomic.h>
 #include <string.h>
@@ -361,21 +362,46 @@
 {
   gateway_t *gateway;
   feed_t *feed;
+  gs_endpoint_t peer;
+  gs_time_t started_at;
 } feed_copy_t;
 
+static void
+log_copy (const feed_copy_t *copy, const gs_http_result_t *result,
+          gs_status_t status)
+{
+  const char *kind = feed_kind (copy->feed);
+  char labels[GS_NAME_BYTES + 64];
+
+  g_snprintf (labels, sizeof labels, "kind=\"%s\",result=\"%s\"", kind,
+              gs_status_name (status));
+  gs_meter_add ("copies_total", labels, 1);
+  g_snprintf (labels, sizeof labels, "kind=\"%s\"", kind);
+  gs_meter_add ("copy_bytes_total", labels, (double)result->body_length);
+  gs_log (status == GS_OK ? GS_LOG_DEBUG : GS_LOG_WARN,
+          status == GS_OK ? "copy_done" : "copy_failed",
+          "kind=%s peer=%s:%u status=%s http=%ld bytes=%zu ms=%lld"
+          " revision=%llu reason=\"%s\"",
+          kind, copy->peer.host, copy->peer.port, gs_status_name (status),
+          result->http_status, result->body_length,
+          (long long)((gs_clock_now () - copy->started_at) / GS_MSEC),
+          (unsigned long long)feed_revision (copy->feed),
+          result->status != GS_OK ? result->reason
+          : status != GS_OK       ? gs_error_last ()
+                                  : "");
+}
+
 static void
 on_copy_done (void *context, const gs_http_result_t *result)
 {
   feed_copy_t *copy = context;
+  gs_status_t status = gs_http_result_status (result);
 
-  if (result->status != GS_OK || result->http_status != 200
-      || feed_import (copy->feed, gs_clock_now (), result->body,
-                      result->body_length)
-             != GS_OK)
-    gs_log (GS_LOG_WARN, "copy_failed", "status=%s http=%ld reason=\"%s\"",
-            gs_status_name (result->status), result->http_status,
-            result->reason);
-  else
+  if (status == GS_OK)
+    status = feed_import (copy->feed, gs_clock_now (), result->body,
+                          result->body_length);
+  log_copy (copy, result, status);
+  if (status == GS_OK)
     publish_replicas (copy->gateway);
   g_free (copy);
 }
@@ -393,7 +419,7 @@
     return;
   *due = now + COPY_INTERVAL;
   copy = g_new (feed_copy_t, 1);
-  *copy = (feed_copy_t){ gateway, feed };
+  *copy = (feed_copy_t){ gateway, feed, *peer, now };
   url = g_strdup_printf ("http://%s:%u%s?above=%llu", peer->host, peer->port,
                          path, (unsigned long long)feed_revision (feed));
   request.url = url;
