--- a/tests/test_process_gateway_fleet.c
+++ b/tests/test_process_gateway_fleet.c
@@ -1,4 +1,5 @@
 #include "check.h"
+#include "gateway/digest.h"
 #include "gateway_steps.h"
 
 #include <signal.h>
@@ -301,6 +302,162 @@
   pthread_mutex_destroy (&peer.lock);
 }
 
+/* Size of the configuration of a slow peer, and the time that its link takes
+   to send it.  */
+#define LARGE_CONFIG_BYTES (1024 * 1024)
+#define LARGE_CONFIG_PARTS 60
+#define LARGE_CONFIG_TIME (1200 * GS_MSEC)
+#define LARGE_CONFIG_REVISION 1000
+/* Time from an acknowledged change of the configuration to its effect in a
+   large fleet.  */
+#define LARGE_CONFIG_TIMEOUT (3 * GS_SEC)
+
+/* A peer with a newer configuration and a slow link.  */
+typedef struct
+{
+  pthread_mutex_t lock;
+  raw_server_t *server;
+  char *config; /* export of its configuration */
+  unsigned open_copies;
+  unsigned open_copies_max;
+  unsigned copies;
+} slow_peer_t;
+
+static void
+slow_peer_digest_send (const slow_peer_t *peer, raw_conn_t *conn)
+{
+  digest_t digest;
+  GByteArray *bytes;
+
+  digest_init (&digest);
+  g_strlcpy (digest.self.name, "node-9", sizeof digest.self.name);
+  digest.self.incarnation = 9;
+  g_strlcpy (digest.self.callers.host, "127.0.0.1",
+             sizeof digest.self.callers.host);
+  digest.self.callers.port = 1;
+  g_strlcpy (digest.self.peers.host, "127.0.0.1",
+             sizeof digest.self.peers.host);
+  digest.self.peers.port = raw_server_port (peer->server);
+  digest.ready = true;
+  digest.config_revision = LARGE_CONFIG_REVISION;
+  bytes = digest_encode (&digest);
+  raw_printf (conn, "HTTP/1.1 200 X\r\nContent-Length: %u\r\n\r\n",
+              bytes->len);
+  raw_send (conn, (const char *)bytes->data, bytes->len);
+  g_byte_array_unref (bytes);
+  digest_clear (&digest);
+}
+
+static void
+slow_peer_config_send (slow_peer_t *peer, raw_conn_t *conn)
+{
+  size_t length = strlen (peer->config);
+  size_t sent = 0;
+
+  pthread_mutex_lock (&peer->lock);
+  peer->copies++;
+  peer->open_copies++;
+  peer->open_copies_max = MAX (peer->open_copies_max, peer->open_copies);
+  pthread_mutex_unlock (&peer->lock);
+  raw_printf (conn, "HTTP/1.1 200 X\r\nContent-Length: %zu\r\n\r\n", length);
+  while (sent < length && !raw_wait_close (conn, gs_clock_now ()))
+    {
+      size_t part = MIN (length / LARGE_CONFIG_PARTS + 1, length - sent);
+
+      g_usleep (LARGE_CONFIG_TIME / LARGE_CONFIG_PARTS);
+      raw_send (conn, peer->config + sent, part);
+      sent += part;
+    }
+  pthread_mutex_lock (&peer->lock);
+  peer->open_copies--;
+  pthread_mutex_unlock (&peer->lock);
+}
+
+static void
+slow_peer_serve (void *context, raw_conn_t *conn)
+{
+  slow_peer_t *peer = context;
+  raw_message_t request;
+
+  while (raw_read_request (conn, &request))
+    {
+      if (strstr (request.first_line, "/config") != NULL)
+        slow_peer_config_send (peer, conn);
+      else
+        slow_peer_digest_send (peer, conn);
+      raw_message_clear (&request);
+    }
+}
+
+/* @return export of a configuration with routes below "/large/"  */
+static char *
+large_config_export (void)
+{
+  json_t *config;
+  json_t *root;
+  char *padding = g_strnfill (LARGE_CONFIG_BYTES, 'x');
+  char *text;
+
+  pthread_mutex_lock (&world.lock);
+  config = json_deep_copy (json_object_get (
+      g_hash_table_lookup (world.objects, "config/main"), "spec"));
+  pthread_mutex_unlock (&world.lock);
+  json_object_set_new (config, "padding", json_string (padding));
+  root = json_pack ("{s:i, s:b, s:[{s:s, s:i, s:o}], s:[]}", "revision",
+                    LARGE_CONFIG_REVISION, "whole", 1, "objects", "name",
+                    "main", "revision", LARGE_CONFIG_REVISION, "value", config,
+                    "gone");
+  text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  g_free (padding);
+  return text;
+}
+
+static bool
+large_config_is_in_force (void *context)
+{
+  char *answer
+      = gw_request (&world, 0, "POST", "/large/never/good", "large", "", "x");
+  unsigned status = status_of (answer);
+
+  (void)context;
+  g_free (answer);
+  return status == 200;
+}
+
+/* Guards against a copy whose fixed time limit is shorter than its transfer,
+   and against further copies that share the link with it.  */
+static void
+a_configuration_that_a_peer_sends_slowly_is_copied_once (void)
+{
+  slow_peer_t peer = { .copies = 0 };
+  char *address;
+
+  pthread_mutex_init (&peer.lock, NULL);
+  start_world (1);
+  gw_configure (&world, 2, "/large/", WORLD_API_KEY);
+  peer.config = large_config_export ();
+  gw_configure (&world, 3, "/a/", WORLD_API_KEY);
+  gw_start (&world, 0, true);
+  raw_server_create (&peer.server, slow_peer_serve, &peer);
+  address = g_strdup_printf ("127.0.0.1:%u", raw_server_port (peer.server));
+  gw_object_put (&world, "gateway-nodes", "node-9",
+                 json_pack ("{s:s, s:s, s:s}", "incarnation", "9", "callers",
+                            "127.0.0.1:1", "peers", address));
+  CU_ASSERT_TRUE (
+      gw_wait_until (large_config_is_in_force, NULL, LARGE_CONFIG_TIMEOUT));
+  pthread_mutex_lock (&peer.lock);
+  printf ("\n  copies=%u open_at_once=%u ", peer.copies, peer.open_copies_max);
+  CU_ASSERT_EQUAL (peer.open_copies_max, 1);
+  CU_ASSERT_EQUAL (peer.copies, 1);
+  pthread_mutex_unlock (&peer.lock);
+  end_world ();
+  raw_server_destroy (peer.server);
+  free (peer.config);
+  g_free (address);
+  pthread_mutex_destroy (&peer.lock);
+}
+
 /* @return holder that sent the last usage report, "" if there is none; freed
    by the caller  */
 static char *
@@ -390,6 +547,8 @@
     usage_is_reported_once_for_each_window },
   { "a silent connection to a peer is replaced",
     a_silent_connection_to_a_peer_is_replaced },
+  { "a configuration that a peer sends slowly is copied once",
+    a_configuration_that_a_peer_sends_slowly_is_copied_once },
   { "a resumed holder does not use its expired lease",
     a_resumed_holder_does_not_use_its_expired_lease },
 };
