gateway: one copy of a feed at a time, ended when it stalls

Cause: a copy of the store's objects from a peer had 800 ms in all, and a node started another copy every 250 ms while earlier ones were open. As soon as nodes that shared a peer's link needed longer together, no copy completed, and each attempt was sent from the beginning. The class of fault: a fixed limit on a transfer whose length depends on its size and on other nodes, with retries that share the bottleneck.

Change: src/gateway/feed_copy.c decides on copies. One is open for each feed; it lasts while data arrive and ends after 800 ms without progress; a peer whose copy failed is left out for 500 ms, so that another one is used. The import of a configuration that cannot be decoded no longer repeats the copy, as the feed's revision is compared.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -6,7 +6,7 @@
 #include "garnetstack/server.h"
 #include "garnetstack/thread.h"
 #include "gateway/duties.h"
-#include "gateway/feed.h"
+#include "gateway/feed_copy_http.h"
 #include "gateway/gauges.h"
 #include "gateway/membership.h"
 #include "gateway/peers.h"
@@ -14,7 +14,6 @@
 #include "gateway/roster.h"
 #include "gateway/traffic.h"
 #include "platform/platform.h"
-#include "ports/http_status.h"
 
 #include <stdatomic.h>
 #include <string.h>
@@ -29,11 +28,6 @@
 #define ADDRESSES_TTL (2 * GS_SEC)
 /* Maximum number of addresses that callers accept.  */
 #define ADDRESSES_MAX 64
-/* Minimum time between two copies from peers that have a newer revision.  */
-#define COPY_INTERVAL (250 * GS_MSEC)
-/* Within a region a copy takes milliseconds, and fifty times as long at a node
-   that is slowed down.  */
-#define COPY_TIMEOUT (800 * GS_MSEC)
 /* A leaving node keeps listening while callers learn that it is leaving: for
    twice the time that they cache the list of addresses.  Callers that cache it
    longer find the port closed and use another address.  */
@@ -55,6 +49,21 @@
    TRAFFIC_LOADS_MAX replicas.  */
 #define PEER_BODY_BYTES_MAX ((size_t)4 << 20)
 
+/* Feeds that this node copies from peers.  */
+enum
+{
+  COPY_CONFIG,
+  COPY_REPLICAS,
+  COPY_MEMBERS,
+  COPY_COUNT
+};
+
+typedef struct
+{
+  feed_copy_http_t *http;
+  feed_copy_t *copy;
+} gateway_copy_t;
+
 struct gateway
 {
   gs_deployment_t settings;
@@ -78,9 +87,7 @@
   gs_time_t notify_due;
   gs_time_t view_due;
   gs_time_t server_tick_due;
-  gs_time_t config_copy_due;
-  gs_time_t replica_copy_due;
-  gs_time_t member_copy_due;
+  gateway_copy_t copies[COPY_COUNT];
   bool leaving;
   gs_time_t leave_started_at; /* 0 if not leaving */
   bool follows_store;         /* true for only some nodes of a large fleet */
@@ -358,80 +365,6 @@
   return duties_report (((gateway_t *)context)->duties);
 }
 
-typedef struct
-{
-  gateway_t *gateway;
-  feed_t *feed;
-  gs_endpoint_t peer;
-  gs_time_t started_at;
-} feed_copy_t;
-
-static void
-log_copy (const feed_copy_t *copy, const gs_http_result_t *result,
-          gs_status_t status)
-{
-  const char *kind = feed_kind (copy->feed);
-  char labels[GS_NAME_BYTES + 64];
-
-  g_snprintf (labels, sizeof labels, "kind=\"%s\",result=\"%s\"", kind,
-              gs_status_name (status));
-  gs_meter_add ("copies_total", labels, 1);
-  g_snprintf (labels, sizeof labels, "kind=\"%s\"", kind);
-  gs_meter_add ("copy_bytes_total", labels, (double)result->body_length);
-  gs_log (status == GS_OK ? GS_LOG_DEBUG : GS_LOG_WARN,
-          status == GS_OK ? "copy_done" : "copy_failed",
-          "kind=%s peer=%s:%u status=%s http=%ld bytes=%zu ms=%lld"
-          " revision=%llu reason=\"%s\"",
-          kind, copy->peer.host, copy->peer.port, gs_status_name (status),
-          result->http_status, result->body_length,
-          (long long)((gs_clock_now () - copy->started_at) / GS_MSEC),
-          (unsigned long long)feed_revision (copy->feed),
-          result->status != GS_OK ? result->reason
-          : status != GS_OK       ? gs_error_last ()
-                                  : "");
-}
-
-static void
-on_copy_done (void *context, const gs_http_result_t *result)
-{
-  feed_copy_t *copy = context;
-  gs_status_t status = gs_http_result_status (result);
-
-  if (status == GS_OK)
-    status = feed_import (copy->feed, gs_clock_now (), result->body,
-                          result->body_length);
-  log_copy (copy, result, status);
-  if (status == GS_OK)
-    publish_replicas (copy->gateway);
-  g_free (copy);
-}
-
-/* Copies what a peer has of a feed, at most once per interval.  */
-static void
-request_copy (gateway_t *gateway, gs_time_t now, const gs_endpoint_t *peer,
-              feed_t *feed, const char *path, gs_time_t *due)
-{
-  gs_http_request_t request = GS_HTTP_REQUEST_INIT;
-  feed_copy_t *copy;
-  char *url;
-
-  if (now < *due)
-    return;
-  *due = now + COPY_INTERVAL;
-  copy = g_new (feed_copy_t, 1);
-  *copy = (feed_copy_t){ gateway, feed, *peer, now };
-  url = g_strdup_printf ("http://%s:%u%s?above=%llu", peer->host, peer->port,
-                         path, (unsigned long long)feed_revision (feed));
-  request.url = url;
-  request.deadline = now + COPY_TIMEOUT;
-  request.on_done = on_copy_done;
-  request.context = copy;
-  request.context_free = g_free;
-  request.body_bytes_max = PEER_BODY_BYTES_MAX;
-  gs_loop_http (NULL, gateway->loop, &request);
-  g_free (url);
-}
-
 /* @return whether this node copies a feed although it may watch the store: it
    does not watch it, the store rejects its calls, or the first list has not
    come yet.  While its own watch works, that delivers the changes a moment
@@ -444,27 +377,22 @@
 }
 
 /* Copies the configuration, the replicas or the nodes from a peer that has a
-   newer revision.  */
+   newer revision.  The configuration is copied even while this node's own
+   watch works: a watch on a silent connection takes seconds to fail.  */
 static void
 on_peer_state (void *context, gs_time_t now, const gs_endpoint_t *endpoint,
                const peers_state_t *state)
 {
   gateway_t *gateway = context;
-  feed_t *members = membership_feed (gateway->membership);
-  uint64_t own_revision
-      = gateway->table != NULL ? gs_route_table_revision (gateway->table) : 0;
-
-  if (state->config_revision > own_revision)
-    request_copy (gateway, now, endpoint, gateway->config_feed,
-                  PEERS_CONFIG_PATH, &gateway->config_copy_due);
-  if (state->replicas_revision > feed_revision (gateway->replica_feed)
-      && needs_copies (gateway, gateway->replica_feed))
-    request_copy (gateway, now, endpoint, gateway->replica_feed,
-                  PEERS_REPLICAS_PATH, &gateway->replica_copy_due);
-  if (state->members_revision > feed_revision (members)
-      && needs_copies (gateway, members))
-    request_copy (gateway, now, endpoint, members, PEERS_MEMBERS_PATH,
-                  &gateway->member_copy_due);
+
+  feed_copy_offer (gateway->copies[COPY_CONFIG].copy, now, endpoint,
+                   state->config_revision);
+  if (needs_copies (gateway, gateway->replica_feed))
+    feed_copy_offer (gateway->copies[COPY_REPLICAS].copy, now, endpoint,
+                     state->replicas_revision);
+  if (needs_copies (gateway, membership_feed (gateway->membership)))
+    feed_copy_offer (gateway->copies[COPY_MEMBERS].copy, now, endpoint,
+                     state->members_revision);
 }
 
 typedef struct
@@ -557,6 +485,8 @@
   feed_tick (gateway->replica_feed, now, gateway->follows_store);
   membership_tick (gateway->membership, now, gateway->follows_store);
   peers_tick (gateway->peers, now);
+  for (size_t i = 0; i < COPY_COUNT; i++)
+    feed_copy_tick (gateway->copies[i].copy, now);
   roster_expire (gateway->roster, now);
   publish_replicas (gateway);
   notify_leaving_replicas (gateway, now);
@@ -624,6 +554,17 @@
   return status;
 }
 
+static void
+create_copy (gateway_t *gateway, gateway_copy_t *out, feed_t *feed,
+             const char *path)
+{
+  feed_copy_transport_t transport;
+
+  feed_copy_http_create (&out->http, gateway->loop, path, PEER_BODY_BYTES_MAX);
+  transport = feed_copy_http_transport (out->http);
+  feed_copy_create (&out->copy, feed, &transport);
+}
+
 static void
 create_controllers (gateway_t *gateway)
 {
@@ -653,6 +594,12 @@
                 seed + 2);
   membership_create (&gateway->membership, &gateway->store, gateway->peers,
                      &gateway->self, seed + 3);
+  create_copy (gateway, &gateway->copies[COPY_CONFIG], gateway->config_feed,
+               PEERS_CONFIG_PATH);
+  create_copy (gateway, &gateway->copies[COPY_REPLICAS], gateway->replica_feed,
+               PEERS_REPLICAS_PATH);
+  create_copy (gateway, &gateway->copies[COPY_MEMBERS],
+               membership_feed (gateway->membership), PEERS_MEMBERS_PATH);
   duties.peers = gateway->peers;
   duties_create (&gateway->duties, &duties);
 }
@@ -742,6 +689,11 @@
     gs_server_destroy (gateway->servers[i]);
   gs_loop_destroy (gateway->loop);
   duties_destroy (gateway->duties);
+  for (size_t i = 0; i < COPY_COUNT; i++)
+    {
+      feed_copy_destroy (gateway->copies[i].copy);
+      feed_copy_http_destroy (gateway->copies[i].http);
+    }
   membership_destroy (gateway->membership);
   peers_destroy (gateway->peers);
   feed_destroy (gateway->replica_feed);
