feed: a list that timed out gets more time

Change: the limit doubles after a timeout, up to 6 s, until a list is complete; a refusal or a lost connection leaves it as it is, so that a silent store is still found out in 1.5 s.

Test: "a list that timed out gets more time" fails before.

--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -13,8 +13,11 @@
    counts as disturbed.  */
 #define WATCH_TIMEOUT (3500 * GS_MSEC)
 /* The store normally answers within a few milliseconds, and takes up to fifty
-   times as long when degraded.  */
-#define LIST_TIMEOUT (1500 * GS_MSEC)
+   times as long when degraded.  The time that a page of a list takes also
+   depends on its size and on other use of this node's link, so a list that
+   timed out gets twice the time, up to the maximum.  */
+#define LIST_TIMEOUT_MIN (1500 * GS_MSEC)
+#define LIST_TIMEOUT_MAX (4 * LIST_TIMEOUT_MIN)
 /* Pause after a watch that returned changes, so that the next watch returns
    several at once: the store charges for each call.  The pause is a twentieth
    of the 2 s within which a change must take effect.  */
@@ -57,6 +60,7 @@
   bool busy;                /* a call is open */
   gs_time_t due;            /* earliest time of the next call */
   gs_time_t retry_delay;
+  gs_time_t list_timeout;
   gs_time_t store_lost_at;
 };
 
@@ -81,6 +85,7 @@
   feed->listener = *listener;
   feed->needs_list = true;
   feed->retry_delay = RETRY_DELAY_MIN;
+  feed->list_timeout = LIST_TIMEOUT_MIN;
   gs_rng_seed (&feed->rng, seed);
   feed->objects = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          cached_object_free);
@@ -236,6 +241,8 @@
   if (result->status != GS_OK)
     {
       g_clear_pointer (&feed->list_after, g_free);
+      if (result->status == GS_ETIMEOUT)
+        feed->list_timeout = MIN (2 * feed->list_timeout, LIST_TIMEOUT_MAX);
       handle_failure (feed, now, result->status);
       return;
     }
@@ -261,6 +268,7 @@
     }
   g_clear_pointer (&feed->list_after, g_free);
   feed->needs_list = false;
+  feed->list_timeout = LIST_TIMEOUT_MIN;
   finish_list (feed, now, feed->list_revision);
 }
 
@@ -302,7 +310,7 @@
   gs_metric_add (GS_METRIC_STORE_READS, 1);
   if (feed->needs_list)
     feed->store->list (feed->store->context, feed->kind, feed->list_after,
-                       now + LIST_TIMEOUT, on_list, feed);
+                       now + feed->list_timeout, on_list, feed);
   else
     feed->store->watch (feed->store->context, feed->kind, feed->revision,
                         now + WATCH_TIMEOUT, on_watch, feed);
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -14,6 +14,7 @@
   bool is_watch;
   uint64_t after_revision; /* of a watch */
   char *after_name;        /* of a list */
+  gs_time_t deadline;
   unsigned calls;          /* number so far */
 } fake_store_t;
 
@@ -33,6 +34,7 @@
   fake_store_t *store = context;
 
   store->is_watch = false;
+  store->deadline = deadline;
   g_free (store->after_name);
   store->after_name = g_strdup (after_name);
   store->callback = callback;
@@ -539,7 +541,45 @@
   stop (feed, &store, &recorder);
 }
 
+/* Guards against a list that needs longer than its time limit, and is read
+   from the start again and again.  */
+static void
+a_list_that_timed_out_gets_more_time (void)
+{
+  fake_store_t store;
+  recorder_t recorder;
+  feed_t *feed;
+  gs_time_t now = GS_SEC;
+  gs_time_t first;
+  gs_time_t last;
+
+  start (&feed, &store, &recorder);
+  feed_tick (feed, now, true);
+  first = store.deadline - now;
+  for (unsigned i = 0; i < 8; i++)
+    {
+      answer_status (&store, GS_ETIMEOUT);
+      now = gs_clock_now () + (i + 2) * GS_SEC;
+      feed_tick (feed, now, true);
+    }
+  last = store.deadline - now;
+  CU_ASSERT (last >= 2 * first);
+  CU_ASSERT (last <= 8 * first);
+  answer_status (&store, GS_EREFUSED);
+  now += GS_SEC;
+  feed_tick (feed, now, true);
+  CU_ASSERT_EQUAL (store.deadline - now, last);
+  answer_objects (&store, 5, true, "a5");
+  now += GS_SEC;
+  feed_tick (feed, now, true);
+  CU_ASSERT_EQUAL (store.deadline - now, last);
+  answer_objects (&store, 5, false, "b5");
+  stop (feed, &store, &recorder);
+}
+
 static const check_case_t cases[] = {
+  { "a list that timed out gets more time",
+    a_list_that_timed_out_gets_more_time },
   { "watch starts at the revision of the first list page",
     watch_starts_at_revision_of_first_list_page },
   { "missing history causes a list that reports removals",
