--- a/include/garnetstack/header_codec.h
+++ b/include/garnetstack/header_codec.h
@@ -68,6 +68,9 @@
   char content_type[GS_URL_BYTES]; /**< "" if not given */
   unsigned keep_alive_seconds; /**< how long the replica keeps the connection
                                     open while idle; 0 if not given */
+  bool has_limit;              /**< the replica names a limit */
+  double limit_per_sec;        /**< requests a second that it takes from all
+                                    nodes together */
   GPtrArray *headers; /**< headers to forward to the caller, each a name
                            followed by its value; owned */
 } gs_response_head_t;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -201,6 +201,8 @@
     return true;
   if (relay->head.keep_alive_seconds != 0)
     relay->service->keep_alive_seconds = relay->head.keep_alive_seconds;
+  if (relay->head.has_limit)
+    relay_log_limit (relay);
   /* A late response to an earlier request on the same connection carries
      that request's attempt id.  */
   relay->response_mismatched
--- a/src/gateway/relay_log.c
+++ b/src/gateway/relay_log.c
@@ -148,3 +148,12 @@
           elapsed_msec (relay->sent_at, gs_clock_now ()),
           relay->attempt_responded, (unsigned long long)relay->events.last_id);
 }
+
+void
+relay_log_limit (const relay_t *relay)
+{
+  char labels[96];
+
+  g_snprintf (labels, sizeof labels, "service=\"%s\"", relay->service->name);
+  gs_meter_add ("limited_answers_total", labels, 1);
+}
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -93,6 +93,9 @@
 void relay_log_attempt (const relay_t *relay, const char *outcome,
                         const char *reason);
 
+/** Count an answer in which a replica names a limit. */
+void relay_log_limit (const relay_t *relay);
+
 /** Log the end of a request and update its metrics. */
 void relay_log_end (const relay_t *relay, gs_time_t now, const char *outcome,
                     unsigned status, const char *reason);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -291,7 +291,44 @@
   CU_ASSERT_EQUAL (fault_count, 4);
 }
 
+static const struct
+{
+  const char *value;
+  double per_sec; /* negative if the header is ignored */
+} limit_headers[] = {
+  { "1.9", 1.9 },  { "12", 12 },  { "0", 0 },     { "0.25", 0.25 },
+  { "", -1 },      { "-1", -1 },  { "many", -1 }, { "2/s", -1 },
+  { "1e999", -1 }, { "nan", -1 }, { "2,5", -1 },
+};
+
+static void
+a_limit_in_an_answer_is_read_and_forwarded (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (limit_headers); i++)
+    {
+      gs_response_head_t head;
+      char *line
+          = g_strdup_printf ("server-limit: %s\r\n", limit_headers[i].value);
+
+      gs_response_head_init (&head);
+      gs_platform_header_codec.read_line (&head, "HTTP/1.1 200 OK\r\n", 17);
+      gs_platform_header_codec.read_line (&head, line, strlen (line));
+      CU_ASSERT_EQUAL (head.has_limit, limit_headers[i].per_sec >= 0);
+      if (head.has_limit)
+        CU_ASSERT_DOUBLE_EQUAL (head.limit_per_sec, limit_headers[i].per_sec,
+                                1e-9);
+      CU_ASSERT_EQUAL_FATAL (head.headers->len, 2);
+      CU_ASSERT_STRING_EQUAL (head.headers->pdata[1], limit_headers[i].value);
+      gs_platform_header_codec.read_line (&head, "HTTP/1.1 200 OK\r\n", 17);
+      CU_ASSERT_FALSE (head.has_limit);
+      gs_response_head_clear (&head);
+      g_free (line);
+    }
+}
+
 static const check_case_t cases[] = {
+  { "a limit in an answer is read and forwarded",
+    a_limit_in_an_answer_is_read_and_forwarded },
   { "prompt blocks are read in order", prompt_blocks_are_read_in_order },
   { "malformed request headers are ignored",
     malformed_request_headers_are_ignored },
