--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -40,19 +40,21 @@
   char *first_line;
   GString *body;
   unsigned replica;
+  struct world_replica *replica_state;
   gs_time_t arrived_at;
   gs_time_t closed_at; /* when the node closed before a response; 0 if not */
 } arrival_t;
 
 typedef struct gateway_world gateway_world_t;
 
-typedef struct
+typedef struct world_replica
 {
   gateway_world_t *world;
   raw_server_t *server;
   unsigned index;
   char id[32];
-  uint16_t port; /* of the replica, or of a proxy before it */
+  uint16_t port;     /* of the replica, or of a proxy before it */
+  const char *limit; /* value of Server-Limit in its answers, or NULL */
 } world_replica_t;
 
 /** The store's listener for one gateway. */
@@ -138,6 +140,11 @@
 void gw_replica_publish (gateway_world_t *world, unsigned index,
                          const char *state);
 
+/** Set the limit that a replica names in its answers.
+    @param limit a string literal, or NULL for none */
+void gw_replica_limit_set (gateway_world_t *world, unsigned index,
+                           const char *limit);
+
 /** Drop all watch events, so that watches from an earlier revision get 410. */
 void gw_store_compact (gateway_world_t *world);
 
@@ -201,6 +208,11 @@
 /** @return how often the replicas received an attempt. */
 unsigned gw_arrivals_count (gateway_world_t *world, const char *id);
 
+/** @return the most requests that a replica received in any period of
+    @p length, of those that arrived at or after @p from. */
+unsigned gw_arrivals_peak (gateway_world_t *world, unsigned replica,
+                           gs_time_t from, gs_time_t length);
+
 /** @return the first arrival of an attempt at a replica, or NULL; valid until
     gw_destroy(). */
 const arrival_t *gw_arrival_find (gateway_world_t *world, const char *id);
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -21,6 +21,7 @@
   arrival->body
       = g_string_new_len (request->body->str, (gssize)request->body->len);
   arrival->replica = replica->index;
+  arrival->replica_state = replica;
   arrival->arrived_at = gs_clock_now ();
   pthread_mutex_lock (&world->lock);
   for (guint i = 0; i < world->arrivals->len; i++)
@@ -35,13 +36,70 @@
 
 #define SEAL_HEADERS_FORMAT "X-Attempt-Id: %s\r\nX-Response-Seal: s.%s\r\n"
 
+void
+gw_replica_limit_set (gateway_world_t *world, unsigned index,
+                      const char *limit)
+{
+  pthread_mutex_lock (&world->lock);
+  world->replicas[index].limit = limit;
+  pthread_mutex_unlock (&world->lock);
+}
+
+unsigned
+gw_arrivals_peak (gateway_world_t *world, unsigned replica, gs_time_t from,
+                  gs_time_t length)
+{
+  GArray *times = g_array_new (FALSE, FALSE, sizeof (gs_time_t));
+  unsigned peak = 0;
+  guint first = 0;
+
+  pthread_mutex_lock (&world->lock);
+  for (guint i = 0; i < world->arrivals->len; i++)
+    {
+      const arrival_t *arrival = world->arrivals->pdata[i];
+
+      if (arrival->replica == replica && arrival->arrived_at >= from)
+        g_array_append_val (times, arrival->arrived_at);
+    }
+  pthread_mutex_unlock (&world->lock);
+  for (guint i = 0; i < times->len; i++)
+    {
+      while (g_array_index (times, gs_time_t, first) + length
+             < g_array_index (times, gs_time_t, i))
+        first++;
+      peak = MAX (peak, i - first + 1);
+    }
+  g_array_unref (times);
+  return peak;
+}
+
+/* @return the header line in which the replica names its limit, "" if it names
+   none; freed with g_free()  */
+static char *
+limit_header (const arrival_t *arrival)
+{
+  world_replica_t *replica = arrival->replica_state;
+  const char *limit;
+
+  pthread_mutex_lock (&replica->world->lock);
+  limit = replica->limit;
+  pthread_mutex_unlock (&replica->world->lock);
+  return limit != NULL ? g_strdup_printf ("Server-Limit: %s\r\n", limit)
+                       : g_strdup ("");
+}
+
 static void
 send_plain (raw_conn_t *conn, const arrival_t *arrival, unsigned status)
 {
-  raw_printf (
-      conn,
-      "HTTP/1.1 %u X\r\n" SEAL_HEADERS_FORMAT "Content-Length: %zu\r\n\r\n%s",
-      status, arrival->id, arrival->id, strlen (arrival->id), arrival->id);
+  char *limit = limit_header (arrival);
+
+  raw_printf (conn,
+              "HTTP/1.1 %u X\r\n" SEAL_HEADERS_FORMAT
+              "%sContent-Length: %zu\r\n\r\n"
+              "%s",
+              status, arrival->id, arrival->id, limit, strlen (arrival->id),
+              arrival->id);
+  g_free (limit);
 }
 
 /* Sends the events from @p from to @p to, and the begin of the next one if
@@ -71,11 +129,14 @@
                       ? (unsigned)strtoul (last_event_id, NULL, 10) + 1
                       : 1;
 
+  char *limit = limit_header (arrival);
+
   raw_printf (conn,
               "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_FORMAT
-              "Content-Type: text/event-stream\r\n"
+              "%sContent-Type: text/event-stream\r\n"
               "Transfer-Encoding: chunked\r\n\r\n",
-              arrival->id, arrival->id);
+              arrival->id, arrival->id, limit);
+  g_free (limit);
   send_events (conn, from, last, truncated);
   if (!truncated)
     raw_printf (conn, "0\r\n\r\n");
