gateway: keep to the limit that a replica names, over all nodes

Cause: nothing read Server-Limit. The class of fault: what a replica says of itself in an answer changed nothing, at the node that received it or at others.

Evidence: the rate at i-975aac1723 was the same before and after it named its limit (9, 4, 4, 11 requests in the seconds after), from all nodes.

Change: a replica's last statement is kept with its row in the placer and goes with the messages between nodes; the latest one wins, by its age. A few nodes share a limit (replica_limit.c): one for each request a second and three more, drawn by a hash of replica and node, each with an equal part and at most a second's part in reserve. Shares of all nodes would be one request a minute in a fleet of 118, and their reserves more than the platform allows. A replica whose limit is used up counts as full: requests, resends and the queue go elsewhere, wait as long as the limit lets them through in time, or are refused at once. The limit ends with an answer that names none to a request that was sent later, when the replica restarts, or after 60 s without confirmation. Messages of the version before are accepted, and its nodes accept these.

Why not the windows of accounts (quota.c): their pool is divided after the fact, from reports, which a limit of two requests a second does not bear.

--- a/src/cmd/explain_log.c
+++ b/src/cmd/explain_log.c
@@ -10,30 +10,22 @@
 #define STATE_CHANGE_AFTER_SEC 0.5
 
 /* Events that report a state change rather than a step of a request.  */
-static const char *const state_events[] = { "start",
-                                            "stop",
-                                            "reload",
-                                            "routes_in_force",
-                                            "replica",
-                                            "replica_left_out",
-                                            "feed_lost",
-                                            "feed_back",
-                                            "feed_restarted",
-                                            "feed_taken_over",
-                                            "dependency_lost",
-                                            "dependency_back",
-                                            "peer_heard",
-                                            "peer_silent",
-                                            "duty_taken",
-                                            "duty_lost",
-                                            "config_refused",
-                                            "log_left_out",
-                                            NULL };
+static const char *const state_events[]
+    = { "start",           "stop",
+        "reload",          "routes_in_force",
+        "replica",         "replica_left_out",
+        "replica_limit",   "feed_lost",
+        "feed_back",       "feed_restarted",
+        "feed_taken_over", "dependency_lost",
+        "dependency_back", "peer_heard",
+        "peer_silent",     "duty_taken",
+        "duty_lost",       "config_refused",
+        "log_left_out",    NULL };
 
 /* Events about one replica, which are shown only for the replicas of the
    request.  */
 static const char *const replica_events[]
-    = { "replica", "replica_left_out", NULL };
+    = { "replica", "replica_left_out", "replica_limit", NULL };
 
 /* @return the value of a key, freed with g_free(), or NULL.  */
 static char *
--- a/src/gateway/digest.c
+++ b/src/gateway/digest.c
@@ -11,7 +11,7 @@
 /* Nested arrays: the digest, a list of rows or members, and one of these.  */
 #define NESTING_MAX 3
 /* Fields that digest_encode() writes.  */
-#define FIELD_COUNT 13
+#define FIELD_COUNT 14
 
 static const row_layout_t load_layout
     = { sizeof (placer_load_t),
@@ -32,9 +32,11 @@
 void
 digest_init (digest_t *digest)
 {
-  *digest = (digest_t){ .report = traffic_report_create (),
-                        .members = g_array_new (FALSE, TRUE,
-                                                sizeof (digest_member_t)) };
+  *digest = (digest_t){
+    .report = traffic_report_create (),
+    .members = g_array_new (FALSE, TRUE, sizeof (digest_member_t)),
+    .statements = g_array_new (FALSE, TRUE, sizeof (statement_row_t))
+  };
 }
 
 void
@@ -43,8 +45,11 @@
   traffic_report_free (digest->report);
   if (digest->members != NULL)
     g_array_unref (digest->members);
+  if (digest->statements != NULL)
+    g_array_unref (digest->statements);
   digest->report = NULL;
   digest->members = NULL;
+  digest->statements = NULL;
 }
 
 static void
@@ -78,6 +83,7 @@
   row_codec_pack (&out, &report_demand_layout, digest->report->demand);
   row_codec_pack (&out, &quota_layout, digest->report->quota);
   pack_members (&out, digest->members);
+  row_codec_pack (&out, &statement_layout, digest->statements);
   bytes = g_byte_array_sized_new ((guint)buffer.size);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
@@ -122,6 +128,8 @@
       row_reader_rows (&reader, &report_demand_layout, out->report->demand);
       row_reader_rows (&reader, &quota_layout, out->report->quota);
       read_members (&reader, out->members);
+      if (row_reader_has_next (&reader))
+        row_reader_rows (&reader, &statement_layout, out->statements);
     }
   msgpack_unpacked_destroy (&unpacked);
   return invalid ? gs_error_set (GS_EINVAL, "malformed digest from a peer")
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -11,6 +11,8 @@
 /* Elements of the message's array: those of the head and of the aggregate.  */
 #define HEAD_COUNT 10
 #define AGGREGATE_COUNT 6
+/* Elements after the aggregate, which older versions neither send nor read. */
+#define TAIL_COUNT 1
 
 static const row_layout_t status_layout
     = { sizeof (peer_status_t),
@@ -42,8 +44,10 @@
 void
 peer_message_init (peer_message_t *message)
 {
-  *message = (peer_message_t){ .statuses = g_array_new (
-                                   FALSE, TRUE, sizeof (peer_status_t)) };
+  *message = (peer_message_t){
+    .statuses = g_array_new (FALSE, TRUE, sizeof (peer_status_t)),
+    .statements = g_array_new (FALSE, TRUE, sizeof (statement_row_t)),
+  };
   aggregate_init (&message->aggregate);
 }
 
@@ -53,6 +57,9 @@
   if (message->statuses != NULL)
     g_array_unref (message->statuses);
   message->statuses = NULL;
+  if (message->statements != NULL)
+    g_array_unref (message->statements);
+  message->statements = NULL;
   aggregate_clear (&message->aggregate);
 }
 
@@ -96,7 +103,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&out, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&out, HEAD_COUNT + AGGREGATE_COUNT);
+  msgpack_pack_array (&out, HEAD_COUNT + AGGREGATE_COUNT + TAIL_COUNT);
   msgpack_pack_int (&out, FORMAT_VERSION);
   member_pack (&out, &message->self, true);
   msgpack_pack_uint32 (&out, message->flags);
@@ -109,6 +116,11 @@
   row_codec_pack (&out, &status_layout, message->statuses);
   bytes = take_bytes (&buffer);
   g_byte_array_append (bytes, aggregate->data, aggregate->len);
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&out, &buffer, msgpack_sbuffer_write);
+  row_codec_pack (&out, &statement_layout, message->statements);
+  g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
+  msgpack_sbuffer_destroy (&buffer);
   return bytes;
 }
 
@@ -140,6 +152,8 @@
       out->has_usage = row_reader_number (&reader) != 0;
       row_reader_rows (&reader, &report_demand_layout, aggregate->demand);
       row_reader_rows (&reader, &report_usage_layout, aggregate->usage);
+      if (row_reader_has_next (&reader))
+        row_reader_rows (&reader, &statement_layout, out->statements);
     }
   msgpack_unpacked_destroy (&unpacked);
   if (invalid)
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -39,6 +39,8 @@
   GArray *statuses;  /**< of peer_status_t */
   bool has_usage;    /**< false if usage counts are left out */
   aggregate_t aggregate;
+  GArray *statements; /**< of statement_row_t; empty from nodes of a version
+                           that sends none */
 } peer_message_t;
 
 /** Set up an empty message, freed with peer_message_clear(). */
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -56,6 +56,7 @@
   peers->seed_count = MIN (seed_count, GS_SEEDS_MAX);
   for (unsigned i = 0; i < peers->seed_count; i++)
     peers->seeds[i] = seeds[i];
+  statements_create (&peers->statements);
   gs_rng_seed (&peers->rng, seed);
   *out = peers;
 }
@@ -68,6 +69,7 @@
   for (unsigned i = 0; i < PEERS_SENT_REPORTS; i++)
     aggregate_clear (&peers->sent[i].aggregate);
   peer_message_clear (&peers->view);
+  statements_destroy (peers->statements);
   if (peers->fleet_view.bytes != NULL)
     g_byte_array_unref (peers->fleet_view.bytes);
   g_array_unref (peers->fleet_view.statuses);
@@ -169,8 +171,20 @@
     }
 }
 
+statements_t *
+peers_statements_update (const peers_t *peers)
+{
+  const traffic_report_t *report
+      = peers->listener.get_report (peers->listener.context);
+
+  for (guint i = 0; report != NULL && i < report->statements->len; i++)
+    statements_put (peers->statements,
+                    &g_array_index (report->statements, statement_t, i));
+  return peers->statements;
+}
+
 static void
-digest_fill (const peers_t *peers, digest_t *out)
+digest_fill (const peers_t *peers, gs_time_t now, digest_t *out)
 {
   const traffic_report_t *report
       = peers->listener.get_report (peers->listener.context);
@@ -184,6 +198,7 @@
   out->store_lost = state.store_lost;
   out->config_revision = state.config_revision;
   out->replicas_revision = state.replicas_revision;
+  statements_export (peers_statements_update (peers), now, out->statements);
   if (report == NULL)
     return;
   g_array_append_vals (out->report->loads, report->loads->data,
@@ -197,7 +212,7 @@
 }
 
 static GByteArray *
-encode_own_digest (const peers_t *peers)
+encode_own_digest (const peers_t *peers, gs_time_t now)
 {
   digest_t digest;
   GHashTableIter iter;
@@ -205,7 +220,7 @@
   GByteArray *bytes;
 
   digest_init (&digest);
-  digest_fill (peers, &digest);
+  digest_fill (peers, now, &digest);
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((peer_t *)value)->listed)
@@ -287,6 +302,7 @@
         mentioned->last_mentioned_at = now;
     }
   notify_listener (peers, now, &digest->self.peers, &state);
+  statements_import (peers->statements, now, digest->statements);
   aggregate_init (&aggregate);
   aggregate_add_report (&aggregate, digest->report, true);
   peers_report_store (peers, now, &digest->self, 0, &aggregate, true);
@@ -338,6 +354,7 @@
                            .replicas_revision = out->replicas_revision,
                            .members_revision = out->members_revision };
   notify_listener (peers, now, &out->self.peers, &state);
+  statements_import (peers->statements, now, out->statements);
   return peer;
 }
 
@@ -393,7 +410,7 @@
   else if (strcmp (path, PEERS_SUMMARY_PATH) == 0)
     bytes = receive_summary (peers, now, data, length);
   else if (accept_digest (peers, now, data, length) == GS_OK)
-    bytes = encode_own_digest (peers);
+    bytes = encode_own_digest (peers, now);
   if (bytes == NULL)
     gs_log (GS_LOG_WARN, "digest_refused", "reason=\"%s\"", gs_error_last ());
   return bytes;
@@ -482,7 +499,7 @@
       body = peers_summary_encode (peers, now, with_usage);
       break;
     default:
-      body = encode_own_digest (peers);
+      body = encode_own_digest (peers, now);
       break;
     }
   peers->transport.post (peers->transport.context, now, endpoint, path, body,
@@ -844,6 +861,19 @@
          && (flags & PEER_LEAVING) == 0;
 }
 
+void
+peers_accepting_nodes (const peers_t *peers, gs_time_t now, GArray *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_array_append_val (out, peers->node);
+  g_hash_table_iter_init (&iter, peers->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (accepts_requests (peers, value, now))
+      g_array_append_val (out, ((peer_t *)value)->node);
+}
+
 /* Nodes are ordered by a hash of their names.  By name, the nodes of one data
    centre would come one after another, so the first nodes could all be in the
    same data centre.  */
--- a/src/gateway/peers_fleet.c
+++ b/src/gateway/peers_fleet.c
@@ -393,7 +393,7 @@
 }
 
 static void
-fill_head (const peers_t *peers, peer_message_t *out)
+fill_head (const peers_t *peers, gs_time_t now, peer_message_t *out)
 {
   peers_state_t state;
 
@@ -403,6 +403,7 @@
   out->config_revision = state.config_revision;
   out->replicas_revision = state.replicas_revision;
   out->members_revision = state.members_revision;
+  statements_export (peers_statements_update (peers), now, out->statements);
 }
 
 GByteArray *
@@ -415,7 +416,7 @@
 
   update_fleet_view (peers, now);
   peer_message_init (&message);
-  fill_head (peers, &message);
+  fill_head (peers, now, &message);
   included = g_hash_table_lookup (view->included, &report->self.incarnation);
   message.sequence = included != NULL ? *included : 0;
   message.status_version = view->status_version;
@@ -450,7 +451,7 @@
   GByteArray *bytes;
 
   peer_message_init (&message);
-  fill_head (peers, &message);
+  fill_head (peers, now, &message);
   if (own != NULL)
     aggregate_add_report (&message.aggregate, own, with_usage);
   remember_report (peers, &message.aggregate);
@@ -504,7 +505,7 @@
   GByteArray *bytes;
 
   peer_message_init (&message);
-  fill_head (peers, &message);
+  fill_head (peers, now, &message);
   message.has_statuses = true;
   message.status_version
       = collect_statuses (peers, now, true, message.statuses);
@@ -632,6 +633,9 @@
   view->fleet.lag = exchanges * (view->fleet.report_ttl + MESSAGE_DELAY_MAX)
                     + TRAFFIC_REPORT_INTERVAL;
   view->peers = g_array_new (FALSE, TRUE, sizeof (traffic_peer_t));
+  view->nodes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  peers_accepting_nodes (peers, now, view->nodes);
+  view->statements = statements_list (peers_statements_update (peers));
   append_reports (peers, now, view);
   if (peers->role == PEERS_ROLE_AGGREGATOR)
     foreach_data_centre (peers, now, append_summary, view);
--- a/src/gateway/peers_private.h
+++ b/src/gateway/peers_private.h
@@ -112,6 +112,7 @@
   uint64_t statuses_version;
   gs_time_t statuses_due; /* when an aggregator updates it */
   fleet_view_t fleet_view;
+  statements_t *statements; /* of replicas, as this node and others say */
 };
 
 /* @return whether a message of the peer itself came recently.  */
@@ -166,6 +167,14 @@
    nodes.  */
 gs_time_t peers_fresh_ttl (const peers_t *peers, peer_call_t call);
 
+/* Add the statements that this node's traffic thread has received.
+   @return all known ones  */
+statements_t *peers_statements_update (const peers_t *peers);
+
+/* @param out array of uint64_t; gets the hashes of the nodes that accept
+   requests, this one first  */
+void peers_accepting_nodes (const peers_t *peers, gs_time_t now, GArray *out);
+
 /* Update what aggregators say about nodes, and drop expired reports.  */
 void peers_fleet_tick (peers_t *peers, gs_time_t now);
 
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -1,6 +1,7 @@
 #include "gateway/placer.h"
 
 #include "garnetstack/log.h"
+#include "gateway/replica_limit.h"
 
 #include <math.h>
 #include <string.h>
@@ -82,6 +83,7 @@
   unsigned ejections;
   gs_time_t ejected_until;
   gs_time_t full_until; /* the replica has rejected a request as full */
+  replica_limit_t limit;
 } replica_row_t;
 
 typedef struct
@@ -106,7 +108,9 @@
   GHashTable *blocks;  /* id -> cached_block_t */
   double read_speed;   /* tokens per millisecond */
   unsigned peers;      /* other nodes that place requests */
-  GArray *available;   /* of uint32_t; scratch: rows that are not full */
+  GArray *nodes;       /* of uint64_t: see placer_nodes_set() */
+  unsigned members;
+  GArray *available; /* of uint32_t; scratch: rows that are not full */
   gs_rng_t rng;
 };
 
@@ -123,6 +127,8 @@
   placer->blocks
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   placer->available = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  placer->nodes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  placer->members = 1;
   placer->read_speed = READ_SPEED_INITIAL;
   gs_rng_seed (&placer->rng, seed);
   *out = placer;
@@ -133,6 +139,7 @@
 {
   if (placer == NULL)
     return;
+  g_array_unref (placer->nodes);
   g_array_unref (placer->available);
   g_hash_table_unref (placer->blocks);
   g_hash_table_unref (placer->by_hash);
@@ -194,6 +201,7 @@
       row->failures = 0;
       row->ejections = 0;
       row->ejected_until = 0;
+      row->limit = (replica_limit_t){ .stated_at = row->limit.stated_at };
     }
   row->replica = *replica;
   row->listed = true;
@@ -386,7 +394,7 @@
       && slots_taken (row, query->engine)
              >= (unsigned)(CONNECTIONS_RATIO_MAX * connections))
     return true;
-  if (row->full_until > now)
+  if (row->full_until > now || !replica_limit_allows (&row->limit, now))
     return true;
   if (slots_taken (row, query->engine) >= slots_max (row, query->engine))
     return true;
@@ -634,6 +642,7 @@
     .sent_at = now,
     .first_event_expected_at = choice->first_event_expected_at,
   };
+  replica_limit_take (&row->limit, now);
   row->in_flight++;
   row->backlog_tokens += ticket->uncached_tokens;
   row->reserved_tokens += ticket->reserved_tokens;
@@ -742,8 +751,95 @@
   return placer->read_speed;
 }
 
+static void
+row_share_limit (const placer_t *placer, gs_time_t now, replica_row_t *row)
+{
+  replica_limit_share (&row->limit, now, row->hash,
+                       (const uint64_t *)(void *)placer->nodes->data,
+                       placer->nodes->len, placer->members);
+}
+
+static bool
+row_state_limit (const placer_t *placer, gs_time_t now, replica_row_t *row,
+                 gs_time_t stated_at, double per_sec, const char *source)
+{
+  if (!replica_limit_state (&row->limit, now, stated_at, per_sec))
+    return false;
+  row_share_limit (placer, now, row);
+  gs_log (GS_LOG_INFO, "replica_limit",
+          "id=%s service=%s per_sec=%.3f sharers=%u own_per_sec=%.3f"
+          " source=%s age_ms=%lld",
+          row->replica.id, row->replica.service, row->limit.per_sec,
+          row->limit.sharers, replica_limit_own_rate (&row->limit, now),
+          source, (long long)((now - stated_at) / GS_MSEC));
+  return true;
+}
+
+void
+placer_nodes_set (placer_t *placer, gs_time_t now, const uint64_t *nodes,
+                  size_t count, unsigned members)
+{
+  g_array_set_size (placer->nodes, 0);
+  g_array_append_vals (placer->nodes, nodes, (guint)count);
+  placer->members = members;
+  for (guint i = 0; i < placer->rows->len; i++)
+    if (replica_limit_is_set (&row_at (placer, i)->limit, now))
+      row_share_limit (placer, now, row_at (placer, i));
+}
+
+/* An answer without a limit ends the limit only if its request was sent after
+   the limit was known: answers overtake each other.  */
+bool
+placer_limit_record (placer_t *placer, gs_time_t now,
+                     const placer_ticket_t *ticket, double limit_per_sec)
+{
+  replica_row_t *row = row_at (placer, ticket->row);
+
+  if (limit_per_sec < 0
+      && (!replica_limit_is_set (&row->limit, now)
+          || ticket->sent_at <= row->limit.stated_at))
+    return false;
+  return row_state_limit (
+      placer, now, row, now,
+      limit_per_sec < 0 ? 0 : MAX (limit_per_sec, REPLICA_LIMIT_MIN),
+      "answer");
+}
+
+void
+placer_statements_import (placer_t *placer, gs_time_t now,
+                          const statement_t *statements, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    {
+      guint row = GPOINTER_TO_UINT (
+          g_hash_table_lookup (placer->by_hash, &statements[i].replica));
+
+      if (row > 0)
+        row_state_limit (placer, now, row_at (placer, row - 1),
+                         statements[i].stated_at,
+                         (double)statements[i].limit_micros / 1e6, "peer");
+    }
+}
+
+void
+placer_statements_export (const placer_t *placer, gs_time_t now, GArray *out)
+{
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      const replica_row_t *row = row_at (placer, i);
+      statement_t statement
+          = { .replica = row->hash,
+              .limit_micros = (uint64_t)(row->limit.per_sec * 1e6),
+              .stated_at = row->limit.stated_at };
+
+      if (row->limit.stated_at != 0 && row->replica.id[0] != '\0'
+          && now <= row->limit.stated_at + REPLICA_LIMIT_TTL)
+        g_array_append_val (out, statement);
+    }
+}
+
 void
-placer_slots_count (const placer_t *placer, const char *service,
+placer_slots_count (const placer_t *placer, gs_time_t now, const char *service,
                     unsigned *slots, unsigned *taken)
 {
   *slots = 0;
@@ -752,9 +848,26 @@
     {
       const replica_row_t *row = row_at (placer, i);
 
-      if (!is_usable (row, 0, service))
+      if (!is_usable (row, 0, service)
+          || replica_limit_is_set (&row->limit, now))
         continue;
       *slots += row->replica.slots;
       *taken += MIN (slots_taken (row, true), row->replica.slots);
     }
 }
+
+double
+placer_limited_rate (const placer_t *placer, gs_time_t now,
+                     const char *service)
+{
+  double rate = 0;
+
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      const replica_row_t *row = row_at (placer, i);
+
+      if (is_usable (row, now, service))
+        rate += replica_limit_own_rate (&row->limit, now);
+    }
+  return rate;
+}
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -14,6 +14,7 @@
 #include "garnetstack/replica.h"
 #include "garnetstack/rng.h"
 #include "garnetstack/route_table.h"
+#include "gateway/statements.h"
 
 /** Row number that stands for no replica. */
 #define PLACER_ROW_NONE UINT32_MAX
@@ -97,6 +98,32 @@
 void placer_peer_loads_set (placer_t *placer, const placer_peer_load_t *loads,
                             unsigned count, unsigned peers);
 
+/**
+ * Set the nodes that share limits which replicas name.
+ * @param nodes hashes of the nodes that accept requests, this one first
+ * @param members nodes that may send requests, those not heard of included
+ */
+void placer_nodes_set (placer_t *placer, gs_time_t now, const uint64_t *nodes,
+                       size_t count, unsigned members);
+
+/**
+ * Record what a replica says of itself in an answer to an attempt.
+ * @param limit_per_sec requests a second that it takes from all nodes
+ * together; negative if it names no limit
+ * @return whether that changes what it said before
+ */
+bool placer_limit_record (placer_t *placer, gs_time_t now,
+                          const placer_ticket_t *ticket, double limit_per_sec);
+
+/** Adopt statements of replicas that other nodes have received. */
+void placer_statements_import (placer_t *placer, gs_time_t now,
+                               const statement_t *statements, unsigned count);
+
+/** Append the last statement of each replica.
+    @param out array of statement_t */
+void placer_statements_export (const placer_t *placer, gs_time_t now,
+                               GArray *out);
+
 /**
  * Choose a replica for a request.
  * @return GS_OK; GS_ENOTFOUND if the service has no usable replica;
@@ -150,11 +177,17 @@
 double placer_read_speed (const placer_t *placer);
 
 /**
- * Sum up the slots of the ready replicas of a service.
+ * Sum up the slots of the ready replicas of a service that name no limit.
  * @param slots receives their number
  * @param taken receives the number that running requests occupy
  */
-void placer_slots_count (const placer_t *placer, const char *service,
-                         unsigned *slots, unsigned *taken);
+void placer_slots_count (const placer_t *placer, gs_time_t now,
+                         const char *service, unsigned *slots,
+                         unsigned *taken);
+
+/** @return requests a second that this node may send to the ready replicas of
+    a service that name a limit */
+double placer_limited_rate (const placer_t *placer, gs_time_t now,
+                            const char *service);
 
 #endif
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -191,6 +191,24 @@
          && relay->head.is_signed && !relay->head.encoded;
 }
 
+/* Records what the replica says of itself in its answer.  With status 421
+   another replica answers, which has the address now.  */
+static void
+record_limit (relay_t *relay)
+{
+  const gs_response_head_t *head = &relay->head;
+  traffic_t *traffic = relay->traffic;
+  gs_time_t now = gs_clock_now ();
+
+  if (head->status == 421)
+    return;
+  if (head->has_limit)
+    relay_log_limit (relay);
+  if (placer_limit_record (traffic->placer, now, &relay->ticket,
+                           head->has_limit ? head->limit_per_sec : -1))
+    traffic->report_due = now;
+}
+
 static bool
 on_header_line (void *context, const char *line, size_t length)
 {
@@ -201,13 +219,13 @@
     return true;
   if (relay->head.keep_alive_seconds != 0)
     relay->service->keep_alive_seconds = relay->head.keep_alive_seconds;
-  if (relay->head.has_limit)
-    relay_log_limit (relay);
   /* A late response to an earlier request on the same connection carries
      that request's attempt id.  */
   relay->response_mismatched
       = relay->head.id[0] != '\0'
         && strcmp (relay->head.id, relay->request.id) != 0;
+  if (!relay->response_mismatched)
+    record_limit (relay);
   return !relay->response_mismatched;
 }
 
--- a/src/gateway/relay_queue.c
+++ b/src/gateway/relay_queue.c
@@ -70,26 +70,34 @@
          + (gs_time_t)(QUEUE_TIME_RATIO * (double)(goal > 0 ? goal : timeout));
 }
 
-/* Estimates how many slots become free for this node per second.  A node that
-   has just started has no completions to measure, so the estimate is at least
-   its share of the slots in use divided by the assumed run time.  */
+/* Estimates how many requests this node can send per second while all replicas
+   are full: as many as slots become free, and those that replicas which name a
+   limit still take.  A node that has just started has no completions to
+   measure, so the estimate is at least its share of the slots in use divided
+   by the assumed run time.  Where all replicas name a limit, free slots say
+   nothing.  */
 static double
-estimate_slot_release_rate (const relay_t *relay)
+estimate_send_rate (const relay_t *relay, gs_time_t now)
 {
+  double limited = placer_limited_rate (relay->traffic->placer, now,
+                                        relay->service->name);
   unsigned slots;
   unsigned taken;
 
-  placer_slots_count (relay->traffic->placer, relay->service->name, &slots,
-                      &taken);
-  return MAX (relay->service->completions_per_sec,
-              taken / RUN_TIME_INITIAL_SECONDS / relay->traffic->members);
+  placer_slots_count (relay->traffic->placer, now, relay->service->name,
+                      &slots, &taken);
+  if (slots == 0 && limited > 0)
+    return limited;
+  return limited
+         + MAX (relay->service->completions_per_sec,
+                taken / RUN_TIME_INITIAL_SECONDS / relay->traffic->members);
 }
 
 bool
 relay_queue_insert (relay_t *relay, gs_time_t now)
 {
   GQueue *queue = &relay->service->queue;
-  double rate = estimate_slot_release_rate (relay);
+  double rate = estimate_send_rate (relay, now);
   double ahead = g_queue_get_length (queue) + 1.0;
   gs_time_t expected
       = now + (gs_time_t)(ahead / MAX (rate, 1e-3) * (double)GS_SEC);
--- a/src/gateway/row_codec.c
+++ b/src/gateway/row_codec.c
@@ -72,6 +72,12 @@
     reader->array = &unpacked->data.via.array;
 }
 
+bool
+row_reader_has_next (const row_reader_t *reader)
+{
+  return reader->array != NULL && reader->next < reader->array->size;
+}
+
 void
 row_reader_text (row_reader_t *reader, char *out, size_t size)
 {
--- a/src/gateway/row_codec.h
+++ b/src/gateway/row_codec.h
@@ -64,6 +64,9 @@
 void row_reader_unpack (row_reader_t *reader, msgpack_unpacked *unpacked,
                         const char *data, size_t length, unsigned depth);
 
+/** @return whether another element follows. */
+bool row_reader_has_next (const row_reader_t *reader);
+
 /** @param size of @p out; a longer text is invalid */
 void row_reader_text (row_reader_t *reader, char *out, size_t size);
 uint64_t row_reader_number (row_reader_t *reader);
--- /dev/null
+++ b/src/gateway/statements.c
@@ -0,0 +1,112 @@
+#include "gateway/statements.h"
+
+#include "gateway/replica_limit.h"
+
+const row_layout_t statement_layout
+    = { sizeof (statement_row_t),
+        STATEMENTS_MAX,
+        3,
+        { ROW_COLUMN (ROW_NUMBER, statement_row_t, replica),
+          ROW_COLUMN (ROW_NUMBER, statement_row_t, limit_micros),
+          ROW_COLUMN (ROW_NUMBER, statement_row_t, age_ms) } };
+
+/* A statement that is confirmed sooner is left as it is.  A statement comes
+   back from other nodes with an age that lacks the time on the way, so without
+   this bound it would look newer with each exchange.  */
+#define CONFIRM_INTERVAL GS_SEC
+
+struct statements
+{
+  GHashTable *by_replica; /* hash -> statement_t */
+};
+
+void
+statements_create (statements_t **out)
+{
+  statements_t *statements = g_new0 (statements_t, 1);
+
+  statements->by_replica
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  *out = statements;
+}
+
+void
+statements_destroy (statements_t *statements)
+{
+  if (statements == NULL)
+    return;
+  g_hash_table_unref (statements->by_replica);
+  g_free (statements);
+}
+
+void
+statements_put (statements_t *statements, const statement_t *statement)
+{
+  statement_t *known
+      = g_hash_table_lookup (statements->by_replica, &statement->replica);
+
+  if (known == NULL)
+    {
+      if (g_hash_table_size (statements->by_replica) >= STATEMENTS_MAX)
+        return;
+      known = g_memdup2 (statement, sizeof *statement);
+      g_hash_table_insert (statements->by_replica, &known->replica, known);
+    }
+  else if (statement->stated_at
+           > known->stated_at
+                 + (statement->limit_micros == known->limit_micros
+                        ? CONFIRM_INTERVAL
+                        : 0))
+    *known = *statement;
+}
+
+void
+statements_import (statements_t *statements, gs_time_t now, const GArray *rows)
+{
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const statement_row_t *row = &g_array_index (rows, statement_row_t, i);
+      statement_t statement = { row->replica, row->limit_micros, now };
+
+      if (row->age_ms > (uint64_t)(REPLICA_LIMIT_TTL / GS_MSEC))
+        continue;
+      statement.stated_at -= (gs_time_t)row->age_ms * GS_MSEC;
+      statements_put (statements, &statement);
+    }
+}
+
+void
+statements_export (statements_t *statements, gs_time_t now, GArray *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, statements->by_replica);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const statement_t *statement = value;
+      statement_row_t row
+          = { .replica = statement->replica,
+              .limit_micros = statement->limit_micros,
+              .age_ms
+              = (uint64_t)MAX (now - statement->stated_at, 0) / GS_MSEC };
+
+      if (now > statement->stated_at + REPLICA_LIMIT_TTL)
+        g_hash_table_iter_remove (&iter);
+      else
+        g_array_append_val (out, row);
+    }
+}
+
+GArray *
+statements_list (const statements_t *statements)
+{
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (statement_t));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, statements->by_replica);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_append_vals (list, value, 1);
+  return list;
+}
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -38,6 +38,7 @@
   report->usage = g_array_new (FALSE, TRUE, sizeof (traffic_usage_t));
   report->demand = g_array_new (FALSE, TRUE, sizeof (traffic_demand_t));
   report->quota = g_array_new (FALSE, TRUE, sizeof (quota_row_t));
+  report->statements = g_array_new (FALSE, TRUE, sizeof (statement_t));
   return report;
 }
 
@@ -50,6 +51,7 @@
   g_array_unref (report->usage);
   g_array_unref (report->demand);
   g_array_unref (report->quota);
+  g_array_unref (report->statements);
   g_free (report);
 }
 
@@ -66,6 +68,8 @@
       g_array_unref (peer->quota);
     }
   g_array_unref (peers->peers);
+  g_array_unref (peers->nodes);
+  g_array_unref (peers->statements);
   g_free (peers);
 }
 
@@ -136,6 +140,7 @@
   report->open_exchanges = gs_server_open_count (traffic->server);
   report->read_tokens_per_msec = placer_read_speed (traffic->placer);
   placer_loads_export (traffic->placer, TRAFFIC_LOADS_MAX, report->loads);
+  placer_statements_export (traffic->placer, now, report->statements);
   export_demand (traffic, now, report->demand);
   usage_count_export (traffic->usage, gs_clock_monotonic_wall (),
                       report->usage);
@@ -374,6 +379,13 @@
   placer_peer_loads_set (traffic->placer,
                          (const placer_peer_load_t *)(void *)loads->data,
                          loads->len, nodes);
+  placer_nodes_set (traffic->placer, now,
+                    (const uint64_t *)(void *)peers->nodes->data,
+                    peers->nodes->len, peers->fleet.members);
+  placer_statements_import (
+      traffic->placer, now,
+      (const statement_t *)(void *)peers->statements->data,
+      peers->statements->len);
   g_array_unref (loads);
   traffic_peers_free (message->peers);
   g_free (message);
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -56,6 +56,7 @@
   GArray *usage;               /**< of traffic_usage_t */
   GArray *demand;              /**< of traffic_demand_t */
   GArray *quota;               /**< of quota_row_t */
+  GArray *statements;          /**< of statement_t */
 } traffic_report_t;
 
 /** @return an empty report, freed with traffic_report_free() */
@@ -79,6 +80,9 @@
   unsigned source; /**< how the nodes are divided up; reports of different
                         divisions overlap */
   GArray *peers;   /**< of traffic_peer_t */
+  GArray *nodes;   /**< of uint64_t: hashes of the nodes that accept requests,
+                        this one first */
+  GArray *statements; /**< of statement_t: the latest of each replica */
 } traffic_peers_t;
 
 void traffic_peers_free (traffic_peers_t *peers);
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -12,6 +12,7 @@
                               .requests = 9,
                               .uncached_tokens = 123456789012ULL };
   quota_row_t quota = { .account = 77, .used = 9, .predecessor_used = 4 };
+  statement_row_t statement = { UINT64_MAX, 1900000, 250 };
   digest_member_t member = { .name = "other",
                              .incarnation = 5,
                              .callers = { "10.0.0.2", 80 },
@@ -29,6 +30,7 @@
   g_array_append_val (digest->report->demand, demand);
   g_array_append_val (digest->report->quota, quota);
   g_array_append_val (digest->members, member);
+  g_array_append_val (digest->statements, statement);
 }
 
 static void
@@ -65,6 +67,9 @@
   CU_ASSERT_EQUAL (
       g_array_index (decoded.report->quota, quota_row_t, 0).predecessor_used,
       4);
+  CU_ASSERT_EQUAL_FATAL (decoded.statements->len, 1);
+  CU_ASSERT_EQUAL (
+      g_array_index (decoded.statements, statement_row_t, 0).age_ms, 250);
   CU_ASSERT_STRING_EQUAL (
       g_array_index (decoded.members, digest_member_t, 0).peers.host,
       "10.0.0.2");
--- a/tests/test_peer_message.c
+++ b/tests/test_peer_message.c
@@ -35,6 +35,7 @@
 {
   traffic_report_t *report = traffic_report_create ();
   peer_status_t status = { .node = UINT64_MAX, .flags = PEER_LEAVING };
+  statement_row_t statement = { UINT64_MAX, 1900000, 250 };
 
   fill_report (report, 3);
   g_strlcpy (message->self.name, "self", sizeof message->self.name);
@@ -46,6 +47,7 @@
   message->sequence = 17;
   message->has_statuses = true;
   g_array_append_val (message->statuses, status);
+  g_array_append_val (message->statements, statement);
   aggregate_add_report (&message->aggregate, report, true);
   traffic_report_free (report);
 }
@@ -88,6 +90,10 @@
           g_array_index (decoded.statuses, peer_status_t, 0).flags,
           PEER_LEAVING);
       CU_ASSERT_EQUAL (decoded.has_usage, with_usage != 0);
+      CU_ASSERT_EQUAL_FATAL (decoded.statements->len, 1);
+      CU_ASSERT_EQUAL (memcmp (decoded.statements->data, sent.statements->data,
+                               sizeof (statement_row_t)),
+                       0);
       CU_ASSERT_EQUAL (decoded.aggregate.nodes, 1);
       CU_ASSERT_EQUAL (decoded.aggregate.usage->len, with_usage);
       CU_ASSERT_EQUAL (decoded.aggregate.demand->len, 1);
@@ -102,6 +108,34 @@
     }
 }
 
+/* Messages of the version before end after the aggregate.  */
+static void
+a_message_without_statements_is_accepted (void)
+{
+  peer_message_t sent;
+  peer_message_t decoded;
+  GByteArray *bytes;
+
+  peer_message_init (&sent);
+  peer_message_init (&decoded);
+  fill_message (&sent);
+  g_array_set_size (sent.statements, 0);
+  bytes = encode (&sent, true);
+  /* An array of 17 elements, the last of them an empty array.  */
+  CU_ASSERT_EQUAL_FATAL (bytes->data[0], 0xdc);
+  CU_ASSERT_EQUAL_FATAL (bytes->data[2], 17);
+  CU_ASSERT_EQUAL_FATAL (bytes->data[bytes->len - 1], 0x90);
+  bytes->data[2] = 16;
+  CU_ASSERT_EQUAL (peer_message_decode (&decoded, (const char *)bytes->data,
+                                        bytes->len - 1),
+                   GS_OK);
+  CU_ASSERT_EQUAL (decoded.statements->len, 0);
+  CU_ASSERT_EQUAL (decoded.aggregate.usage->len, 1);
+  g_byte_array_unref (bytes);
+  peer_message_clear (&decoded);
+  peer_message_clear (&sent);
+}
+
 static void
 damaged_messages_are_rejected_or_bounded (void)
 {
@@ -205,6 +239,8 @@
 }
 
 static const check_case_t cases[] = {
+  { "a message without statements is accepted",
+    a_message_without_statements_is_accepted },
   { "decoded message equals the encoded one",
     decoded_message_equals_the_encoded_one },
   { "damaged messages are rejected or bounded",
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -375,7 +375,46 @@
   peers_world_destroy (world);
 }
 
+/* Time in which a limit that a replica names to one node is known at all.  */
+#define STATEMENT_TIMEOUT GS_SEC
+
+static void
+a_statement_of_a_replica_reaches_all_nodes (void)
+{
+  static const unsigned statement_sizes[] = { 2, 5, 10, 30, 118, 372 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (statement_sizes); i++)
+    {
+      unsigned count = statement_sizes[i];
+      peers_world_t *world = make_world (count, 0);
+      statement_t statement = { 7, 1900000, 0 };
+
+      peers_world_run (world, SETTLE_TIME);
+      statement.stated_at = peers_world_now (world);
+      g_array_append_val (peers_world_report (world, count - 1)->statements,
+                          statement);
+      peers_world_run (world, STATEMENT_TIMEOUT);
+      for (unsigned node = 0; node < count; node++)
+        {
+          traffic_peers_t *view = peers_view_create (
+              peers_world_peers (world, node), peers_world_now (world));
+
+          CU_ASSERT_EQUAL (view->nodes->len, count);
+          CU_ASSERT_EQUAL (view->statements->len, 1);
+          if (view->statements->len > 0)
+            CU_ASSERT (
+                ABS (g_array_index (view->statements, statement_t, 0).stated_at
+                     - statement.stated_at)
+                < GS_SEC / 2);
+          traffic_peers_free (view);
+        }
+      peers_world_destroy (world);
+    }
+}
+
 static const check_case_t cases[] = {
+  { "a statement of a replica reaches all nodes",
+    a_statement_of_a_replica_reaches_all_nodes },
   { "each node sees the load of all others once",
     each_node_sees_the_load_of_all_others_once },
   { "the first nodes count all processes once",
--- a/tests/test_placer.c
+++ b/tests/test_placer.c
@@ -339,7 +339,112 @@
   printf ("most=%u ", most);
 }
 
+#define LIMIT_PER_SEC 2.0
+
+/* Sends requests to the only replica of a placer as often as it allows.
+   @return number of requests sent  */
+static unsigned
+send_allowed (placer_t *placer, gs_time_t from, gs_time_t until,
+              double limit_per_sec)
+{
+  unsigned sent = 0;
+
+  for (gs_time_t now = from; now < until; now += 10 * GS_MSEC)
+    {
+      gs_prompt_block_t blocks[3];
+      placer_query_t query = make_query (blocks, 10);
+      placer_choice_t choice;
+      placer_ticket_t ticket;
+
+      if (placer_pick (placer, now, &query, &choice) != GS_OK)
+        continue;
+      placer_attempt_begin (placer, now, &query, &choice, &ticket);
+      placer_limit_record (placer, now + GS_MSEC, &ticket, limit_per_sec);
+      placer_attempt_end (placer, now + GS_MSEC, &ticket, PLACER_SUCCEEDED);
+      sent++;
+    }
+  return sent;
+}
+
+static void
+a_replica_gets_what_its_limit_allows_until_it_names_none (void)
+{
+  placer_t *placer = make_placer (1, 1);
+  unsigned sent;
+
+  CU_ASSERT (send_allowed (placer, GS_SEC, 2 * GS_SEC, -1) > 90);
+  CU_ASSERT (send_allowed (placer, 2 * GS_SEC, 12 * GS_SEC, LIMIT_PER_SEC)
+             <= 21);
+  CU_ASSERT_DOUBLE_EQUAL (placer_limited_rate (placer, 12 * GS_SEC, "pool"),
+                          LIMIT_PER_SEC, 0.01);
+  sent = send_allowed (placer, 12 * GS_SEC, 14 * GS_SEC, -1);
+  CU_ASSERT (sent > 90);
+  CU_ASSERT_EQUAL (placer_limited_rate (placer, 14 * GS_SEC, "pool"), 0);
+  placer_destroy (placer);
+}
+
+static void
+a_restarted_replica_has_no_limit_of_before (void)
+{
+  placer_t *placer = make_placer (1, 1);
+  gs_replica_list_t *list = make_list (1);
+
+  send_allowed (placer, GS_SEC, 2 * GS_SEC, LIMIT_PER_SEC);
+  CU_ASSERT (send_allowed (placer, 2 * GS_SEC, 3 * GS_SEC, LIMIT_PER_SEC)
+             <= 3);
+  list->rows[0].started_ms = 5;
+  placer_replicas_set (placer, list);
+  CU_ASSERT (send_allowed (placer, 3 * GS_SEC, 4 * GS_SEC, -1) > 90);
+  gs_replica_list_unref (list);
+  placer_destroy (placer);
+}
+
+static void
+limits_that_other_nodes_have_received_hold (void)
+{
+  placer_t *placer = make_placer (1, 1);
+  statement_t statement = { placer_replica_hash ("i-0"), 2000000, 3 * GS_SEC };
+  const uint64_t nodes[] = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10 };
+  GArray *exported = g_array_new (FALSE, FALSE, sizeof (statement_t));
+  unsigned senders = 0;
+
+  placer_statements_import (placer, 3 * GS_SEC, &statement, 1);
+  CU_ASSERT (send_allowed (placer, 3 * GS_SEC, 4 * GS_SEC, LIMIT_PER_SEC)
+             <= 2);
+  placer_destroy (placer);
+  /* Of ten nodes a few share the limit.  */
+  for (unsigned i = 0; i < G_N_ELEMENTS (nodes); i++)
+    {
+      uint64_t order[G_N_ELEMENTS (nodes)];
+      unsigned sent;
+
+      for (unsigned j = 0; j < G_N_ELEMENTS (nodes); j++)
+        order[j] = nodes[(i + j) % G_N_ELEMENTS (nodes)];
+      placer = make_placer (1, 1);
+      placer_nodes_set (placer, 2 * GS_SEC, order, G_N_ELEMENTS (order),
+                        G_N_ELEMENTS (order));
+      placer_statements_import (placer, 3 * GS_SEC, &statement, 1);
+      g_array_set_size (exported, 0);
+      placer_statements_export (placer, 4 * GS_SEC, exported);
+      CU_ASSERT_EQUAL_FATAL (exported->len, 1);
+      CU_ASSERT_EQUAL (g_array_index (exported, statement_t, 0).limit_micros,
+                       statement.limit_micros);
+      sent = send_allowed (placer, 3 * GS_SEC, 13 * GS_SEC, LIMIT_PER_SEC);
+      senders += sent > 0;
+      CU_ASSERT (sent <= 5);
+      placer_destroy (placer);
+    }
+  CU_ASSERT_EQUAL (senders, 5);
+  g_array_unref (exported);
+}
+
 static const check_case_t cases[] = {
+  { "a replica gets what its limit allows until it names none",
+    a_replica_gets_what_its_limit_allows_until_it_names_none },
+  { "a restarted replica has no limit of before",
+    a_restarted_replica_has_no_limit_of_before },
+  { "limits that other nodes have received hold",
+    limits_that_other_nodes_have_received_hold },
   { "all nodes choose the same replica for a session",
     all_nodes_choose_the_same_replica_for_a_session },
   { "a busy session does not overload its replica",
