--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -53,8 +53,9 @@
   raw_server_t *server;
   unsigned index;
   char id[32];
-  uint16_t port;     /* of the replica, or of a proxy before it */
-  const char *limit; /* value of Server-Limit in its answers, or NULL */
+  uint16_t port;           /* of the replica, or of a proxy before it */
+  const char *headers;     /* more lines of its answers, or NULL */
+  const char *retry_after; /* rejects requests with this, or NULL */
 } world_replica_t;
 
 /** The store's listener for one gateway. */
@@ -140,10 +141,17 @@
 void gw_replica_publish (gateway_world_t *world, unsigned index,
                          const char *state);
 
-/** Set the limit that a replica names in its answers.
-    @param limit a string literal, or NULL for none */
-void gw_replica_limit_set (gateway_world_t *world, unsigned index,
-                           const char *limit);
+/** Set header lines that a replica adds to its answers.
+    @param headers a string literal, each line with its line end; "" for
+    none */
+void gw_replica_headers_set (gateway_world_t *world, unsigned index,
+                             const char *headers);
+
+/** Set whether a replica rejects all requests with status 503.
+    @param retry_after value of Retry-After, a string literal; NULL to run
+    requests */
+void gw_replica_refuse (gateway_world_t *world, unsigned index,
+                        const char *retry_after);
 
 /** Drop all watch events, so that watches from an earlier revision get 410. */
 void gw_store_compact (gateway_world_t *world);
--- a/tests/test_process_gateway_replica.c
+++ b/tests/test_process_gateway_replica.c
@@ -13,7 +13,7 @@
 #define LIMIT_WINDOW (4 * GS_SEC)
 #define LIMIT_SLACK 5
 #define LIMIT_PER_SEC 2
-#define LIMIT_TEXT "2.0"
+#define LIMIT_HEADER "Server-Limit: 2.0\r\n"
 #define REQUEST_INTERVAL_USEC 10000
 
 /* Sends requests to all gateways in turn.
@@ -53,7 +53,7 @@
   start_gateway (2);
   gw_start (&world, 1, true);
   send_requests (2, "before", GS_SEC);
-  gw_replica_limit_set (&world, 0, LIMIT_TEXT);
+  gw_replica_headers_set (&world, 0, LIMIT_HEADER);
   named_at = gs_clock_now ();
   CU_ASSERT_EQUAL (
       send_requests (2, "limited", LIMIT_GRACE_PERIOD + 2 * LIMIT_WINDOW), 0);
@@ -73,9 +73,9 @@
 
   start_gateway (2);
   gw_start (&world, 1, true);
-  gw_replica_limit_set (&world, 0, LIMIT_TEXT);
+  gw_replica_headers_set (&world, 0, LIMIT_HEADER);
   send_requests (2, "limited", 3 * GS_SEC);
-  gw_replica_limit_set (&world, 0, NULL);
+  gw_replica_headers_set (&world, 0, "");
   send_requests (2, "recovering", 3 * GS_SEC);
   send_requests (2, "recovered", 2 * GS_SEC);
   peak
@@ -85,6 +85,41 @@
   end_world ();
 }
 
+#define BURST_REQUESTS 16
+
+/* Sends requests at once on connections of their own.
+   @param rejected receives the number that ended with status 503 and a time to
+   come back
+   @return number that ended with status 200  */
+static unsigned
+send_burst (const char *prefix, unsigned *rejected)
+{
+  raw_conn_t conns[BURST_REQUESTS];
+  unsigned answered = 0;
+
+  *rejected = 0;
+  for (unsigned i = 0; i < BURST_REQUESTS; i++)
+    {
+      char *id = g_strdup_printf ("%s-%u", prefix, i);
+
+      CU_ASSERT_TRUE_FATAL (gw_connect (&conns[i], &world, 0));
+      gw_send (&conns[i], "POST", "/a/never/good", id, "", "x");
+      g_free (id);
+    }
+  for (unsigned i = 0; i < BURST_REQUESTS; i++)
+    {
+      GString *answer = raw_read_until (&conns[i], 2 * GS_SEC, "\r\n\r\n");
+      char *retry_after = header_of (answer->str, "Retry-After");
+
+      answered += status_of (answer->str) == 200;
+      *rejected += status_of (answer->str) == 503 && retry_after != NULL;
+      g_free (retry_after);
+      g_string_free (answer, TRUE);
+      raw_close (&conns[i]);
+    }
+  return answered;
+}
+
 /* A limited replica is the only one, so requests beyond the limit cannot be
    served.  They are rejected, not sent and not held until their deadline.  */
 static void
@@ -93,38 +128,109 @@
   gs_time_t named_at;
   gs_time_t started_at;
   unsigned peak;
-  unsigned failed;
-  char *answer;
-  char *retry_after;
+  unsigned rejected;
+  unsigned answered;
 
   start_gateway (1);
-  gw_replica_limit_set (&world, 0, LIMIT_TEXT);
+  gw_replica_headers_set (&world, 0, LIMIT_HEADER);
   named_at = gs_clock_now ();
-  failed = send_requests (1, "alone", LIMIT_GRACE_PERIOD + 2 * LIMIT_WINDOW);
+  send_requests (1, "alone", LIMIT_GRACE_PERIOD);
+  started_at = gs_clock_now ();
+  answered = send_burst ("burst", &rejected);
+  CU_ASSERT (gs_clock_now () < started_at + 2 * GS_SEC);
+  CU_ASSERT (rejected >= BURST_REQUESTS / 2);
+  CU_ASSERT_EQUAL (answered + rejected, BURST_REQUESTS);
+  send_requests (1, "later", LIMIT_WINDOW);
   peak = gw_arrivals_peak (&world, 0, named_at + LIMIT_GRACE_PERIOD,
                            LIMIT_WINDOW);
-  printf ("\n  %u requests in 4 s, allowed %u; %u rejected ", peak,
-          limit_arrivals_max (), failed);
+  printf ("\n  %u requests in 4 s, allowed %u; %u of %u rejected ", peak,
+          limit_arrivals_max (), rejected, BURST_REQUESTS);
   CU_ASSERT (peak <= limit_arrivals_max ());
-  CU_ASSERT (failed > 0);
-  do
-    {
-      started_at = gs_clock_now ();
-      answer
-          = gw_request (&world, 0, "POST", "/a/never/good", "last", "", "x");
-    }
-  while (status_of (answer) == 200
-         && gs_clock_now () < named_at + 60 * GS_SEC);
+  end_world ();
+}
+
+/* Time from an answer in which a replica says that it leaves until no node
+   sends it anything.  */
+#define LEAVING_TIMEOUT (2 * GS_SEC)
+
+static void
+a_replica_that_says_that_it_leaves_gets_nothing_from_any_node (void)
+{
+  gs_time_t said_at;
+
+  start_gateway (2);
+  gw_start (&world, 1, true);
+  gw_replica_headers_set (&world, 0, "Server-Leaving: 1\r\n");
+  said_at = gs_clock_now ();
+  CU_ASSERT_EQUAL (send_requests (2, "leaving", LEAVING_TIMEOUT), 0);
+  gw_replica_headers_set (&world, 0, "");
+  CU_ASSERT_EQUAL (send_requests (2, "left", 2 * GS_SEC), 0);
+  CU_ASSERT_EQUAL (
+      gw_arrivals_peak (&world, 0, said_at + LEAVING_TIMEOUT, GS_SEC), 0);
+  /* One answer says it to each node at most; the rest is hearsay.  */
+  CU_ASSERT (gw_arrivals_peak (&world, 0, said_at, GS_SEC) <= 4);
+  end_world ();
+}
+
+/* From this long after a rejection with Retry-After until its end, a replica
+   gets at most REFUSED_ARRIVALS_MAX requests from a node.  */
+#define REFUSED_GRACE_PERIOD (GS_SEC / 2)
+#define REFUSED_ARRIVALS_MAX 2
+
+static void
+a_replica_that_wants_nothing_for_a_while_gets_nothing (void)
+{
+  gs_time_t refused_at;
+  unsigned arrivals;
+
+  start_gateway (2);
+  send_requests (1, "before", GS_SEC / 2);
+  gw_replica_refuse (&world, 0, "3.0");
+  refused_at = gs_clock_now ();
+  CU_ASSERT_EQUAL (send_requests (1, "refused", 5 * GS_SEC / 2), 0);
+  arrivals = gw_arrivals_peak (&world, 0, refused_at + REFUSED_GRACE_PERIOD,
+                               GS_SEC);
+  printf ("\n  %u requests ", arrivals);
+  CU_ASSERT (arrivals <= REFUSED_ARRIVALS_MAX);
+  gw_replica_refuse (&world, 0, NULL);
+  send_requests (1, "after", 2 * GS_SEC);
+  CU_ASSERT (gw_arrivals_peak (&world, 0, refused_at + 3 * GS_SEC, GS_SEC)
+             > 10);
+  end_world ();
+}
+
+static void
+callers_are_told_when_the_only_replica_wants_requests_again (void)
+{
+  unsigned arrivals;
+  char *answer;
+  char *retry_after;
+
+  start_gateway (1);
+  gw_replica_refuse (&world, 0, "1.0");
+  g_free (gw_request (&world, 0, "POST", "/a/never/good", "first", "", "x"));
+  arrivals = gw_arrivals_peak (&world, 0, 0, 60 * GS_SEC);
+  answer = gw_request (&world, 0, "POST", "/a/never/good", "second",
+                       "X-Deadline-Ms: 9000\r\n", "x");
   CU_ASSERT_EQUAL (status_of (answer), 503);
-  CU_ASSERT (gs_clock_now () < started_at + 2 * GS_SEC);
+  CU_ASSERT_EQUAL (gw_arrivals_peak (&world, 0, 0, 60 * GS_SEC), arrivals);
   retry_after = header_of (answer, "Retry-After");
-  CU_ASSERT_PTR_NOT_NULL (retry_after);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (retry_after);
+  printf ("\n  Retry-After %s ", retry_after);
+  CU_ASSERT (g_ascii_strtod (retry_after, NULL) > 0.5);
+  CU_ASSERT (g_ascii_strtod (retry_after, NULL) < 2);
   g_free (retry_after);
   g_free (answer);
   end_world ();
 }
 
 static const check_case_t cases[] = {
+  { "a replica that says that it leaves gets nothing from any node",
+    a_replica_that_says_that_it_leaves_gets_nothing_from_any_node },
+  { "a replica that wants nothing for a while gets nothing",
+    a_replica_that_wants_nothing_for_a_while_gets_nothing },
+  { "callers are told when the only replica wants requests again",
+    callers_are_told_when_the_only_replica_wants_requests_again },
   { "nodes together keep to the limit of a replica",
     nodes_together_keep_to_the_limit_of_a_replica },
   { "a replica that names no limit any more is used as before",
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -37,11 +37,20 @@
 #define SEAL_HEADERS_FORMAT "X-Attempt-Id: %s\r\nX-Response-Seal: s.%s\r\n"
 
 void
-gw_replica_limit_set (gateway_world_t *world, unsigned index,
-                      const char *limit)
+gw_replica_headers_set (gateway_world_t *world, unsigned index,
+                        const char *headers)
 {
   pthread_mutex_lock (&world->lock);
-  world->replicas[index].limit = limit;
+  world->replicas[index].headers = headers;
+  pthread_mutex_unlock (&world->lock);
+}
+
+void
+gw_replica_refuse (gateway_world_t *world, unsigned index,
+                   const char *retry_after)
+{
+  pthread_mutex_lock (&world->lock);
+  world->replicas[index].retry_after = retry_after;
   pthread_mutex_unlock (&world->lock);
 }
 
@@ -73,33 +82,47 @@
   return peak;
 }
 
-/* @return the header line in which the replica names its limit, "" if it names
-   none; freed with g_free()  */
-static char *
-limit_header (const arrival_t *arrival)
+/* @return more header lines of the replica's answers, "" for none  */
+static const char *
+more_headers (const arrival_t *arrival)
 {
   world_replica_t *replica = arrival->replica_state;
-  const char *limit;
+  const char *headers;
 
   pthread_mutex_lock (&replica->world->lock);
-  limit = replica->limit;
+  headers = replica->headers;
   pthread_mutex_unlock (&replica->world->lock);
-  return limit != NULL ? g_strdup_printf ("Server-Limit: %s\r\n", limit)
-                       : g_strdup ("");
+  return headers != NULL ? headers : "";
+}
+
+/* @return false if the replica does not reject requests at present  */
+static bool
+send_refusal (raw_conn_t *conn, const arrival_t *arrival)
+{
+  world_replica_t *replica = arrival->replica_state;
+  const char *retry_after;
+
+  pthread_mutex_lock (&replica->world->lock);
+  retry_after = replica->retry_after;
+  pthread_mutex_unlock (&replica->world->lock);
+  if (retry_after == NULL)
+    return false;
+  raw_printf (conn,
+              "HTTP/1.1 503 X\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"
+              "Retry-After: %s\r\n%sContent-Length: 0\r\n\r\n",
+              arrival->id, retry_after, more_headers (arrival));
+  return true;
 }
 
 static void
 send_plain (raw_conn_t *conn, const arrival_t *arrival, unsigned status)
 {
-  char *limit = limit_header (arrival);
-
   raw_printf (conn,
               "HTTP/1.1 %u X\r\n" SEAL_HEADERS_FORMAT
               "%sContent-Length: %zu\r\n\r\n"
               "%s",
-              status, arrival->id, arrival->id, limit, strlen (arrival->id),
-              arrival->id);
-  g_free (limit);
+              status, arrival->id, arrival->id, more_headers (arrival),
+              strlen (arrival->id), arrival->id);
 }
 
 /* Sends the events from @p from to @p to, and the begin of the next one if
@@ -129,14 +152,11 @@
                       ? (unsigned)strtoul (last_event_id, NULL, 10) + 1
                       : 1;
 
-  char *limit = limit_header (arrival);
-
   raw_printf (conn,
               "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_FORMAT
               "%sContent-Type: text/event-stream\r\n"
               "Transfer-Encoding: chunked\r\n\r\n",
-              arrival->id, arrival->id, limit);
-  g_free (limit);
+              arrival->id, arrival->id, more_headers (arrival));
   send_events (conn, from, last, truncated);
   if (!truncated)
     raw_printf (conn, "0\r\n\r\n");
@@ -245,7 +265,8 @@
   char *behaviour = behaviour_of (arrival, earlier);
   bool keep_open = true;
 
-  if (send_fixed_if_named (conn, arrival, behaviour, &keep_open))
+  if (send_refusal (conn, arrival)
+      || send_fixed_if_named (conn, arrival, behaviour, &keep_open))
     ;
   else if (strcmp (behaviour, "extra") == 0)
     {
