gateway: send nothing to a replica that says in an answer that it leaves

Change: the statement goes with the replica's limit through the same table and messages. It is sticky for one process of the replica: rows carry the start of the process, so that a replica which starts again is not bound by what it said, however late that comes. Neither time nor an answer on its way takes it back.

--- a/include/garnetstack/header_codec.h
+++ b/include/garnetstack/header_codec.h
@@ -71,6 +71,7 @@
   bool has_limit;              /**< the replica names a limit */
   double limit_per_sec;        /**< requests a second that it takes from all
                                     nodes together */
+  bool leaving;                /**< the replica says that it leaves */
   GPtrArray *headers; /**< headers to forward to the caller, each a name
                            followed by its value; owned */
 } gs_response_head_t;
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -84,6 +84,8 @@
   gs_time_t ejected_until;
   gs_time_t full_until; /* the replica has rejected a request as full */
   replica_limit_t limit;
+  bool leaving;         /* as the replica said in an answer */
+  gs_time_t leaving_at; /* when a node received that */
 } replica_row_t;
 
 typedef struct
@@ -202,6 +204,7 @@
       row->ejections = 0;
       row->ejected_until = 0;
       row->limit = (replica_limit_t){ .stated_at = row->limit.stated_at };
+      row->leaving = false;
     }
   row->replica = *replica;
   row->listed = true;
@@ -350,7 +353,7 @@
 static bool
 is_usable (const replica_row_t *row, gs_time_t now, const char *service)
 {
-  return row->listed && row->replica.state == GS_REPLICA_READY
+  return row->listed && row->replica.state == GS_REPLICA_READY && !row->leaving
          && row->ejected_until <= now
          && strcmp (row->replica.service, service) == 0;
 }
@@ -787,22 +790,41 @@
       row_share_limit (placer, now, row_at (placer, i));
 }
 
+static bool
+row_state_leaving (replica_row_t *row, gs_time_t now, gs_time_t stated_at,
+                   const char *source)
+{
+  if (row->leaving)
+    return false;
+  row->leaving = true;
+  row->leaving_at = stated_at;
+  gs_log (GS_LOG_INFO, "replica_leaving",
+          "id=%s service=%s source=%s age_ms=%lld", row->replica.id,
+          row->replica.service, source,
+          (long long)((now - stated_at) / GS_MSEC));
+  return true;
+}
+
 /* An answer without a limit ends the limit only if its request was sent after
    the limit was known: answers overtake each other.  */
 bool
-placer_limit_record (placer_t *placer, gs_time_t now,
-                     const placer_ticket_t *ticket, double limit_per_sec)
+placer_statement_record (placer_t *placer, gs_time_t now,
+                         const placer_ticket_t *ticket,
+                         const placer_statement_t *statement)
 {
   replica_row_t *row = row_at (placer, ticket->row);
+  double per_sec = statement->limit_per_sec;
+  bool changed
+      = statement->leaving && row_state_leaving (row, now, now, "answer");
 
-  if (limit_per_sec < 0
+  if (per_sec < 0
       && (!replica_limit_is_set (&row->limit, now)
           || ticket->sent_at <= row->limit.stated_at))
-    return false;
-  return row_state_limit (
-      placer, now, row, now,
-      limit_per_sec < 0 ? 0 : MAX (limit_per_sec, REPLICA_LIMIT_MIN),
-      "answer");
+    return changed;
+  return row_state_limit (placer, now, row, now,
+                          per_sec < 0 ? 0 : MAX (per_sec, REPLICA_LIMIT_MIN),
+                          "answer")
+         || changed;
 }
 
 void
@@ -811,13 +833,19 @@
 {
   for (unsigned i = 0; i < count; i++)
     {
-      guint row = GPOINTER_TO_UINT (
-          g_hash_table_lookup (placer->by_hash, &statements[i].replica));
+      const statement_t *statement = &statements[i];
+      guint number = GPOINTER_TO_UINT (
+          g_hash_table_lookup (placer->by_hash, &statement->replica));
+      replica_row_t *row = number > 0 ? row_at (placer, number - 1) : NULL;
 
-      if (row > 0)
-        row_state_limit (placer, now, row_at (placer, row - 1),
-                         statements[i].stated_at,
-                         (double)statements[i].limit_micros / 1e6, "peer");
+      /* A replica that has started again is not bound by what it said.  */
+      if (row == NULL
+          || (uint64_t)row->replica.started_ms != statement->started_ms)
+        continue;
+      row_state_limit (placer, now, row, statement->stated_at,
+                       (double)statement->limit_micros / 1e6, "peer");
+      if (statement->leaving != 0)
+        row_state_leaving (row, now, statement->stated_at, "peer");
     }
 }
 
@@ -829,11 +857,15 @@
       const replica_row_t *row = row_at (placer, i);
       statement_t statement
           = { .replica = row->hash,
+              .started_ms = (uint64_t)row->replica.started_ms,
+              .leaving = row->leaving,
               .limit_micros = (uint64_t)(row->limit.per_sec * 1e6),
               .stated_at = row->limit.stated_at };
 
-      if (row->limit.stated_at != 0 && row->replica.id[0] != '\0'
-          && now <= row->limit.stated_at + REPLICA_LIMIT_TTL)
+      if (row->leaving)
+        statement.stated_at = MAX (statement.stated_at, row->leaving_at);
+      if (statement.stated_at != 0 && row->replica.id[0] != '\0'
+          && now <= statement.stated_at + REPLICA_LIMIT_TTL)
         g_array_append_val (out, statement);
     }
 }
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -106,14 +106,19 @@
 void placer_nodes_set (placer_t *placer, gs_time_t now, const uint64_t *nodes,
                        size_t count, unsigned members);
 
-/**
- * Record what a replica says of itself in an answer to an attempt.
- * @param limit_per_sec requests a second that it takes from all nodes
- * together; negative if it names no limit
- * @return whether that changes what it said before
- */
-bool placer_limit_record (placer_t *placer, gs_time_t now,
-                          const placer_ticket_t *ticket, double limit_per_sec);
+/** What a replica says of itself in an answer. */
+typedef struct
+{
+  double limit_per_sec; /**< requests a second that it takes from all nodes
+                             together; negative if it names no limit */
+  bool leaving;         /**< it takes no new requests any more */
+} placer_statement_t;
+
+/** Record what a replica says of itself in an answer to an attempt.
+    @return whether that changes what it said before */
+bool placer_statement_record (placer_t *placer, gs_time_t now,
+                              const placer_ticket_t *ticket,
+                              const placer_statement_t *statement);
 
 /** Adopt statements of replicas that other nodes have received. */
 void placer_statements_import (placer_t *placer, gs_time_t now,
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -194,9 +194,12 @@
 /* Records what the replica says of itself in its answer.  With status 421
    another replica answers, which has the address now.  */
 static void
-record_limit (relay_t *relay)
+record_statement (relay_t *relay)
 {
   const gs_response_head_t *head = &relay->head;
+  placer_statement_t statement
+      = { .limit_per_sec = head->has_limit ? head->limit_per_sec : -1,
+          .leaving = head->leaving };
   traffic_t *traffic = relay->traffic;
   gs_time_t now = gs_clock_now ();
 
@@ -204,8 +207,8 @@
     return;
   if (head->has_limit)
     relay_log_limit (relay);
-  if (placer_limit_record (traffic->placer, now, &relay->ticket,
-                           head->has_limit ? head->limit_per_sec : -1))
+  if (placer_statement_record (traffic->placer, now, &relay->ticket,
+                               &statement))
     traffic->report_due = now;
 }
 
@@ -225,7 +228,7 @@
       = relay->head.id[0] != '\0'
         && strcmp (relay->head.id, relay->request.id) != 0;
   if (!relay->response_mismatched)
-    record_limit (relay);
+    record_statement (relay);
   return !relay->response_mismatched;
 }
 
--- a/src/gateway/statements.c
+++ b/src/gateway/statements.c
@@ -5,8 +5,10 @@
 const row_layout_t statement_layout
     = { sizeof (statement_row_t),
         STATEMENTS_MAX,
-        3,
+        5,
         { ROW_COLUMN (ROW_NUMBER, statement_row_t, replica),
+          ROW_COLUMN (ROW_NUMBER, statement_row_t, started_ms),
+          ROW_COLUMN (ROW_NUMBER, statement_row_t, leaving),
           ROW_COLUMN (ROW_NUMBER, statement_row_t, limit_micros),
           ROW_COLUMN (ROW_NUMBER, statement_row_t, age_ms) } };
 
@@ -39,6 +41,27 @@
   g_free (statements);
 }
 
+static bool
+is_same_content (const statement_t *a, const statement_t *b)
+{
+  return a->limit_micros == b->limit_micros && a->leaving == b->leaving;
+}
+
+/* Joins a statement with what is known of the same process.  */
+static void
+merge_statement (statement_t *known, const statement_t *statement)
+{
+  statement_t merged = *statement;
+
+  merged.leaving |= known->leaving;
+  if (statement->stated_at
+      > known->stated_at
+            + (is_same_content (&merged, known) ? CONFIRM_INTERVAL : 0))
+    *known = merged;
+  else
+    known->leaving = merged.leaving;
+}
+
 void
 statements_put (statements_t *statements, const statement_t *statement)
 {
@@ -52,11 +75,9 @@
       known = g_memdup2 (statement, sizeof *statement);
       g_hash_table_insert (statements->by_replica, &known->replica, known);
     }
-  else if (statement->stated_at
-           > known->stated_at
-                 + (statement->limit_micros == known->limit_micros
-                        ? CONFIRM_INTERVAL
-                        : 0))
+  else if (statement->started_ms == known->started_ms)
+    merge_statement (known, statement);
+  else if (statement->started_ms > known->started_ms)
     *known = *statement;
 }
 
@@ -66,7 +87,11 @@
   for (guint i = 0; i < rows->len; i++)
     {
       const statement_row_t *row = &g_array_index (rows, statement_row_t, i);
-      statement_t statement = { row->replica, row->limit_micros, now };
+      statement_t statement = { .replica = row->replica,
+                                .started_ms = row->started_ms,
+                                .leaving = row->leaving != 0,
+                                .limit_micros = row->limit_micros,
+                                .stated_at = now };
 
       if (row->age_ms > (uint64_t)(REPLICA_LIMIT_TTL / GS_MSEC))
         continue;
@@ -87,6 +112,8 @@
       const statement_t *statement = value;
       statement_row_t row
           = { .replica = statement->replica,
+              .started_ms = statement->started_ms,
+              .leaving = statement->leaving,
               .limit_micros = statement->limit_micros,
               .age_ms
               = (uint64_t)MAX (now - statement->stated_at, 0) / GS_MSEC };
--- a/src/gateway/statements.h
+++ b/src/gateway/statements.h
@@ -20,6 +20,8 @@
 typedef struct
 {
   uint64_t replica;      /**< placer_replica_hash() of its id */
+  uint64_t started_ms;   /**< start of its process; 0 if unknown */
+  uint64_t leaving;      /**< 1 if it leaves, which no statement takes back */
   uint64_t limit_micros; /**< requests in 10^6 s that it takes from all nodes
                               together; 0 if it names no limit */
   gs_time_t stated_at;   /**< when a node received it, by this node's clock */
@@ -29,6 +31,8 @@
 typedef struct
 {
   uint64_t replica;
+  uint64_t started_ms;
+  uint64_t leaving;
   uint64_t limit_micros;
   uint64_t age_ms;
 } statement_row_t;
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -12,7 +12,11 @@
                               .requests = 9,
                               .uncached_tokens = 123456789012ULL };
   quota_row_t quota = { .account = 77, .used = 9, .predecessor_used = 4 };
-  statement_row_t statement = { UINT64_MAX, 1900000, 250 };
+  statement_row_t statement = { .replica = UINT64_MAX,
+                                .started_ms = 5,
+                                .leaving = 1,
+                                .limit_micros = 1900000,
+                                .age_ms = 250 };
   digest_member_t member = { .name = "other",
                              .incarnation = 5,
                              .callers = { "10.0.0.2", 80 },
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -15,7 +15,7 @@
   uint64_t after_revision; /* of a watch */
   char *after_name;        /* of a list */
   gs_time_t deadline;
-  unsigned calls;          /* number so far */
+  unsigned calls; /* number so far */
 } fake_store_t;
 
 /* Records the callbacks of a feed; objects as text: "+a5 -b ".  */
--- a/tests/test_peer_message.c
+++ b/tests/test_peer_message.c
@@ -35,7 +35,11 @@
 {
   traffic_report_t *report = traffic_report_create ();
   peer_status_t status = { .node = UINT64_MAX, .flags = PEER_LEAVING };
-  statement_row_t statement = { UINT64_MAX, 1900000, 250 };
+  statement_row_t statement = { .replica = UINT64_MAX,
+                                .started_ms = 5,
+                                .leaving = 1,
+                                .limit_micros = 1900000,
+                                .age_ms = 250 };
 
   fill_report (report, 3);
   g_strlcpy (message->self.name, "self", sizeof message->self.name);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -387,7 +387,7 @@
     {
       unsigned count = statement_sizes[i];
       peers_world_t *world = make_world (count, 0);
-      statement_t statement = { 7, 1900000, 0 };
+      statement_t statement = { .replica = 7, .limit_micros = 1900000 };
 
       peers_world_run (world, SETTLE_TIME);
       statement.stated_at = peers_world_now (world);
--- a/tests/test_placer.c
+++ b/tests/test_placer.c
@@ -355,11 +355,12 @@
       placer_query_t query = make_query (blocks, 10);
       placer_choice_t choice;
       placer_ticket_t ticket;
+      placer_statement_t answer = { .limit_per_sec = limit_per_sec };
 
       if (placer_pick (placer, now, &query, &choice) != GS_OK)
         continue;
       placer_attempt_begin (placer, now, &query, &choice, &ticket);
-      placer_limit_record (placer, now + GS_MSEC, &ticket, limit_per_sec);
+      placer_statement_record (placer, now + GS_MSEC, &ticket, &answer);
       placer_attempt_end (placer, now + GS_MSEC, &ticket, PLACER_SUCCEEDED);
       sent++;
     }
@@ -403,7 +404,9 @@
 limits_that_other_nodes_have_received_hold (void)
 {
   placer_t *placer = make_placer (1, 1);
-  statement_t statement = { placer_replica_hash ("i-0"), 2000000, 3 * GS_SEC };
+  statement_t statement = { .replica = placer_replica_hash ("i-0"),
+                            .limit_micros = 2000000,
+                            .stated_at = 3 * GS_SEC };
   const uint64_t nodes[] = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10 };
   GArray *exported = g_array_new (FALSE, FALSE, sizeof (statement_t));
   unsigned senders = 0;
@@ -438,7 +441,40 @@
   g_array_unref (exported);
 }
 
+static void
+a_leaving_replica_gets_nothing_until_it_starts_again (void)
+{
+  placer_t *placer = make_placer (2, 1);
+  gs_replica_list_t *list = make_list (2);
+  statement_t statement = { .replica = placer_replica_hash ("i-0"),
+                            .leaving = 1,
+                            .stated_at = 3 * GS_SEC };
+  placer_ticket_t ticket = { .row = 1, .sent_at = GS_SEC };
+  placer_statement_t answer = { .limit_per_sec = -1, .leaving = true };
+
+  placer_statements_import (placer, 3 * GS_SEC, &statement, 1);
+  for (uint64_t i = 0; i < 50; i++)
+    CU_ASSERT_EQUAL (run_request (placer, 4 * GS_SEC, i + 10), 1);
+  CU_ASSERT_TRUE (
+      placer_statement_record (placer, 5 * GS_SEC, &ticket, &answer));
+  CU_ASSERT_EQUAL (send_allowed (placer, 6 * GS_SEC, 7 * GS_SEC, -1), 0);
+  /* An answer that was sent before does not take it back.  */
+  answer.leaving = false;
+  CU_ASSERT_FALSE (
+      placer_statement_record (placer, 7 * GS_SEC, &ticket, &answer));
+  CU_ASSERT_EQUAL (send_allowed (placer, 7 * GS_SEC, 8 * GS_SEC, -1), 0);
+  list->rows[0].started_ms = 9;
+  placer_replicas_set (placer, list);
+  /* What it said before it started again comes late.  */
+  placer_statements_import (placer, 8 * GS_SEC, &statement, 1);
+  CU_ASSERT (send_allowed (placer, 9 * GS_SEC, 10 * GS_SEC, -1) > 90);
+  gs_replica_list_unref (list);
+  placer_destroy (placer);
+}
+
 static const check_case_t cases[] = {
+  { "a leaving replica gets nothing until it starts again",
+    a_leaving_replica_gets_nothing_until_it_starts_again },
   { "a replica gets what its limit allows until it names none",
     a_replica_gets_what_its_limit_allows_until_it_names_none },
   { "a restarted replica has no limit of before",
--- a/tests/test_replica_limit.c
+++ b/tests/test_replica_limit.c
@@ -227,8 +227,16 @@
   statements_t *there;
   GArray *rows = g_array_new (FALSE, TRUE, sizeof (statement_row_t));
   GArray *list;
-  statement_t limited = { REPLICA, 1900000, 10 * GS_SEC };
-  statement_t ended = { REPLICA, 0, 12 * GS_SEC };
+  statement_t limited = { .replica = REPLICA,
+                          .limit_micros = 1900000,
+                          .stated_at = 10 * GS_SEC };
+  statement_t ended = { .replica = REPLICA, .stated_at = 12 * GS_SEC };
+  statement_t leaving
+      = { .replica = REPLICA, .leaving = 1, .stated_at = 11 * GS_SEC };
+  statement_t restarted = { .replica = REPLICA,
+                            .started_ms = 5,
+                            .limit_micros = 300000,
+                            .stated_at = 9 * GS_SEC };
 
   statements_create (&here);
   statements_create (&there);
@@ -250,6 +258,18 @@
   list = statements_list (here);
   CU_ASSERT_EQUAL (g_array_index (list, statement_t, 0).limit_micros, 0);
   g_array_unref (list);
+  /* Leaving is not taken back; a replica that starts again says anew.  */
+  statements_put (here, &leaving);
+  list = statements_list (here);
+  CU_ASSERT_EQUAL (g_array_index (list, statement_t, 0).leaving, 1);
+  CU_ASSERT_EQUAL (g_array_index (list, statement_t, 0).limit_micros, 0);
+  g_array_unref (list);
+  statements_put (here, &restarted);
+  statements_put (here, &leaving);
+  list = statements_list (here);
+  CU_ASSERT_EQUAL (g_array_index (list, statement_t, 0).leaving, 0);
+  CU_ASSERT_EQUAL (g_array_index (list, statement_t, 0).limit_micros, 300000);
+  g_array_unref (list);
   g_array_set_size (rows, 0);
   statements_export (here, 13 * GS_SEC + REPLICA_LIMIT_TTL, rows);
   CU_ASSERT_EQUAL (rows->len, 0);
