gateway: send nothing to a replica for as long as its Retry-After says

Cause: a replica that rejected a request counted as full for 50 ms, whatever it said (18 requests in the second after a rejection with Retry-After 3).

Change: a 503 with Retry-After keeps the replica out of this node's choice until the end of that time, and for no other node: it speaks to one. Where no replica takes requests because of its own words, a request that could not be sent in time is rejected at once, and Retry-After to the caller is the earliest known end, spread by 100 ms, and not the queue's estimate.

--- a/include/garnetstack/header_codec.h
+++ b/include/garnetstack/header_codec.h
@@ -72,8 +72,10 @@
   double limit_per_sec;        /**< requests a second that it takes from all
                                     nodes together */
   bool leaving;                /**< the replica says that it leaves */
-  GPtrArray *headers; /**< headers to forward to the caller, each a name
-                           followed by its value; owned */
+  gs_time_t retry_after; /**< how long the replica wants no requests from this
+                              node; 0 if not given */
+  GPtrArray *headers;    /**< headers to forward to the caller, each a name
+                              followed by its value; owned */
 } gs_response_head_t;
 
 /** Initialize an empty head; the caller frees its contents with
--- a/src/cmd/explain_log.c
+++ b/src/cmd/explain_log.c
@@ -14,7 +14,8 @@
     = { "start",           "stop",
         "reload",          "routes_in_force",
         "replica",         "replica_left_out",
-        "replica_limit",   "feed_lost",
+        "replica_limit",   "replica_leaving",
+        "replica_refuses", "feed_lost",
         "feed_back",       "feed_restarted",
         "feed_taken_over", "dependency_lost",
         "dependency_back", "peer_heard",
@@ -25,7 +26,8 @@
 /* Events about one replica, which are shown only for the replicas of the
    request.  */
 static const char *const replica_events[]
-    = { "replica", "replica_left_out", "replica_limit", NULL };
+    = { "replica",         "replica_left_out", "replica_limit",
+        "replica_leaving", "replica_refuses",  NULL };
 
 /* @return the value of a key, freed with g_free(), or NULL.  */
 static char *
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -84,8 +84,9 @@
   gs_time_t ejected_until;
   gs_time_t full_until; /* the replica has rejected a request as full */
   replica_limit_t limit;
-  bool leaving;         /* as the replica said in an answer */
-  gs_time_t leaving_at; /* when a node received that */
+  bool leaving;            /* as the replica said in an answer */
+  gs_time_t leaving_at;    /* when a node received that */
+  gs_time_t refused_until; /* the replica wants nothing from this node */
 } replica_row_t;
 
 typedef struct
@@ -205,6 +206,7 @@
       row->ejected_until = 0;
       row->limit = (replica_limit_t){ .stated_at = row->limit.stated_at };
       row->leaving = false;
+      row->refused_until = 0;
     }
   row->replica = *replica;
   row->listed = true;
@@ -397,7 +399,8 @@
       && slots_taken (row, query->engine)
              >= (unsigned)(CONNECTIONS_RATIO_MAX * connections))
     return true;
-  if (row->full_until > now || !replica_limit_allows (&row->limit, now))
+  if (row->full_until > now || row->refused_until > now
+      || !replica_limit_allows (&row->limit, now))
     return true;
   if (slots_taken (row, query->engine) >= slots_max (row, query->engine))
     return true;
@@ -817,6 +820,13 @@
   bool changed
       = statement->leaving && row_state_leaving (row, now, now, "answer");
 
+  if (statement->refused_until > row->refused_until)
+    {
+      row->refused_until = statement->refused_until;
+      gs_log (GS_LOG_INFO, "replica_refuses", "id=%s service=%s for_ms=%lld",
+              row->replica.id, row->replica.service,
+              (long long)((row->refused_until - now) / GS_MSEC));
+    }
   if (per_sec < 0
       && (!replica_limit_is_set (&row->limit, now)
           || ticket->sent_at <= row->limit.stated_at))
@@ -870,6 +880,26 @@
     }
 }
 
+gs_time_t
+placer_opens_at (const placer_t *placer, gs_time_t now, const char *service)
+{
+  gs_time_t earliest = GS_TIME_NEVER;
+
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      const replica_row_t *row = row_at (placer, i);
+      gs_time_t opens_at = MAX (row->refused_until,
+                                replica_limit_opens_at (&row->limit, now));
+
+      if (!is_usable (row, now, service))
+        continue;
+      if (opens_at <= now)
+        return 0;
+      earliest = MIN (earliest, opens_at);
+    }
+  return earliest == GS_TIME_NEVER ? 0 : earliest;
+}
+
 void
 placer_slots_count (const placer_t *placer, gs_time_t now, const char *service,
                     unsigned *slots, unsigned *taken)
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -109,9 +109,11 @@
 /** What a replica says of itself in an answer. */
 typedef struct
 {
-  double limit_per_sec; /**< requests a second that it takes from all nodes
-                             together; negative if it names no limit */
-  bool leaving;         /**< it takes no new requests any more */
+  double limit_per_sec;    /**< requests a second that it takes from all nodes
+                                together; negative if it names no limit */
+  bool leaving;            /**< it takes no new requests any more */
+  gs_time_t refused_until; /**< it wants no requests from this node until
+                                then; 0 if it says nothing of it */
 } placer_statement_t;
 
 /** Record what a replica says of itself in an answer to an attempt.
@@ -181,6 +183,14 @@
     millisecond */
 double placer_read_speed (const placer_t *placer);
 
+/**
+ * @return the earliest time at which a ready replica of a service takes a
+ * request from this node, if all of them have said that they take none now; 0
+ * if one takes requests or there is none
+ */
+gs_time_t placer_opens_at (const placer_t *placer, gs_time_t now,
+                           const char *service);
+
 /**
  * Sum up the slots of the ready replicas of a service that name no limit.
  * @param slots receives their number
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -205,6 +205,8 @@
 
   if (head->status == 421)
     return;
+  if (head->status == 503 && head->retry_after > 0)
+    statement.refused_until = now + head->retry_after;
   if (head->has_limit)
     relay_log_limit (relay);
   if (placer_statement_record (traffic->placer, now, &relay->ticket,
--- a/src/gateway/relay_queue.c
+++ b/src/gateway/relay_queue.c
@@ -21,7 +21,9 @@
 }
 
 /* The delay is the expected time to serve the queue, with up to as much again
-   added at random so that callers do not retry all at once.  */
+   added at random so that callers do not retry all at once.  Where all
+   replicas have said that they take no requests for longer, it is that
+   time.  */
 gs_time_t
 relay_retry_after (relay_t *relay, gs_time_t now)
 {
@@ -30,9 +32,15 @@
   double rate = MAX (service->completions_per_sec, 1.0);
   gs_time_t wait = (gs_time_t)(queued / rate * (double)GS_SEC);
   gs_time_t honoured = (relay->deadline - now) / RETRY_AFTER_DIVISOR;
+  gs_time_t opens_at;
 
   wait = (gs_time_t)((double)wait * (1 + gs_rng_unit (&relay->traffic->rng)));
   wait = CLAMP (wait, RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+  opens_at = placer_opens_at (relay->traffic->placer, now, service->name);
+  if (opens_at > now + wait)
+    wait = opens_at - now
+           + (gs_time_t)(gs_rng_unit (&relay->traffic->rng)
+                         * (double)RETRY_AFTER_MIN);
   return MAX (MIN (wait, honoured), GS_MSEC);
 }
 
@@ -102,6 +110,8 @@
   gs_time_t expected
       = now + (gs_time_t)(ahead / MAX (rate, 1e-3) * (double)GS_SEC);
 
+  expected = MAX (expected, placer_opens_at (relay->traffic->placer, now,
+                                             relay->service->name));
   if (expected > relay_queue_deadline (relay))
     return false;
   g_queue_insert_sorted (queue, relay, compare_queued, NULL);
--- a/src/gateway/replica_limit.c
+++ b/src/gateway/replica_limit.c
@@ -80,11 +80,20 @@
                       now + request_interval (limit) + reserve_time (limit));
 }
 
+gs_time_t
+replica_limit_opens_at (const replica_limit_t *limit, gs_time_t now)
+{
+  if (!replica_limit_is_set (limit, now))
+    return 0;
+  return limit->sharers > 0
+             ? limit->due - reserve_time (limit)
+             : now + MAX ((gs_time_t)((double)GS_SEC / limit->per_sec), 1);
+}
+
 bool
 replica_limit_allows (const replica_limit_t *limit, gs_time_t now)
 {
-  return !replica_limit_is_set (limit, now)
-         || (limit->sharers > 0 && now + reserve_time (limit) >= limit->due);
+  return replica_limit_opens_at (limit, now) <= now;
 }
 
 void
--- a/src/gateway/replica_limit.h
+++ b/src/gateway/replica_limit.h
@@ -59,6 +59,11 @@
 /** @return whether a request may be sent to the replica now. */
 bool replica_limit_allows (const replica_limit_t *limit, gs_time_t now);
 
+/** @return earliest time at which a request may be sent to the replica; a time
+    in the past if one may be sent now.  For a node that may send nothing, the
+    time at which others may have sent one. */
+gs_time_t replica_limit_opens_at (const replica_limit_t *limit, gs_time_t now);
+
 /** Count a request that is sent to the replica. */
 void replica_limit_take (replica_limit_t *limit, gs_time_t now);
 
--- a/tests/test_placer.c
+++ b/tests/test_placer.c
@@ -472,7 +472,40 @@
   placer_destroy (placer);
 }
 
+static void
+a_replica_that_refuses_gets_nothing_until_the_end_of_that_time (void)
+{
+  placer_t *placer = make_placer (2, 1);
+  gs_replica_list_t *list = make_list (2);
+  placer_ticket_t tickets[] = { { .row = 0 }, { .row = 1 } };
+  placer_statement_t answer
+      = { .limit_per_sec = -1, .refused_until = 5 * GS_SEC };
+
+  placer_statement_record (placer, 2 * GS_SEC, &tickets[0], &answer);
+  CU_ASSERT_EQUAL (placer_opens_at (placer, 2 * GS_SEC, "pool"), 0);
+  for (uint64_t i = 0; i < 50; i++)
+    CU_ASSERT_EQUAL (run_request (placer, 4 * GS_SEC, i + 10), 1);
+  answer.refused_until = 8 * GS_SEC;
+  placer_statement_record (placer, 3 * GS_SEC, &tickets[1], &answer);
+  CU_ASSERT_EQUAL (placer_opens_at (placer, 4 * GS_SEC, "pool"), 5 * GS_SEC);
+  CU_ASSERT_EQUAL (send_allowed (placer, 4 * GS_SEC, 5 * GS_SEC, -1), 0);
+  /* A shorter time that comes later does not end a longer one.  */
+  answer.refused_until = 6 * GS_SEC;
+  placer_statement_record (placer, 5 * GS_SEC, &tickets[1], &answer);
+  for (uint64_t i = 0; i < 50; i++)
+    CU_ASSERT_EQUAL (run_request (placer, 7 * GS_SEC, i + 10), 0);
+  list->rows[1].started_ms = 9;
+  placer_replicas_set (placer, list);
+  answer.refused_until = 9 * GS_SEC;
+  placer_statement_record (placer, 7 * GS_SEC, &tickets[0], &answer);
+  CU_ASSERT (send_allowed (placer, 7 * GS_SEC, 8 * GS_SEC, -1) > 90);
+  gs_replica_list_unref (list);
+  placer_destroy (placer);
+}
+
 static const check_case_t cases[] = {
+  { "a replica that refuses gets nothing until the end of that time",
+    a_replica_that_refuses_gets_nothing_until_the_end_of_that_time },
   { "a leaving replica gets nothing until it starts again",
     a_leaving_replica_gets_nothing_until_it_starts_again },
   { "a replica gets what its limit allows until it names none",
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -291,6 +291,50 @@
   CU_ASSERT_EQUAL (fault_count, 4);
 }
 
+/* How long a replica wants nothing, as it says in Retry-After.  */
+static const struct
+{
+  const char *value;
+  gs_time_t retry_after;
+} retry_headers[] = {
+  { "1.5", 1500 * GS_MSEC },
+  { "0", 0 },
+  { "2", 2 * GS_SEC },
+  { "1e9", 600 * GS_SEC },
+  { "-3", 0 },
+  { "", 0 },
+  { "soon", 0 },
+  { "nan", 0 },
+  { "Fri, 04 Dec 2026 07:00:00 GMT", 0 },
+};
+
+static void
+what_a_replica_says_in_a_rejection_is_read (void)
+{
+  gs_response_head_t head;
+
+  gs_response_head_init (&head);
+  for (size_t i = 0; i < G_N_ELEMENTS (retry_headers); i++)
+    {
+      char *line
+          = g_strdup_printf ("Retry-After: %s\r\n", retry_headers[i].value);
+
+      gs_platform_header_codec.read_line (&head, "HTTP/1.1 503 X\r\n", 16);
+      gs_platform_header_codec.read_line (&head, line, strlen (line));
+      CU_ASSERT_EQUAL (head.retry_after, retry_headers[i].retry_after);
+      CU_ASSERT_FALSE (head.leaving);
+      g_free (line);
+    }
+  gs_platform_header_codec.read_line (&head, "Server-Leaving: 1\r\n", 19);
+  CU_ASSERT_TRUE (head.leaving);
+  gs_platform_header_codec.read_line (&head, "HTTP/1.1 503 X\r\n", 16);
+  CU_ASSERT_FALSE (head.leaving);
+  CU_ASSERT_EQUAL (head.retry_after, 0);
+  gs_platform_header_codec.read_line (&head, "Server-Leaving: 0\r\n", 19);
+  CU_ASSERT_FALSE (head.leaving);
+  gs_response_head_clear (&head);
+}
+
 static const struct
 {
   const char *value;
@@ -327,6 +371,8 @@
 }
 
 static const check_case_t cases[] = {
+  { "what a replica says in a rejection is read",
+    what_a_replica_says_in_a_rejection_is_read },
   { "a limit in an answer is read and forwarded",
     a_limit_in_an_answer_is_read_and_forwarded },
   { "prompt blocks are read in order", prompt_blocks_are_read_in_order },
