--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -466,6 +466,8 @@
       g_free (world->gateways[i].log_path);
     }
   g_hash_table_unref (world->objects);
+  if (world->copy != NULL)
+    g_hash_table_unref (world->copy);
   json_decref (world->history);
   json_decref (world->usage_reports);
   json_decref (world->orders);
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -90,10 +90,13 @@
   uint64_t revision;
   uint64_t oldest_revision; /* watches from an earlier revision get 410 */
   GHashTable *objects;      /* "kind/name" -> json_t object */
-  json_t *history;          /* watch events with revision and kind */
-  GPtrArray *arrivals;      /* of arrival_t */
-  json_t *usage_reports;    /* usage reports that the provider received */
-  json_t *orders;           /* orders that the provider received */
+  unsigned era;             /* sent in all answers; 0 for none */
+  GHashTable *copy;         /* of objects, by gw_store_copy(); NULL for none */
+  uint64_t copy_revision;
+  json_t *history;       /* watch events with revision and kind */
+  GPtrArray *arrivals;   /* of arrival_t */
+  json_t *usage_reports; /* usage reports that the provider received */
+  json_t *orders;        /* orders that the provider received */
   unsigned store_calls;
   world_store_t stores[WORLD_GATEWAYS_MAX];
   raw_server_t *provider;
@@ -156,6 +159,14 @@
 /** Drop all watch events, so that watches from an earlier revision get 410. */
 void gw_store_compact (gateway_world_t *world);
 
+/** Keep a copy of the store for gw_store_set_back().  From the first copy on,
+    the store names its era in its answers. */
+void gw_store_copy (gateway_world_t *world);
+
+/** Let the store come back from its copy, in a new era: later objects and
+    revisions are gone, and the revisions are given out again. */
+void gw_store_set_back (gateway_world_t *world);
+
 /** Set how the store handles requests of all gateways. */
 void gw_store_set_mode (gateway_world_t *world, store_mode_t mode);
 
--- /dev/null
+++ b/tests/test_process_gateway_store.c
@@ -0,0 +1,220 @@
+#include "check.h"
+#include "gateway_steps.h"
+
+#include <signal.h>
+#include <string.h>
+
+/* Guards against beliefs taken from the store that outlive it: it may come
+   back from a copy some seconds old, and then gives revisions out again.  */
+
+#define ONE_SECOND GS_SEC
+/* Time from an acknowledged change of the configuration to its effect.  */
+#define CONFIG_TIMEOUT (2 * GS_SEC)
+/* Time in which a node renews a watch that the store did not end.  */
+#define WATCH_TIMEOUT (4 * GS_SEC)
+
+static unsigned
+status_at (unsigned node, const char *target)
+{
+  static unsigned requests;
+  char *id = g_strdup_printf ("store-%u", requests++);
+  char *answer = gw_request (&world, node, "POST", target, id, "", "x");
+  unsigned status = status_of (answer);
+
+  g_free (answer);
+  g_free (id);
+  return status;
+}
+
+/* Makes many changes that the store loses when it is set back, so that its
+   revisions stay below those of before.  */
+static void
+burn_revisions (unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    gw_object_put (&world, "servers", "i-burnt", json_integer (i));
+}
+
+static void
+a_configuration_never_reverts_when_the_store_comes_back_older (void)
+{
+  start_gateway (1);
+  gw_start (&world, 1, true);
+  gw_store_copy (&world);
+  burn_revisions (500);
+  gw_configure (&world, 7, "/b/", WORLD_API_KEY);
+  g_usleep (CONFIG_TIMEOUT);
+  CU_ASSERT_EQUAL (status_at (0, "/b/never/good"), 200);
+  gw_store_set_back (&world);
+  /* The store has the first configuration until the operator writes again. */
+  for (gs_time_t end = gs_clock_now () + WATCH_TIMEOUT; gs_clock_now () < end;)
+    {
+      CU_ASSERT_EQUAL (status_at (0, "/b/never/good"), 200);
+      CU_ASSERT_EQUAL (status_at (1, "/b/never/good"), 200);
+      g_usleep (ONE_SECOND / 10);
+    }
+  gw_configure (&world, 7, "/b/", WORLD_API_KEY);
+  g_usleep (ONE_SECOND / 4);
+  gw_configure (&world, 9, "/c/", WORLD_API_KEY);
+  g_usleep (CONFIG_TIMEOUT);
+  for (unsigned node = 0; node < 2; node++)
+    CU_ASSERT_EQUAL (status_at (node, "/c/never/good"), 200);
+  end_world ();
+}
+
+/* Revisions of the old era are given out again at once, so that a watch from
+   one of them finds nothing wrong.  */
+static void
+changes_under_revisions_given_out_again_are_seen (void)
+{
+  start_gateway (1);
+  gw_start (&world, 1, true);
+  gw_store_copy (&world);
+  burn_revisions (100);
+  gw_configure (&world, 5, "/x/", WORLD_API_KEY);
+  g_usleep (CONFIG_TIMEOUT);
+  gw_store_set_mode (&world, STORE_CLOSES);
+  g_usleep (ONE_SECOND);
+  gw_store_set_back (&world);
+  gw_configure (&world, 7, "/b/", WORLD_API_KEY);
+  burn_revisions (300);
+  gw_store_set_mode (&world, STORE_NORMAL);
+  g_usleep (CONFIG_TIMEOUT);
+  for (unsigned node = 0; node < 2; node++)
+    CU_ASSERT_EQUAL (status_at (node, "/b/never/good"), 200);
+  end_world ();
+}
+
+static void
+replicas_that_register_again_are_used (void)
+{
+  start_world (1);
+  gw_configure (&world, 1, "/a/", WORLD_API_KEY);
+  gw_object_remove (&world, "servers", "i-0");
+  gw_store_copy (&world);
+  burn_revisions (500);
+  gw_replica_publish (&world, 0, "ready");
+  gw_start (&world, 0, true);
+  CU_ASSERT_EQUAL (status_at (0, "/a/never/good"), 200);
+  gw_store_set_back (&world);
+  g_usleep (ONE_SECOND);
+  gw_replica_publish (&world, 0, "ready");
+  g_usleep (WATCH_TIMEOUT);
+  CU_ASSERT_EQUAL (status_at (0, "/a/never/good"), 200);
+  gw_replica_publish (&world, 0, "draining");
+  g_usleep (ONE_SECOND);
+  CU_ASSERT_EQUAL (status_at (0, "/a/never/good"), 503);
+  end_world ();
+}
+
+static bool
+is_listed (void *name)
+{
+  char *key = g_strdup_printf ("gateway-nodes/%s", (const char *)name);
+  bool listed;
+
+  pthread_mutex_lock (&world.lock);
+  listed = g_hash_table_contains (world.objects, key);
+  pthread_mutex_unlock (&world.lock);
+  g_free (key);
+  return listed;
+}
+
+static void
+nodes_write_their_entries_again (void)
+{
+  start_world (1);
+  gw_configure (&world, 1, "/a/", WORLD_API_KEY);
+  gw_store_copy (&world);
+  gw_start (&world, 0, true);
+  gw_start (&world, 1, true);
+  CU_ASSERT_TRUE (gw_wait_until (is_listed, "node-0", ONE_SECOND));
+  CU_ASSERT_TRUE (gw_wait_until (is_listed, "node-1", ONE_SECOND));
+  g_usleep (ONE_SECOND);
+  gw_store_set_back (&world);
+  CU_ASSERT_TRUE (
+      gw_wait_until (is_listed, "node-0", WATCH_TIMEOUT + ONE_SECOND));
+  CU_ASSERT_TRUE (
+      gw_wait_until (is_listed, "node-1", WATCH_TIMEOUT + ONE_SECOND));
+  end_world ();
+}
+
+/* Checks that tokens rise with the holder, and that no window was reported
+   with two different counts.  */
+static void
+check_duties (void)
+{
+  GHashTable *holders
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, NULL);
+  GHashTable *windows
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, NULL);
+  json_int_t highest = 0;
+  size_t i;
+  json_t *report;
+
+  pthread_mutex_lock (&world.lock);
+  json_array_foreach (world.usage_reports, i, report)
+  {
+    json_int_t fence = json_integer_value (json_object_get (report, "fence"));
+    const char *holder
+        = json_string_value (json_object_get (report, "holder"));
+    const char *known
+        = g_hash_table_lookup (holders, GINT_TO_POINTER ((int)fence));
+    gpointer window = GINT_TO_POINTER (
+        (int)json_integer_value (json_object_get (report, "window_id")));
+    json_t *counts = json_object_get (report, "counts");
+    json_t *before = g_hash_table_lookup (windows, window);
+
+    CU_ASSERT (fence >= highest);
+    CU_ASSERT (known == NULL || strcmp (known, holder) == 0);
+    CU_ASSERT (before == NULL || json_equal (before, counts));
+    highest = MAX (highest, fence);
+    g_hash_table_insert (holders, GINT_TO_POINTER ((int)fence),
+                         (gpointer)holder);
+    g_hash_table_insert (windows, window, counts);
+  }
+  CU_ASSERT (json_array_size (world.usage_reports) > 3);
+  pthread_mutex_unlock (&world.lock);
+  g_hash_table_unref (windows);
+  g_hash_table_unref (holders);
+}
+
+static void
+duties_survive_a_lease_that_the_store_has_lost (void)
+{
+  start_world (1);
+  gw_configure (&world, 1, "/a/", WORLD_API_KEY);
+  gw_store_copy (&world);
+  gw_start (&world, 0, true);
+  gw_start (&world, 1, true);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      for (unsigned j = 0; j < 40; j++)
+        {
+          status_at (j % 2, "/a/never/good");
+          g_usleep (ONE_SECOND / 10);
+        }
+      gw_store_set_back (&world);
+    }
+  g_usleep (4 * ONE_SECOND);
+  check_duties ();
+  end_world ();
+}
+
+static const check_case_t cases[] = {
+  { "a configuration never reverts when the store comes back older",
+    a_configuration_never_reverts_when_the_store_comes_back_older },
+  { "changes under revisions given out again are seen",
+    changes_under_revisions_given_out_again_are_seen },
+  { "replicas that register again are used",
+    replicas_that_register_again_are_used },
+  { "nodes write their entries again", nodes_write_their_entries_again },
+  { "duties survive a lease that the store has lost",
+    duties_survive_a_lease_that_the_store_has_lost },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("process_gateway_store", cases);
+}
--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -91,6 +91,53 @@
   pthread_mutex_unlock (&world->lock);
 }
 
+static void
+object_unref (gpointer object)
+{
+  json_decref (object);
+}
+
+static GHashTable *
+objects_copy (GHashTable *objects)
+{
+  GHashTable *copy
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_unref);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer object;
+
+  g_hash_table_iter_init (&iter, objects);
+  while (g_hash_table_iter_next (&iter, &key, &object))
+    g_hash_table_insert (copy, g_strdup (key), json_incref (object));
+  return copy;
+}
+
+void
+gw_store_copy (gateway_world_t *world)
+{
+  pthread_mutex_lock (&world->lock);
+  if (world->copy != NULL)
+    g_hash_table_unref (world->copy);
+  world->copy = objects_copy (world->objects);
+  world->copy_revision = world->revision;
+  world->era = MAX (world->era, 1);
+  pthread_mutex_unlock (&world->lock);
+}
+
+void
+gw_store_set_back (gateway_world_t *world)
+{
+  pthread_mutex_lock (&world->lock);
+  g_hash_table_unref (world->objects);
+  world->objects = objects_copy (world->copy);
+  world->revision = world->copy_revision;
+  world->oldest_revision = world->revision;
+  world->era++;
+  json_array_clear (world->history);
+  pthread_cond_broadcast (&world->changed);
+  pthread_mutex_unlock (&world->lock);
+}
+
 void
 gw_store_set_mode (gateway_world_t *world, store_mode_t mode)
 {
@@ -111,14 +158,17 @@
 }
 
 static void
-send_json (raw_conn_t *conn, unsigned status, json_t *body)
+send_json (raw_conn_t *conn, unsigned status, unsigned era, json_t *body)
 {
   char *text = json_dumps (body, JSON_COMPACT);
+  char *header
+      = era > 0 ? g_strdup_printf ("Store-Era: %u\r\n", era) : g_strdup ("");
 
   raw_printf (conn,
               "HTTP/1.1 %u X\r\nContent-Type: application/json\r\n"
-              "Content-Length: %zu\r\n\r\n%s",
-              status, strlen (text), text);
+              "%sContent-Length: %zu\r\n\r\n%s",
+              status, header, strlen (text), text);
+  g_free (header);
   free (text);
   json_decref (body);
 }
@@ -181,7 +231,7 @@
     {
       json_t *events;
 
-      if (above < world->oldest_revision)
+      if (above < world->oldest_revision || above > world->revision)
         {
           *out = json_object ();
           return 410;
@@ -304,6 +354,7 @@
       char **words = g_strsplit (request.first_line, " ", 3);
       json_t *body = NULL;
       unsigned status = 503;
+      unsigned era;
 
       if (mode == STORE_UNAVAILABLE)
         body = json_object ();
@@ -314,6 +365,9 @@
                                            &body);
           pthread_mutex_unlock (&world->lock);
         }
+      pthread_mutex_lock (&world->lock);
+      era = world->era;
+      pthread_mutex_unlock (&world->lock);
       g_strfreev (words);
       raw_message_clear (&request);
       if (mode == STORE_SILENT || mode == STORE_DROPS_RESPONSES)
@@ -324,7 +378,7 @@
         }
       if (body == NULL)
         return;
-      send_json (conn, status, body);
+      send_json (conn, status, era, body);
     }
 }
 
@@ -351,6 +405,6 @@
       g_free (fence);
       g_free (holder);
       raw_message_clear (&request);
-      send_json (conn, 200, json_object ());
+      send_json (conn, 200, 0, json_object ());
     }
 }
