gateway: beliefs from the store carry its era

Cause: a store that comes back from an older copy gives revisions out again. Feeds compare revisions, so they kept objects that were gone and passed over changes until the store's revision had caught up; a watch from a revision that was given out again saw nothing wrong; a node's own lost entry stayed lost.

When any answer names a later era, each feed gives up its open watch and lists anew; pages of two eras are not joined, late answers of an earlier era are dropped. A configuration with a lower version than the one in force is not taken, draining is not taken back by an entry of a later era with the same start, and a node whose entry is missing in a list of a later era writes it again.

Weighed: the era as a field of its own beside each revision, in each table, message and comparison, where one that is forgotten reverts.

--- a/include/garnetstack/object_store.h
+++ b/include/garnetstack/object_store.h
@@ -15,6 +15,19 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** A store may come back from a copy that is some seconds old, and gives
+    revisions out again.  It then is in a new era, whose number is part of each
+    revision, above the store's own number: a later revision is always the
+    higher one.  The era is 0 for a store that names none. */
+#define GS_OBJECT_ERA_SHIFT 40
+
+/** @return era of the store that a revision belongs to */
+static inline uint64_t
+gs_object_revision_era (uint64_t revision)
+{
+  return revision >> GS_OBJECT_ERA_SHIFT;
+}
+
 /** An object, or the event that it was removed. */
 typedef struct
 {
@@ -41,6 +54,8 @@
   gs_status_t status;
   uint64_t revision; /**< of the store, for lists and watches; of the object,
                           for get and put */
+  uint64_t era;      /**< of the store, in any response; 0 if there is none or
+                          it names none */
   bool more;         /**< the list has a next page, which starts after the name
                           of the last object of this one */
   unsigned count;    /**< number of objects */
@@ -78,6 +93,9 @@
   void (*remove) (void *context, const char *kind, const char *name,
                   uint64_t revision, gs_time_t deadline,
                   gs_object_cb_t callback, void *argument);
+  /** @return highest era that the store has named in any response; 0 for none.
+      NULL for a store without eras. */
+  uint64_t (*era) (void *context);
 } gs_object_store_t;
 
 #endif
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -58,12 +58,21 @@
   GHashTable *listed_names; /* names in the list in progress */
   bool needs_list;          /* the next call is a list, not a watch */
   bool busy;                /* a call is open */
+  uint64_t call_sequence;   /* number of the last call */
+  GHashTable *calls;        /* set of feed_call_t that are open */
   gs_time_t due;            /* earliest time of the next call */
   gs_time_t retry_delay;
   gs_time_t list_timeout;
   gs_time_t store_lost_at;
 };
 
+/* Identifies a call, so that one can be given up while it is open.  */
+typedef struct
+{
+  feed_t *feed;
+  uint64_t sequence;
+} feed_call_t;
+
 static void
 cached_object_free (gpointer data)
 {
@@ -91,6 +100,7 @@
                                          cached_object_free);
   feed->listed_names
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  feed->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   *out = feed;
 }
 
@@ -100,6 +110,7 @@
   if (feed == NULL)
     return;
   g_queue_clear_full (&feed->tombstones, g_free);
+  g_hash_table_unref (feed->calls);
   g_hash_table_unref (feed->listed_names);
   g_hash_table_unref (feed->objects);
   g_free (feed->list_after);
@@ -231,13 +242,57 @@
   feed->listener.on_listed (feed->listener.context, now);
 }
 
+/* Makes the next call a new list if the store has come back from an older copy
+   since the feed's objects were read: its revisions say nothing of changes
+   since then.  */
+static void
+require_list_of_era (feed_t *feed, gs_time_t now, uint64_t era)
+{
+  if (era <= gs_object_revision_era (feed->revision) || feed->revision == 0
+      || feed->needs_list)
+    return;
+  gs_log (GS_LOG_WARN, "feed_restarted",
+          "kind=%s reason=store_came_back_older revision=%llu era=%llu",
+          feed->kind, (unsigned long long)feed->revision,
+          (unsigned long long)era);
+  feed->needs_list = true;
+  feed->due = now;
+  /* An open watch may wait for seconds for changes that do not come.  */
+  feed->call_sequence++;
+  feed->busy = false;
+}
+
+/* @return false if the result belongs to an earlier era than the feed  */
+static bool
+check_era (feed_t *feed, gs_time_t now, const gs_object_result_t *result)
+{
+  require_list_of_era (feed, now, result->era);
+  return result->era == 0
+         || result->era >= gs_object_revision_era (feed->revision);
+}
+
+/* @return the feed if the call is its last one, else NULL  */
+static feed_t *
+end_call (feed_call_t *call)
+{
+  feed_t *feed = call->feed;
+  bool is_last = call->sequence == feed->call_sequence;
+
+  g_hash_table_remove (feed->calls, call);
+  if (!is_last)
+    return NULL;
+  feed->busy = false;
+  return feed;
+}
+
 static void
 on_list (void *argument, const gs_object_result_t *result)
 {
-  feed_t *feed = argument;
+  feed_t *feed = end_call (argument);
   gs_time_t now = gs_clock_now ();
 
-  feed->busy = false;
+  if (feed == NULL)
+    return;
   if (result->status != GS_OK)
     {
       g_clear_pointer (&feed->list_after, g_free);
@@ -247,6 +302,15 @@
       return;
     }
   handle_success (feed, now);
+  /* Pages of two eras do not belong together.  */
+  if (!check_era (feed, now, result)
+      || (feed->list_after != NULL
+          && gs_object_revision_era (feed->list_revision)
+                 != gs_object_revision_era (result->revision)))
+    {
+      g_clear_pointer (&feed->list_after, g_free);
+      return;
+    }
   /* The watch starts at the first page's revision, so that it reports changes
      made while the other pages are read.  */
   if (feed->list_after == NULL)
@@ -275,10 +339,13 @@
 static void
 on_watch (void *argument, const gs_object_result_t *result)
 {
-  feed_t *feed = argument;
+  feed_t *feed = end_call (argument);
   gs_time_t now = gs_clock_now ();
 
-  feed->busy = false;
+  if (feed == NULL)
+    return;
+  if (!check_era (feed, now, result) || feed->needs_list)
+    return;
   if (result->status == GS_ELIMIT)
     {
       gs_log (GS_LOG_INFO, "feed_restarted",
@@ -304,16 +371,24 @@
 void
 feed_tick (feed_t *feed, gs_time_t now, bool follows_store)
 {
+  const gs_object_store_t *store = feed->store;
+  feed_call_t *call;
+
+  if (store->era != NULL)
+    require_list_of_era (feed, now, store->era (store->context));
   if (feed->busy || now < feed->due || !follows_store)
     return;
   feed->busy = true;
+  call = g_new (feed_call_t, 1);
+  *call = (feed_call_t){ feed, ++feed->call_sequence };
+  g_hash_table_add (feed->calls, call);
   gs_metric_add (GS_METRIC_STORE_READS, 1);
   if (feed->needs_list)
-    feed->store->list (feed->store->context, feed->kind, feed->list_after,
-                       now + feed->list_timeout, on_list, feed);
+    store->list (store->context, feed->kind, feed->list_after,
+                 now + feed->list_timeout, on_list, call);
   else
-    feed->store->watch (feed->store->context, feed->kind, feed->revision,
-                        now + WATCH_TIMEOUT, on_watch, feed);
+    store->watch (store->context, feed->kind, feed->revision,
+                  now + WATCH_TIMEOUT, on_watch, call);
 }
 
 void
@@ -323,6 +398,12 @@
     handle_success (feed, now);
 }
 
+bool
+feed_has (const feed_t *feed, const char *name)
+{
+  return g_hash_table_contains (feed->objects, name);
+}
+
 const char *
 feed_kind (const feed_t *feed)
 {
--- a/src/gateway/feed.h
+++ b/src/gateway/feed.h
@@ -53,6 +53,9 @@
  */
 void feed_tick (feed_t *feed, gs_time_t now, bool follows_store);
 
+/** @return whether the feed has an object of a name */
+bool feed_has (const feed_t *feed, const char *name);
+
 /** @return kind of the objects, borrowed */
 const char *feed_kind (const feed_t *feed);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -280,8 +280,10 @@
   (void)now;
 }
 
-/* A configuration is never replaced by an older one: the feed only delivers
-   revisions newer than its own, and the revision is compared here as well.  */
+/* A configuration is never replaced by an older one.  The feed only delivers
+   revisions newer than its own, and the revision is compared here as well.  A
+   store that came back from an older copy has an older version under a newer
+   revision, until the operator writes again.  */
 static void
 on_config (void *context, gs_time_t now, const gs_object_t *object)
 {
@@ -300,6 +302,18 @@
               (unsigned long long)object->revision, gs_error_last ());
       return;
     }
+  if (gateway->table != NULL
+      && gs_route_table_version (table)
+             < gs_route_table_version (gateway->table))
+    {
+      gs_log (GS_LOG_WARN, "config_older",
+              "revision=%llu version=%llu in_force=%llu",
+              (unsigned long long)object->revision,
+              (unsigned long long)gs_route_table_version (table),
+              (unsigned long long)gs_route_table_version (gateway->table));
+      gs_route_table_unref (table);
+      return;
+    }
   gs_route_table_unref (gateway->table);
   gateway->table = table;
   gateway->table_adopted_at = now;
--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -37,6 +37,25 @@
   (void)now;
 }
 
+/* Has this node's entry written again if the store has lost it: after it came
+   back from an older copy, or because somebody removed the entry.  */
+static void
+on_listed (void *context, gs_time_t now)
+{
+  membership_t *membership = context;
+
+  if (membership->entry_state != ENTRY_WRITTEN || membership->leaving
+      || feed_has (membership->feed, membership->self.name)
+      || gs_object_revision_era (feed_revision (membership->feed))
+             <= gs_object_revision_era (membership->entry_revision))
+    return;
+  gs_log (GS_LOG_WARN, "node_entry_lost", "revision=%llu",
+          (unsigned long long)membership->entry_revision);
+  membership->entry_state = ENTRY_ABSENT;
+  membership->entry_revision = 0;
+  membership->due = now;
+}
+
 static void
 on_entry (void *context, gs_time_t now, const gs_object_t *object)
 {
@@ -62,7 +81,7 @@
 {
   membership_t *membership = g_new0 (membership_t, 1);
   feed_listener_t listener
-      = { membership, on_entry, ignore_event, ignore_event, ignore_event };
+      = { membership, on_entry, on_listed, ignore_event, ignore_event };
 
   membership->store = store;
   membership->peers = peers;
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -1,6 +1,7 @@
 #include "gateway/roster.h"
 
 #include "garnetstack/log.h"
+#include "garnetstack/object_store.h"
 
 #include <string.h>
 
@@ -81,6 +82,19 @@
   roster->store_recovered_at = now;
 }
 
+/* A store that came back from an older copy may have lost that a replica
+   drains.  The replica does not take that back while it runs.
+   @return whether an entry of a later era says less than the known one  */
+static bool
+is_older_state (const gs_replica_t *known, const gs_replica_t *entry)
+{
+  return known->state == GS_REPLICA_DRAINING
+         && entry->state == GS_REPLICA_READY
+         && known->started_ms == entry->started_ms
+         && gs_object_revision_era (known->revision)
+                < gs_object_revision_era (entry->revision);
+}
+
 void
 roster_replica_put (roster_t *roster, gs_time_t now, const gs_replica_t *entry)
 {
@@ -95,6 +109,8 @@
   else if (row->replica.revision == entry->revision
            && row->drop_at == GS_TIME_NEVER)
     return;
+  if (is_older_state (&row->replica, entry))
+    return;
   row->replica = *entry;
   row->drop_at = GS_TIME_NEVER;
   roster->changed = true;
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -15,6 +15,7 @@
   uint64_t after_revision; /* of a watch */
   char *after_name;        /* of a list */
   gs_time_t deadline;
+  uint64_t era;
   unsigned calls; /* number so far */
 } fake_store_t;
 
@@ -577,7 +578,116 @@
   stop (feed, &store, &recorder);
 }
 
+static uint64_t
+fake_era (void *context)
+{
+  return ((const fake_store_t *)context)->era;
+}
+
+static uint64_t
+in_era (uint64_t era, uint64_t revision)
+{
+  return era << GS_OBJECT_ERA_SHIFT | revision;
+}
+
+/* Answers with one object, in an era.  */
+static void
+answer_in_era (fake_store_t *store, uint64_t era, uint64_t revision,
+               const char *name, uint64_t object_revision)
+{
+  json_t *value = json_object ();
+  gs_object_t object = { .name = name,
+                         .revision = in_era (era, object_revision),
+                         .value = value };
+  gs_object_result_t result = { .status = GS_OK,
+                                .revision = in_era (era, revision),
+                                .era = era,
+                                .count = 1,
+                                .objects = &object };
+
+  store->era = MAX (store->era, era);
+  answer (store, &result);
+  json_decref (value);
+}
+
+/* The store comes back older, and what the feed asks next is answered from the
+   later era: by its own watch, or by another call of the node while the watch
+   is still open.  */
+static void
+a_store_that_came_back_older_is_listed_again (void)
+{
+  for (unsigned watch_is_answered = 0; watch_is_answered < 2;
+       watch_is_answered++)
+    {
+      fake_store_t store;
+      recorder_t recorder;
+      feed_t *feed;
+      gs_object_cb_t late_callback;
+      void *late_argument;
+      gs_object_result_t late
+          = { .status = GS_OK, .revision = in_era (1, 200), .era = 1 };
+
+      start (&feed, &store, &recorder);
+      store.interface.era = fake_era;
+      tick (feed, true);
+      answer_in_era (&store, 1, 100, "lost", 90);
+      tick (feed, true);
+      CU_ASSERT_TRUE (store.is_watch);
+      late_callback = store.callback;
+      late_argument = store.argument;
+      if (watch_is_answered != 0)
+        answer_in_era (&store, 2, 150, "other", 120);
+      else
+        {
+          store.era = 2;
+          store.callback = NULL;
+        }
+      tick (feed, true);
+      CU_ASSERT_FALSE (store.is_watch);
+      answer_in_era (&store, 2, 50, "kept", 40);
+      CU_ASSERT_EQUAL (feed_revision (feed), in_era (2, 50));
+      CU_ASSERT_FALSE (feed_has (feed, "lost"));
+      CU_ASSERT_FALSE (feed_has (feed, "other"));
+      CU_ASSERT_TRUE (feed_has (feed, "kept"));
+      /* The watch of the earlier era is answered at last.  */
+      if (watch_is_answered == 0)
+        late_callback (late_argument, &late);
+      CU_ASSERT_EQUAL (feed_revision (feed), in_era (2, 50));
+      tick (feed, true);
+      CU_ASSERT_TRUE (store.is_watch);
+      CU_ASSERT_EQUAL (store.after_revision, in_era (2, 50));
+      stop (feed, &store, &recorder);
+    }
+}
+
+/* A node of the later era exports to one that has only heard of the earlier
+   one, whose revisions are higher.  */
+static void
+a_copy_of_a_later_era_replaces_all_objects (void)
+{
+  feed_pair_t pair;
+  char *text;
+
+  start_pair (&pair);
+  tick (pair.target, true);
+  answer_in_era (&pair.stores[1], 1, 900, "lost", 890);
+  tick (pair.source, true);
+  answer_in_era (&pair.stores[0], 2, 50, "kept", 40);
+  text = feed_export (pair.source, feed_revision (pair.target));
+  CU_ASSERT_EQUAL (feed_import (pair.target, GS_SEC, text, strlen (text)),
+                   GS_OK);
+  CU_ASSERT_FALSE (feed_has (pair.target, "lost"));
+  CU_ASSERT_TRUE (feed_has (pair.target, "kept"));
+  CU_ASSERT_EQUAL (feed_revision (pair.target), in_era (2, 50));
+  g_free (text);
+  stop_pair (&pair);
+}
+
 static const check_case_t cases[] = {
+  { "a store that came back older is listed again",
+    a_store_that_came_back_older_is_listed_again },
+  { "a copy of a later era replaces all objects",
+    a_copy_of_a_later_era_replaces_all_objects },
   { "a list that timed out gets more time",
     a_list_that_timed_out_gets_more_time },
   { "watch starts at the revision of the first list page",
