duties: lease, tokens and usage survive a store that came back older

Cause: after a set-back the record of usage was gone, and windows that had been sent were summed up and sent again with other counts; a lease that was gone could be created by another node at once, with a token that had been used.

Change: at a new era the holder stops acting until it has read and written the lease again, which it may do at once; another node waits a whole term, also one whose own earlier record has come back. Tokens of an era start above 2^20 times its number, so that none is used twice, whoever remembers it. Answers of an earlier era leave the outcome of a call unknown. The last usage window that was sent goes with the messages between nodes; none up to it is reported anew. A window that has not begun is not believed.

Left: a process that starts after the set-back knows nothing of it; it takes a lease that it creates as the first holder does, and if all nodes are killed together with the set-back, windows can be reported twice.

--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -59,6 +59,15 @@
                        + drift_max (lease);
 }
 
+/* @return true if this node may write the lease: it holds it or it is free,
+   and no other node can hold one that the store has lost  */
+static bool
+may_write (const gs_lease_t *lease, gs_time_t now)
+{
+  return now >= lease->lost_lease_deadline
+         && (is_own (lease, &lease->record) || is_free (lease, now));
+}
+
 static gs_lease_action_t
 start_write (gs_lease_t *lease, gs_time_t now, bool wanted)
 {
@@ -71,6 +80,7 @@
   if (!own)
     lease->taken_from_other
         = lease->version != 0 && !is_of_predecessor (lease);
+  lease->lost_lease_deadline = 0;
   action.version = lease->version;
   action.record = lease->record;
   /* Each attempt gets a new renewal number, so that a delayed earlier write
@@ -106,8 +116,7 @@
     return start_write (lease, now, false);
   if (now < lease->due)
     return action;
-  if (lease->record_known && !lease->record_stale
-      && (own || is_free (lease, now)))
+  if (lease->record_known && !lease->record_stale && may_write (lease, now))
     return start_write (lease, now, wanted);
   lease->call_in_flight = true;
   lease->write_in_flight = false;
@@ -167,7 +176,7 @@
   lease->version = version;
   lease->record = *record;
   lease->fencing_floor = MAX (lease->fencing_floor, record->fencing);
-  if (is_own (lease, record) || is_free (lease, now))
+  if (may_write (lease, now))
     lease->due = now;
 }
 
@@ -202,6 +211,19 @@
     schedule_retry (lease, now);
 }
 
+void
+gs_lease_store_reset (gs_lease_t *lease, gs_time_t now, uint64_t fencing_floor)
+{
+  bool held = gs_lease_is_valid (lease, now);
+
+  lease->fencing_floor = MAX (lease->fencing_floor, fencing_floor);
+  lease->act_deadline = 0;
+  lease->record_stale = true;
+  lease->due = now;
+  lease->lost_lease_deadline
+      = held ? 0 : now + lease->times.term + drift_max (lease);
+}
+
 void
 gs_lease_fence (gs_lease_t *lease, uint64_t fencing)
 {
--- a/src/control/lease.h
+++ b/src/control/lease.h
@@ -92,7 +92,9 @@
   gs_time_t store_response_at;  /**< last response of the store */
   unsigned failures;            /**< consecutive failed store calls */
   gs_time_t due;                /**< earliest time of the next call */
-  gs_time_t act_deadline;       /**< orders must be sent before; 0 for none */
+  /** Until then another node may hold a lease that the store has lost. */
+  gs_time_t lost_lease_deadline;
+  gs_time_t act_deadline; /**< orders must be sent before; 0 for none */
 } gs_lease_t;
 
 /** Initialise as not holding the lease, with GS_LEASE_TIMES_INIT.
@@ -128,6 +130,15 @@
     of this node ends its lease. */
 void gs_lease_fence (gs_lease_t *lease, uint64_t fencing);
 
+/**
+ * Handle that the store came back from an older copy, which may lack the last
+ * holder, its renewals and its token.  A holder reads the lease before it acts
+ * again; others wait a whole term.
+ * @param fencing_floor higher than each token that was used before
+ */
+void gs_lease_store_reset (gs_lease_t *lease, gs_time_t now,
+                           uint64_t fencing_floor);
+
 /** @return true if this node holds the lease and may send an order at @p now.
     Check before each order. */
 bool gs_lease_is_valid (const gs_lease_t *lease, gs_time_t now);
--- a/src/gateway/digest.c
+++ b/src/gateway/digest.c
@@ -11,7 +11,7 @@
 /* Nested arrays: the digest, a list of rows or members, and one of these.  */
 #define NESTING_MAX 3
 /* Fields that digest_encode() writes.  */
-#define FIELD_COUNT 14
+#define FIELD_COUNT 15
 
 static const row_layout_t load_layout
     = { sizeof (placer_load_t),
@@ -84,6 +84,7 @@
   row_codec_pack (&out, &quota_layout, digest->report->quota);
   pack_members (&out, digest->members);
   row_codec_pack (&out, &statement_layout, digest->statements);
+  msgpack_pack_uint64 (&out, digest->usage_window);
   bytes = g_byte_array_sized_new ((guint)buffer.size);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
@@ -129,7 +130,10 @@
       row_reader_rows (&reader, &quota_layout, out->report->quota);
       read_members (&reader, out->members);
       if (row_reader_has_next (&reader))
-        row_reader_rows (&reader, &statement_layout, out->statements);
+        {
+          row_reader_rows (&reader, &statement_layout, out->statements);
+          out->usage_window = row_reader_number (&reader);
+        }
     }
   msgpack_unpacked_destroy (&unpacked);
   return invalid ? gs_error_set (GS_EINVAL, "malformed digest from a peer")
--- a/src/gateway/digest.h
+++ b/src/gateway/digest.h
@@ -30,9 +30,11 @@
   bool store_lost;            /**< the store does not answer it */
   bool follows_store;         /**< it watches the store itself */
   traffic_report_t *report;   /**< owned, not NULL; only its lists are sent */
-  GArray *members;    /**< of digest_member_t: nodes listed in the store */
-  GArray *statements; /**< of statement_row_t; empty from nodes of a version
-                           that sends none */
+  GArray *members;       /**< of digest_member_t: nodes listed in the store */
+  GArray *statements;    /**< of statement_row_t; empty from nodes of a version
+                              that sends none */
+  uint64_t usage_window; /**< last usage window that any node has sent; 0 for
+                              none */
 } digest_t;
 
 /** Set up an empty digest, with an empty report and no members. */
--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -9,6 +9,8 @@
 #include <string.h>
 
 #define LEASE_NAME "lease"
+/* Fencing tokens of one era; far more than nodes take the lease.  */
+#define ERA_TOKEN_SHIFT 20
 #define USAGE_NAME "usage"
 /* The store normally answers within milliseconds, and takes up to fifty times
    as long when degraded.  */
@@ -57,6 +59,7 @@
 {
   duties_options_t options;
   gs_lease_t lease;
+  uint64_t era;              /* of the store, as last known; 0 for none */
   uint64_t fencing;          /* token of the held lease; 0 for none */
   gs_time_t takeover_at;     /* a new holder does not act before */
   uint64_t takeover_fencing; /* token that takeover_at was set for */
@@ -141,6 +144,40 @@
   duties->replicas = gs_replica_list_ref (list);
 }
 
+/* A store that came back from an older copy may have lost the lease and the
+   record of usage.  Tokens of an era are higher than those of earlier ones,
+   which the store may have lost as well.  */
+static void
+update_era (duties_t *duties, gs_time_t now)
+{
+  const gs_object_store_t *store = duties->options.store;
+  uint64_t era = store->era != NULL ? store->era (store->context) : 0;
+
+  if (era <= duties->era)
+    return;
+  if (duties->era != 0)
+    {
+      gs_log (GS_LOG_WARN, "lease_reset", "era=%llu before=%llu fencing=%llu",
+              (unsigned long long)era, (unsigned long long)duties->era,
+              (unsigned long long)duties->fencing);
+      gs_lease_store_reset (&duties->lease, now, era << ERA_TOKEN_SHIFT);
+      usage_ledger_invalidate (&duties->ledger);
+    }
+  else
+    duties->lease.fencing_floor
+        = MAX (duties->lease.fencing_floor, era << ERA_TOKEN_SHIFT);
+  duties->era = era;
+}
+
+/* @return status of a call; the outcome is unknown if the store has come back
+   older since it responded  */
+static gs_status_t
+status_in_era (const duties_t *duties, const gs_object_result_t *result)
+{
+  return result->status == GS_OK && result->era < duties->era ? GS_EUNKNOWN
+                                                              : result->status;
+}
+
 static void
 on_lease_read (void *argument, const gs_object_result_t *result)
 {
@@ -161,8 +198,9 @@
                 gs_error_last ());
     }
   gs_lease_read_done (&duties->lease, now,
-                      result->status == GS_OK && !readable ? GS_EINVAL
-                                                           : result->status,
+                      result->status == GS_OK && !readable
+                          ? GS_EINVAL
+                          : status_in_era (duties, result),
                       result->count == 1 ? result->objects[0].revision : 0,
                       readable ? &record : NULL);
   free (text);
@@ -173,7 +211,8 @@
 {
   duties_t *duties = argument;
 
-  gs_lease_write_done (&duties->lease, gs_clock_now (), result->status,
+  gs_lease_write_done (&duties->lease, gs_clock_now (),
+                       status_in_era (duties, result),
                        result->count == 1 ? result->objects[0].revision : 0);
 }
 
@@ -235,6 +274,23 @@
          && gs_lease_is_valid (&duties->lease, now);
 }
 
+int64_t
+duties_usage_window (const duties_t *duties)
+{
+  return duties->ledger.sent_window;
+}
+
+/* A window that has not begun cannot have been sent; without the bound one
+   message could end all reports.  */
+void
+duties_usage_window_raise (duties_t *duties, int64_t window)
+{
+  gs_time_t length = duties->options.deployment->usage_window;
+
+  if (window <= gs_clock_monotonic_wall () / length)
+    usage_ledger_sent_record (&duties->ledger, window);
+}
+
 bool
 duties_is_holder (const duties_t *duties)
 {
@@ -281,7 +337,8 @@
   duties_t *duties = argument;
   const gs_object_t *object = result->count == 1 ? result->objects : NULL;
 
-  usage_ledger_read_done (&duties->ledger, gs_clock_now (), result->status,
+  usage_ledger_read_done (&duties->ledger, gs_clock_now (),
+                          status_in_era (duties, result),
                           object != NULL ? object->revision : 0,
                           object != NULL ? object->value : NULL);
 }
@@ -291,10 +348,10 @@
 {
   duties_t *duties = argument;
 
-  usage_ledger_write_done (&duties->ledger, gs_clock_now (), result->status,
-                           result->count == 1 ? result->objects[0].revision
-                                              : 0,
-                           duties->writing_window);
+  usage_ledger_write_done (
+      &duties->ledger, gs_clock_now (), status_in_era (duties, result),
+      result->count == 1 ? result->objects[0].revision : 0,
+      duties->writing_window);
 }
 
 static void
@@ -503,6 +560,7 @@
 void
 duties_tick (duties_t *duties, gs_time_t now, duties_wish_t wish)
 {
+  update_era (duties, now);
   tick_lease (duties, now,
               wish == DUTIES_SEEK
                   || (wish == DUTIES_KEEP && duties->fencing != 0));
--- a/src/gateway/duties.h
+++ b/src/gateway/duties.h
@@ -57,6 +57,13 @@
     @param list the duties take a reference of their own */
 void duties_replicas_set (duties_t *duties, gs_replica_list_t *list);
 
+/** @return last usage window that any node has sent, as far as this node
+    knows; 0 for none */
+int64_t duties_usage_window (const duties_t *duties);
+
+/** Record that another node knows of a usage window that was sent. */
+void duties_usage_window_raise (duties_t *duties, int64_t window);
+
 /** @return whether this node holds the lease, also if it still waits until the
     holder before can't act any more */
 bool duties_is_holder (const duties_t *duties);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -395,6 +395,7 @@
     = gateway->table != NULL ? gs_route_table_revision (gateway->table) : 0,
     .replicas_revision = feed_revision (gateway->replica_feed),
     .members_revision = feed_revision (membership_feed (gateway->membership)),
+    .usage_window = (uint64_t)duties_usage_window (gateway->duties),
   };
 }
 
@@ -424,6 +425,7 @@
 {
   gateway_t *gateway = context;
 
+  duties_usage_window_raise (gateway->duties, (int64_t)state->usage_window);
   feed_copy_offer (gateway->copies[COPY_CONFIG].copy, now, endpoint,
                    state->config_revision);
   if (needs_copies (gateway, gateway->replica_feed))
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -12,7 +12,7 @@
 #define HEAD_COUNT 10
 #define AGGREGATE_COUNT 6
 /* Elements after the aggregate, which older versions neither send nor read. */
-#define TAIL_COUNT 1
+#define TAIL_COUNT 2
 
 static const row_layout_t status_layout
     = { sizeof (peer_status_t),
@@ -119,6 +119,7 @@
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&out, &buffer, msgpack_sbuffer_write);
   row_codec_pack (&out, &statement_layout, message->statements);
+  msgpack_pack_uint64 (&out, message->usage_window);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
@@ -153,7 +154,10 @@
       row_reader_rows (&reader, &report_demand_layout, aggregate->demand);
       row_reader_rows (&reader, &report_usage_layout, aggregate->usage);
       if (row_reader_has_next (&reader))
-        row_reader_rows (&reader, &statement_layout, out->statements);
+        {
+          row_reader_rows (&reader, &statement_layout, out->statements);
+          out->usage_window = row_reader_number (&reader);
+        }
     }
   msgpack_unpacked_destroy (&unpacked);
   if (invalid)
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -39,8 +39,10 @@
   GArray *statuses;  /**< of peer_status_t */
   bool has_usage;    /**< false if usage counts are left out */
   aggregate_t aggregate;
-  GArray *statements; /**< of statement_row_t; empty from nodes of a version
-                           that sends none */
+  GArray *statements;    /**< of statement_row_t; empty from nodes of a version
+                              that sends none */
+  uint64_t usage_window; /**< last usage window that any node has sent; 0 for
+                              none */
 } peer_message_t;
 
 /** Set up an empty message, freed with peer_message_clear(). */
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -198,6 +198,7 @@
   out->store_lost = state.store_lost;
   out->config_revision = state.config_revision;
   out->replicas_revision = state.replicas_revision;
+  out->usage_window = state.usage_window;
   statements_export (peers_statements_update (peers), now, out->statements);
   if (report == NULL)
     return;
@@ -289,7 +290,8 @@
   peers_state_t state = { .flags = peer->flags,
                           .store_lost = digest->store_lost,
                           .config_revision = digest->config_revision,
-                          .replicas_revision = digest->replicas_revision };
+                          .replicas_revision = digest->replicas_revision,
+                          .usage_window = digest->usage_window };
   aggregate_t aggregate;
 
   schedule_call (peers, now, peer);
@@ -352,7 +354,8 @@
   state = (peers_state_t){ .flags = out->flags,
                            .config_revision = out->config_revision,
                            .replicas_revision = out->replicas_revision,
-                           .members_revision = out->members_revision };
+                           .members_revision = out->members_revision,
+                           .usage_window = out->usage_window };
   notify_listener (peers, now, &out->self.peers, &state);
   statements_import (peers->statements, now, out->statements);
   return peer;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -96,6 +96,8 @@
   uint64_t config_revision;   /**< store revision; 0 for none */
   uint64_t replicas_revision; /**< store revision; 0 for none */
   uint64_t members_revision;  /**< store revision; 0 for none */
+  uint64_t usage_window;      /**< last usage window that any node has sent; 0
+                                   for none */
 } peers_state_t;
 
 typedef struct
--- a/src/gateway/peers_fleet.c
+++ b/src/gateway/peers_fleet.c
@@ -403,6 +403,7 @@
   out->config_revision = state.config_revision;
   out->replicas_revision = state.replicas_revision;
   out->members_revision = state.members_revision;
+  out->usage_window = state.usage_window;
   statements_export (peers_statements_update (peers), now, out->statements);
 }
 
--- a/src/gateway/usage_ledger.c
+++ b/src/gateway/usage_ledger.c
@@ -43,8 +43,18 @@
 
   if (ledger->first_window == 0)
     ledger->first_window = wall / ledger->window_length - LOOKBACK_WINDOWS;
-  return MAX (ledger->window == 0 ? ledger->first_window : ledger->window + 1,
-              oldest);
+  return MAX (
+      MAX (ledger->window == 0 ? ledger->first_window : ledger->window + 1,
+           ledger->sent_window + 1),
+      oldest);
+}
+
+void
+usage_ledger_sent_record (usage_ledger_t *ledger, int64_t window)
+{
+  ledger->sent_window = MAX (ledger->sent_window, window);
+  if (ledger->window < ledger->sent_window)
+    ledger->sent = true;
 }
 
 usage_action_t
@@ -62,6 +72,7 @@
     {
       action.kind = USAGE_SEND;
       action.window = ledger->window;
+      usage_ledger_sent_record (ledger, ledger->window);
     }
   else
     {
@@ -85,7 +96,7 @@
   ledger->counts = counts;
   ledger->window = window;
   ledger->revision = revision;
-  ledger->sent = false;
+  ledger->sent = window < ledger->sent_window;
   ledger->valid = true;
 }
 
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -42,6 +42,8 @@
   bool sent;            /**< the record's window needs no further report */
   int64_t first_window; /**< first window to report when there is no record */
   int64_t window;       /**< of the record; 0 for none */
+  int64_t sent_window;  /**< last window that any process has sent, as far as
+                             known; 0 for none */
   uint64_t revision;    /**< of the record; 0 for none */
   json_t *counts;       /**< of the record: account -> requests */
   json_t *write_counts; /**< counts of the last write that was started */
@@ -61,6 +63,10 @@
     written it. */
 void usage_ledger_invalidate (usage_ledger_t *ledger);
 
+/** Record that a window has been sent, by this node or another one.  No window
+    up to it is reported anew, even if the store has lost the record. */
+void usage_ledger_sent_record (usage_ledger_t *ledger, int64_t window);
+
 /**
  * Decide the next action.  Its result is to be passed to the function of that
  * action below; until then there is no other action.
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -291,10 +291,94 @@
   g_free (text);
 }
 
+/* The store comes back without the lease.  Its holder takes it again at once,
+   with a token of the new era; nobody else does before the holder's own
+   deadline has passed.  */
+static void
+a_lease_that_the_store_has_lost_stays_with_its_holder (void)
+{
+  gs_lease_t a;
+  gs_lease_t b;
+  lease_object_t object;
+  gs_time_t now = GS_SEC;
+
+  start (&a, &b, &object);
+  run_node (&a, now, true, &object);
+  run_node (&b, now, true, &object);
+  object = (lease_object_t){ .version = 0 };
+  now += GS_SEC;
+  gs_lease_store_reset (&b, now, 1000);
+  run_node (&b, now, true, &object);
+  CU_ASSERT_FALSE (gs_lease_is_valid (&b, now));
+  CU_ASSERT_EQUAL (object.version, 0);
+  gs_lease_store_reset (&a, now, 1000);
+  CU_ASSERT_FALSE (gs_lease_is_valid (&a, now));
+  run_node (&a, now, true, &object);
+  CU_ASSERT_TRUE (gs_lease_is_valid (&a, now));
+  CU_ASSERT_EQUAL (a.record.fencing, 1001);
+  run_node (&b, now, true, &object);
+  CU_ASSERT_FALSE (gs_lease_is_valid (&b, now));
+}
+
+static void
+a_lost_lease_is_taken_after_a_term_if_its_holder_is_gone (void)
+{
+  gs_lease_t a;
+  gs_lease_t b;
+  lease_object_t object;
+  gs_time_t reset_at = 2 * GS_SEC;
+  gs_time_t now;
+
+  start (&a, &b, &object);
+  run_node (&a, GS_SEC, true, &object);
+  run_node (&b, GS_SEC, true, &object);
+  object = (lease_object_t){ .version = 0 };
+  gs_lease_store_reset (&b, reset_at, 1000);
+  for (now = reset_at; !gs_lease_is_valid (&b, now) && now < GS_SEC * 60;
+       now += 100 * GS_MSEC)
+    run_node (&b, now, true, &object);
+  CU_ASSERT (now > reset_at + GS_LEASE_TERM);
+  CU_ASSERT (now < reset_at + 2 * GS_LEASE_TERM);
+  CU_ASSERT_EQUAL (b.record.fencing, 1001);
+}
+
+/* The store has the record of an earlier holder, which must not act again
+   while the last one may.  */
+static void
+an_earlier_holder_in_a_store_that_came_back_older_waits (void)
+{
+  gs_lease_t a;
+  gs_lease_t b;
+  lease_object_t object;
+  lease_object_t copy;
+  gs_time_t now = GS_SEC;
+
+  start (&a, &b, &object);
+  run_node (&a, now, true, &object);
+  copy = object;
+  run_node (&a, now, false, &object);
+  run_node (&b, now, true, &object);
+  CU_ASSERT_TRUE (gs_lease_is_valid (&b, now));
+  object = copy;
+  object.version += 100;
+  now += GS_SEC;
+  gs_lease_store_reset (&a, now, 1000);
+  run_node (&a, now, true, &object);
+  CU_ASSERT_FALSE (gs_lease_is_valid (&a, now));
+  run_node (&a, now + GS_LEASE_TERM / 2, true, &object);
+  CU_ASSERT_FALSE (gs_lease_is_valid (&a, now + GS_LEASE_TERM / 2));
+}
+
 int
 main (void)
 {
   static const check_case_t cases[] = {
+    { "a lease that the store has lost stays with its holder",
+      a_lease_that_the_store_has_lost_stays_with_its_holder },
+    { "a lost lease is taken after a term if its holder is gone",
+      a_lost_lease_is_taken_after_a_term_if_its_holder_is_gone },
+    { "an earlier holder in a store that came back older waits",
+      an_earlier_holder_in_a_store_that_came_back_older_waits },
     { "one_of_two_holds_and_the_other_follows_with_a_higher_token",
       one_of_two_holds_and_the_other_follows_with_a_higher_token },
     { "a_process_acquires_the_lease_of_its_predecessor_at_once",
--- a/tests/test_peer_message.c
+++ b/tests/test_peer_message.c
@@ -49,6 +49,7 @@
   message->flags = PEER_READY | PEER_FOLLOWS_STORE;
   message->members_revision = 9;
   message->sequence = 17;
+  message->usage_window = 1234567;
   message->has_statuses = true;
   g_array_append_val (message->statuses, status);
   g_array_append_val (message->statements, statement);
@@ -94,6 +95,7 @@
           g_array_index (decoded.statuses, peer_status_t, 0).flags,
           PEER_LEAVING);
       CU_ASSERT_EQUAL (decoded.has_usage, with_usage != 0);
+      CU_ASSERT_EQUAL (decoded.usage_window, 1234567);
       CU_ASSERT_EQUAL_FATAL (decoded.statements->len, 1);
       CU_ASSERT_EQUAL (memcmp (decoded.statements->data, sent.statements->data,
                                sizeof (statement_row_t)),
@@ -124,14 +126,15 @@
   peer_message_init (&decoded);
   fill_message (&sent);
   g_array_set_size (sent.statements, 0);
+  sent.usage_window = 0;
   bytes = encode (&sent, true);
-  /* An array of 17 elements, the last of them an empty array.  */
+  /* An array of 18 elements, the last two of them an empty array and 0.  */
   CU_ASSERT_EQUAL_FATAL (bytes->data[0], 0xdc);
-  CU_ASSERT_EQUAL_FATAL (bytes->data[2], 17);
-  CU_ASSERT_EQUAL_FATAL (bytes->data[bytes->len - 1], 0x90);
+  CU_ASSERT_EQUAL_FATAL (bytes->data[2], 18);
+  CU_ASSERT_EQUAL_FATAL (bytes->data[bytes->len - 2], 0x90);
   bytes->data[2] = 16;
   CU_ASSERT_EQUAL (peer_message_decode (&decoded, (const char *)bytes->data,
-                                        bytes->len - 1),
+                                        bytes->len - 2),
                    GS_OK);
   CU_ASSERT_EQUAL (decoded.statements->len, 0);
   CU_ASSERT_EQUAL (decoded.aggregate.usage->len, 1);
--- a/tests/test_usage_ledger.c
+++ b/tests/test_usage_ledger.c
@@ -181,7 +181,56 @@
   json_decref (environment.record);
 }
 
+/* The store comes back with an older record, or with none.  The holder, and a
+   successor that has heard which window was sent last, report no window
+   anew.  */
+static void
+windows_whose_record_the_store_has_lost_are_not_reported_anew (void)
+{
+  for (unsigned keeps_record = 0; keeps_record < 2; keeps_record++)
+    {
+      environment_t environment = { .revision = 0 };
+      usage_ledger_t holder;
+      usage_ledger_t successor;
+      gs_time_t now = GS_SEC;
+      int64_t wall = WALL;
+      json_t *copy = NULL;
+      uint64_t copy_revision = 0;
+
+      usage_ledger_init (&holder, WINDOW_LENGTH, REPORT_TIMEOUT);
+      usage_ledger_init (&successor, WINDOW_LENGTH, REPORT_TIMEOUT);
+      for (unsigned i = 0; i < 600; i++)
+        {
+          if (i == 200 && keeps_record != 0)
+            {
+              copy = json_deep_copy (environment.record);
+              copy_revision = environment.revision;
+            }
+          if (i == 300 || i == 450)
+            {
+              json_decref (environment.record);
+              environment.record = copy != NULL ? json_deep_copy (copy) : NULL;
+              environment.revision = copy_revision;
+              usage_ledger_invalidate (&holder);
+              usage_ledger_sent_record (&successor, holder.sent_window);
+            }
+          step (i < 450 ? &holder : &successor, &environment, now, wall,
+                (json_int_t)i, FAULT_NONE);
+          now += 100 * GS_MSEC;
+          wall += 100 * GS_MSEC;
+        }
+      check_window_counts_never_differ (&environment);
+      CU_ASSERT (environment.report_count >= 10);
+      usage_ledger_clear (&holder);
+      usage_ledger_clear (&successor);
+      json_decref (environment.record);
+      json_decref (copy);
+    }
+}
+
 static const check_case_t cases[] = {
+  { "windows whose record the store has lost are not reported anew",
+    windows_whose_record_the_store_has_lost_are_not_reported_anew },
   { "successor reports the recorded counts",
     successor_reports_the_recorded_counts },
   { "each window is reported in time", each_window_is_reported_in_time },
