placer: a statement binds only the process that made it; limits in steps

The ticket of an attempt now carries the generation of its row. - A limit such as 1/3 came back from other nodes rounded, so that each answer and each message looked like a change. Limits are kept in millionths. - Statements beyond the table's size are logged.

Tests: "a statement binds only the process that made it", "a limit of any value survives the way to other nodes".

--- a/src/cmd/explain_log.c
+++ b/src/cmd/explain_log.c
@@ -10,18 +10,31 @@
 #define STATE_CHANGE_AFTER_SEC 0.5
 
 /* Events that report a state change rather than a step of a request.  */
-static const char *const state_events[]
-    = { "start",           "stop",
-        "reload",          "routes_in_force",
-        "replica",         "replica_left_out",
-        "replica_limit",   "replica_leaving",
-        "replica_refuses", "feed_lost",
-        "feed_back",       "feed_restarted",
-        "feed_taken_over", "dependency_lost",
-        "dependency_back", "peer_heard",
-        "peer_silent",     "duty_taken",
-        "duty_lost",       "config_refused",
-        "log_left_out",    NULL };
+static const char *const state_events[] = { "start",
+                                            "stop",
+                                            "reload",
+                                            "routes_in_force",
+                                            "replica",
+                                            "replica_left_out",
+                                            "replica_limit",
+                                            "replica_leaving",
+                                            "replica_refuses",
+                                            "feed_lost",
+                                            "feed_back",
+                                            "feed_restarted",
+                                            "feed_taken_over",
+                                            "dependency_lost",
+                                            "dependency_back",
+                                            "peer_heard",
+                                            "peer_silent",
+                                            "duty_taken",
+                                            "duty_lost",
+                                            "config_refused",
+                                            "config_older",
+                                            "store_era",
+                                            "lease_reset",
+                                            "log_left_out",
+                                            NULL };
 
 /* Events about one replica, which are shown only for the replicas of the
    request.  */
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -66,6 +66,11 @@
    of its peers' connections with a delay.  */
 #define CONNECTIONS_RATIO_MAX 0.9
 
+/* Requests a second; far more than a replica is ever sent.  */
+#define LIMIT_MAX 1e6
+/* Smallest difference of two limits is one divided by this.  */
+#define LIMIT_STEPS 1e6
+
 typedef struct
 {
   gs_replica_t replica;
@@ -642,6 +647,7 @@
 
   *ticket = (placer_ticket_t){
     .row = choice->row,
+    .generation = row->generation,
     .uncached_tokens = query->engine ? choice->uncached_tokens : 0,
     .reserved_tokens
     = query->engine ? query->prompt_tokens + query->output_tokens : 0,
@@ -808,6 +814,15 @@
   return true;
 }
 
+/* Nodes tell each other limits in millionths.  In the same steps here, what
+   comes back from them is not taken for a change.  */
+static double
+limit_in_steps (double per_sec)
+{
+  return round (CLAMP (per_sec, REPLICA_LIMIT_MIN, LIMIT_MAX) * LIMIT_STEPS)
+         / LIMIT_STEPS;
+}
+
 /* An answer without a limit ends the limit only if its request was sent after
    the limit was known: answers overtake each other.  */
 bool
@@ -817,9 +832,11 @@
 {
   replica_row_t *row = row_at (placer, ticket->row);
   double per_sec = statement->limit_per_sec;
-  bool changed
-      = statement->leaving && row_state_leaving (row, now, now, "answer");
+  bool changed;
 
+  if (ticket->generation != row->generation)
+    return false;
+  changed = statement->leaving && row_state_leaving (row, now, now, "answer");
   if (statement->refused_until > row->refused_until)
     {
       row->refused_until = statement->refused_until;
@@ -832,8 +849,7 @@
           || ticket->sent_at <= row->limit.stated_at))
     return changed;
   return row_state_limit (placer, now, row, now,
-                          per_sec < 0 ? 0 : MAX (per_sec, REPLICA_LIMIT_MIN),
-                          "answer")
+                          per_sec < 0 ? 0 : limit_in_steps (per_sec), "answer")
          || changed;
 }
 
@@ -853,7 +869,7 @@
           || (uint64_t)row->replica.started_ms != statement->started_ms)
         continue;
       row_state_limit (placer, now, row, statement->stated_at,
-                       (double)statement->limit_micros / 1e6, "peer");
+                       (double)statement->limit_micros / LIMIT_STEPS, "peer");
       if (statement->leaving != 0)
         row_state_leaving (row, now, statement->stated_at, "peer");
     }
@@ -869,7 +885,8 @@
           = { .replica = row->hash,
               .started_ms = (uint64_t)row->replica.started_ms,
               .leaving = row->leaving,
-              .limit_micros = (uint64_t)(row->limit.per_sec * 1e6),
+              .limit_micros
+              = (uint64_t)round (row->limit.per_sec * LIMIT_STEPS),
               .stated_at = row->limit.stated_at };
 
       if (row->leaving)
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -73,6 +73,7 @@
 typedef struct
 {
   uint32_t row;
+  uint32_t generation;      /**< of the row: a replica may start again */
   uint32_t uncached_tokens; /**< not yet read; 0 after the first event */
   uint32_t reserved_tokens; /**< prompt and expected output */
   gs_time_t sent_at;
--- a/src/gateway/statements.c
+++ b/src/gateway/statements.c
@@ -1,5 +1,6 @@
 #include "gateway/statements.h"
 
+#include "garnetstack/log.h"
 #include "gateway/replica_limit.h"
 
 const row_layout_t statement_layout
@@ -71,7 +72,11 @@
   if (known == NULL)
     {
       if (g_hash_table_size (statements->by_replica) >= STATEMENTS_MAX)
-        return;
+        {
+          gs_log (GS_LOG_WARN, "statements_left_out", "known=%u",
+                  STATEMENTS_MAX);
+          return;
+        }
       known = g_memdup2 (statement, sizeof *statement);
       g_hash_table_insert (statements->by_replica, &known->replica, known);
     }
--- a/tests/test_placer.c
+++ b/tests/test_placer.c
@@ -449,7 +449,7 @@
   statement_t statement = { .replica = placer_replica_hash ("i-0"),
                             .leaving = 1,
                             .stated_at = 3 * GS_SEC };
-  placer_ticket_t ticket = { .row = 1, .sent_at = GS_SEC };
+  placer_ticket_t ticket = { .row = 1, .generation = 1, .sent_at = GS_SEC };
   placer_statement_t answer = { .limit_per_sec = -1, .leaving = true };
 
   placer_statements_import (placer, 3 * GS_SEC, &statement, 1);
@@ -477,7 +477,8 @@
 {
   placer_t *placer = make_placer (2, 1);
   gs_replica_list_t *list = make_list (2);
-  placer_ticket_t tickets[] = { { .row = 0 }, { .row = 1 } };
+  placer_ticket_t tickets[]
+      = { { .row = 0, .generation = 1 }, { .row = 1, .generation = 1 } };
   placer_statement_t answer
       = { .limit_per_sec = -1, .refused_until = 5 * GS_SEC };
 
@@ -503,7 +504,67 @@
   placer_destroy (placer);
 }
 
+/* An answer of the process before comes after the replica has started again.
+ */
+static void
+a_statement_binds_only_the_process_that_made_it (void)
+{
+  placer_t *placer = make_placer (1, 1);
+  gs_replica_list_t *list = make_list (1);
+  gs_prompt_block_t blocks[3];
+  placer_query_t query = make_query (blocks, 10);
+  placer_choice_t choice;
+  placer_ticket_t ticket;
+  placer_statement_t answer
+      = { .limit_per_sec = 1, .leaving = true, .refused_until = 60 * GS_SEC };
+
+  CU_ASSERT_EQUAL (placer_pick (placer, GS_SEC, &query, &choice), GS_OK);
+  placer_attempt_begin (placer, GS_SEC, &query, &choice, &ticket);
+  list->rows[0].started_ms = 9;
+  placer_replicas_set (placer, list);
+  CU_ASSERT_FALSE (
+      placer_statement_record (placer, 2 * GS_SEC, &ticket, &answer));
+  placer_attempt_end (placer, 2 * GS_SEC, &ticket, PLACER_SUCCEEDED);
+  CU_ASSERT (send_allowed (placer, 2 * GS_SEC, 3 * GS_SEC, -1) > 90);
+  gs_replica_list_unref (list);
+  placer_destroy (placer);
+}
+
+/* A limit goes to other nodes and comes back without looking changed.  */
+static void
+a_limit_of_any_value_survives_the_way_to_other_nodes (void)
+{
+  static const double limits[] = { 1.9, 1.0 / 3, 0.1234567891, 7, 1e12, 0 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (limits); i++)
+    {
+      placer_t *placer = make_placer (1, 1);
+      placer_ticket_t ticket = { .row = 0, .generation = 1 };
+      placer_statement_t answer = { .limit_per_sec = limits[i] };
+      GArray *exported = g_array_new (FALSE, FALSE, sizeof (statement_t));
+      statement_t statement;
+      double rate;
+
+      placer_statement_record (placer, GS_SEC, &ticket, &answer);
+      rate = placer_limited_rate (placer, GS_SEC, "pool");
+      placer_statements_export (placer, GS_SEC, exported);
+      CU_ASSERT_EQUAL_FATAL (exported->len, 1);
+      statement = g_array_index (exported, statement_t, 0);
+      statement.stated_at += 2 * GS_SEC;
+      placer_statements_import (placer, 4 * GS_SEC, &statement, 1);
+      CU_ASSERT_EQUAL (placer_limited_rate (placer, 4 * GS_SEC, "pool"), rate);
+      CU_ASSERT_FALSE (
+          placer_statement_record (placer, 5 * GS_SEC, &ticket, &answer));
+      g_array_unref (exported);
+      placer_destroy (placer);
+    }
+}
+
 static const check_case_t cases[] = {
+  { "a statement binds only the process that made it",
+    a_statement_binds_only_the_process_that_made_it },
+  { "a limit of any value survives the way to other nodes",
+    a_limit_of_any_value_survives_the_way_to_other_nodes },
   { "a replica that refuses gets nothing until the end of that time",
     a_replica_that_refuses_gets_nothing_until_the_end_of_that_time },
   { "a leaving replica gets nothing until it starts again",
