--- a/src/gateway/membership.c
+++ b/src/gateway/membership.c
@@ -37,8 +37,8 @@
   (void)now;
 }
 
-/* Has this node's entry written again if the store has lost it: after it came
-   back from an older copy, or because somebody removed the entry.  */
+/* Has this node's entry written again if the store came back from an older
+   copy without it.  */
 static void
 on_listed (void *context, gs_time_t now)
 {
