usage: repeat the counts that were sent; a starting process asks first

And a process that starts as the successor of its own node's lease acts at once, before peers have told it which window was sent last.

Change: a process keeps the counts that it sent last and repeats those, whatever the record says; it reports nothing in its first 1.5 s, which peers need to answer it.

Tests: "a process repeats the counts that it has sent" fails before.

--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -9,6 +9,10 @@
 #include <string.h>
 
 #define LEASE_NAME "lease"
+/* Peers tell a process that starts which usage window was sent last; the first
+   call to a peer that does not answer is repeated after a second.  Reports are
+   due seconds after a window's end.  */
+#define USAGE_START_DELAY (1500 * GS_MSEC)
 /* Fencing tokens of one era; far more than nodes take the lease.  */
 #define ERA_TOKEN_SHIFT 20
 #define USAGE_NAME "usage"
@@ -64,6 +68,7 @@
   gs_time_t takeover_at;     /* a new holder does not act before */
   uint64_t takeover_fencing; /* token that takeover_at was set for */
   usage_ledger_t ledger;
+  gs_time_t usage_due;    /* earliest report of this process */
   int64_t writing_window; /* window of the open write of the usage record */
   scaler_t *scaler;
   gs_time_t scale_due;
@@ -86,6 +91,7 @@
           .retry_interval = LEASE_RETRY_INTERVAL };
 
   duties->options = *options;
+  duties->usage_due = gs_clock_now () + USAGE_START_DELAY;
   gs_lease_init (&duties->lease, options->deployment->node,
                  options->incarnation);
   gs_lease_times_set (&duties->lease, &times);
@@ -567,6 +573,7 @@
   update_holder (duties, now);
   if (!duties_may_act (duties, now))
     return;
-  tick_usage (duties, now);
+  if (now >= duties->usage_due)
+    tick_usage (duties, now);
   tick_scaler (duties, now);
 }
--- a/src/gateway/usage_ledger.c
+++ b/src/gateway/usage_ledger.c
@@ -24,6 +24,8 @@
 {
   json_decref (ledger->counts);
   json_decref (ledger->write_counts);
+  json_decref (ledger->own_counts);
+  ledger->own_counts = NULL;
   ledger->counts = NULL;
   ledger->write_counts = NULL;
 }
@@ -73,6 +75,9 @@
       action.kind = USAGE_SEND;
       action.window = ledger->window;
       usage_ledger_sent_record (ledger, ledger->window);
+      json_decref (ledger->own_counts);
+      ledger->own_counts = json_incref (ledger->counts);
+      ledger->own_window = ledger->window;
     }
   else
     {
@@ -92,6 +97,13 @@
 set_record (usage_ledger_t *ledger, int64_t window, uint64_t revision,
             json_t *counts)
 {
+  /* After the store has lost the record, another process may have written the
+     window again.  */
+  if (window == ledger->own_window && ledger->own_counts != NULL)
+    {
+      json_decref (counts);
+      counts = json_incref (ledger->own_counts);
+    }
   json_decref (ledger->counts);
   ledger->counts = counts;
   ledger->window = window;
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -46,6 +46,8 @@
                              known; 0 for none */
   uint64_t revision;    /**< of the record; 0 for none */
   json_t *counts;       /**< of the record: account -> requests */
+  int64_t own_window;   /**< last window that this process has sent */
+  json_t *own_counts;   /**< the counts that it sent */
   json_t *write_counts; /**< counts of the last write that was started */
   gs_time_t due;        /**< earliest time of the next call */
 } usage_ledger_t;
--- a/tests/test_usage_ledger.c
+++ b/tests/test_usage_ledger.c
@@ -228,7 +228,39 @@
     }
 }
 
+/* A process sends a window, the store loses the record, and another process
+   that does not know of it writes the window with its own counts.  */
+static void
+a_process_repeats_the_counts_that_it_has_sent (void)
+{
+  environment_t environment = { .revision = 0 };
+  usage_ledger_t sender;
+  usage_ledger_t stranger;
+  int64_t wall = WALL + 2 * GS_SEC;
+
+  usage_ledger_init (&sender, WINDOW_LENGTH, REPORT_TIMEOUT);
+  usage_ledger_init (&stranger, WINDOW_LENGTH, REPORT_TIMEOUT);
+  for (unsigned i = 0; i < 3; i++)
+    step (&sender, &environment, GS_SEC, wall, 100, FAULT_SEND_ANSWER_LOST);
+  CU_ASSERT_EQUAL (environment.report_count, 1);
+  json_decref (environment.record);
+  environment.record = NULL;
+  environment.revision = 0;
+  for (unsigned i = 0; i < 2; i++)
+    step (&stranger, &environment, GS_SEC, wall, 90, FAULT_NONE);
+  usage_ledger_invalidate (&sender);
+  for (unsigned i = 0; i < 4; i++)
+    step (&sender, &environment, (3 + i) * GS_SEC, wall, 100, FAULT_NONE);
+  CU_ASSERT (environment.report_count >= 2);
+  check_window_counts_never_differ (&environment);
+  usage_ledger_clear (&sender);
+  usage_ledger_clear (&stranger);
+  json_decref (environment.record);
+}
+
 static const check_case_t cases[] = {
+  { "a process repeats the counts that it has sent",
+    a_process_repeats_the_counts_that_it_has_sent },
   { "windows whose record the store has lost are not reported anew",
     windows_whose_record_the_store_has_lost_are_not_reported_anew },
   { "successor reports the recorded counts",
