usage: the first window is fixed when a holder begins; a test's version

- "usage is reported once for each window": as a process reports nothing in its first 1.5 s, the first window to report was fixed that much later, and windows of one second before it were left out.
It is now fixed when the process begins to hold the duties; test_usage_ledger, which fails without.
- "a configuration that a peer sends slowly is copied once": its peer's configuration had a lower version than the one in force, which is not taken any more.
Versions only rise, so the test was wrong; it now exports a higher one.

--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -573,6 +573,7 @@
   update_holder (duties, now);
   if (!duties_may_act (duties, now))
     return;
+  usage_ledger_begin (&duties->ledger, gs_clock_monotonic_wall ());
   if (now >= duties->usage_due)
     tick_usage (duties, now);
   tick_scaler (duties, now);
--- a/src/gateway/usage_ledger.c
+++ b/src/gateway/usage_ledger.c
@@ -36,6 +36,13 @@
   ledger->valid = false;
 }
 
+void
+usage_ledger_begin (usage_ledger_t *ledger, int64_t wall)
+{
+  if (ledger->first_window == 0)
+    ledger->first_window = wall / ledger->window_length - LOOKBACK_WINDOWS;
+}
+
 /* @return the window after the record's, or the oldest that can still be
    reported in time  */
 static int64_t
@@ -43,8 +50,7 @@
 {
   int64_t oldest = (wall - ledger->report_timeout) / ledger->window_length;
 
-  if (ledger->first_window == 0)
-    ledger->first_window = wall / ledger->window_length - LOOKBACK_WINDOWS;
+  usage_ledger_begin (ledger, wall);
   return MAX (
       MAX (ledger->window == 0 ? ledger->first_window : ledger->window + 1,
            ledger->sent_window + 1),
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -65,6 +65,10 @@
     written it. */
 void usage_ledger_invalidate (usage_ledger_t *ledger);
 
+/** Fix the first window to report when there is no record: the one before that
+    of @p wall.  Has no effect after the first call. */
+void usage_ledger_begin (usage_ledger_t *ledger, int64_t wall);
+
 /** Record that a window has been sent, by this node or another one.  No window
     up to it is reported anew, even if the store has lost the record. */
 void usage_ledger_sent_record (usage_ledger_t *ledger, int64_t window);
--- a/tests/test_process_gateway_fleet.c
+++ b/tests/test_process_gateway_fleet.c
@@ -402,6 +402,8 @@
   config = json_deep_copy (json_object_get (
       g_hash_table_lookup (world.objects, "config/main"), "spec"));
   pthread_mutex_unlock (&world.lock);
+  json_object_set_new (config, "version",
+                       json_integer (LARGE_CONFIG_REVISION));
   json_object_set_new (config, "padding", json_string (padding));
   root = json_pack ("{s:i, s:b, s:[{s:s, s:i, s:o}], s:[]}", "revision",
                     LARGE_CONFIG_REVISION, "whole", 1, "objects", "name",
--- a/tests/test_usage_ledger.c
+++ b/tests/test_usage_ledger.c
@@ -258,7 +258,29 @@
   json_decref (environment.record);
 }
 
+/* A holder that may not report yet fixes the first window when it begins.  */
+static void
+a_holder_that_reports_later_leaves_no_window_out (void)
+{
+  environment_t environment = { .revision = 0 };
+  usage_ledger_t ledger;
+  int64_t wall = WALL + GS_SEC;
+
+  usage_ledger_init (&ledger, GS_SEC, REPORT_TIMEOUT);
+  usage_ledger_begin (&ledger, wall);
+  wall += 4 * GS_SEC;
+  usage_ledger_begin (&ledger, wall);
+  for (unsigned i = 0; i < 60; i++)
+    step (&ledger, &environment, (1 + i) * GS_SEC, wall, 7, FAULT_NONE);
+  CU_ASSERT (environment.report_count > 0);
+  CU_ASSERT_EQUAL (environment.reported_windows[0], WALL / GS_SEC);
+  usage_ledger_clear (&ledger);
+  json_decref (environment.record);
+}
+
 static const check_case_t cases[] = {
+  { "a holder that reports later leaves no window out",
+    a_holder_that_reports_later_leaves_no_window_out },
   { "a process repeats the counts that it has sent",
     a_process_repeats_the_counts_that_it_has_sent },
   { "windows whose record the store has lost are not reported anew",
