log: the number of lines left out is not left out itself

What operators saw: nothing; a count that was too low. process: while the buffer is full, the line that tells how many lines were lost was itself dropped where it found no room, and its number with it: the count had been reset before.

Evidence: "each_line_left_out_for_a_stalled_reader_is_counted" logs 3,000 lines of all lengths to a reader that stalls and compares lines and counts; it failed in each run before.

Change: a kilobyte of the buffer is kept for such lines, and the count is reset only while one of them finds room.

--- a/src/util/log_sink.c
+++ b/src/util/log_sink.c
@@ -14,6 +14,12 @@
 /* Holds the lines of some seconds at peak load, and is a small part of the
    memory of the smallest node.  */
 #define BUFFER_BYTES_MAX ((gsize)1 << 20)
+/* Part of the buffer that only lines which tell a number of lost lines may
+   use: without it, the number would be lost where such a line found no room.
+   Several of them fit.  */
+#define TOLD_BYTES_MAX ((gsize)1024)
+/* Longer than each of these lines.  */
+#define TOLD_LINE_BYTES_MAX ((gsize)384)
 /* How long closing the log waits for the reader.  Must be shorter than the
    time that a gateway leaves for the end of its process (cmd_gateway.c).  */
 #define CLOSE_TIMEOUT (300 * GS_MSEC)
@@ -29,7 +35,8 @@
   pthread_cond_t wake;
   GString *buffer; /* lines that the thread has not yet fetched */
   unsigned lines_lost;
-  int error; /* errno of the last failed write, 0 for none */
+  bool telling; /* the next line tells the number of lines lost */
+  int error;    /* errno of the last failed write, 0 for none */
   bool stopping;
   gs_time_t close_deadline; /* lines not written by then are discarded */
 };
@@ -143,9 +150,12 @@
 gs_log_sink_write (gs_log_sink_t *sink, const char *line)
 {
   gsize length = strlen (line);
+  gsize room_kept;
 
   pthread_mutex_lock (&sink->lock);
-  if (sink->buffer->len + length >= BUFFER_BYTES_MAX)
+  room_kept = sink->telling ? 0 : TOLD_BYTES_MAX;
+  sink->telling = false;
+  if (sink->buffer->len + length + room_kept >= BUFFER_BYTES_MAX)
     sink->lines_lost++;
   else
     {
@@ -163,7 +173,14 @@
   unsigned lines_lost;
 
   pthread_mutex_lock (&sink->lock);
+  if (sink->buffer->len + TOLD_LINE_BYTES_MAX >= BUFFER_BYTES_MAX)
+    {
+      pthread_mutex_unlock (&sink->lock);
+      *error = 0;
+      return 0;
+    }
   lines_lost = sink->lines_lost;
+  sink->telling = lines_lost > 0;
   sink->lines_lost = 0;
   *error = sink->error;
   sink->error = 0;
--- a/src/util/log_sink.h
+++ b/src/util/log_sink.h
@@ -20,10 +20,12 @@
 void gs_log_sink_write (gs_log_sink_t *sink, const char *line);
 
 /**
- * Return and reset the count of lost lines.
+ * Return and reset the count of lost lines.  The next line written is taken to
+ * tell it, and finds room.
  * @param error receives the errno of the last failed write since the previous
  * call, 0 for none
- * @return number of lines lost since the previous call
+ * @return number of lines lost since the last call that did not return 0; 0
+ * also while there is no room for a line that tells it
  */
 unsigned gs_log_sink_lost_take (gs_log_sink_t *sink, int *error);
 
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -206,6 +206,77 @@
   close (pipe_fds[1]);
 }
 
+/* @return sum of the numbers after a key in a text  */
+static unsigned
+sum_of (const char *text, const char *key)
+{
+  unsigned sum = 0;
+
+  while ((text = strstr (text, key)) != NULL)
+    {
+      text += strlen (key);
+      sum += (unsigned)strtoul (text, NULL, 10);
+    }
+  return sum;
+}
+
+static unsigned
+count_of (const char *text, const char *word)
+{
+  unsigned count = 0;
+
+  while ((text = strstr (text, word)) != NULL)
+    {
+      text += strlen (word);
+      count++;
+    }
+  return count;
+}
+
+/* Guards against a count of lines left out that is itself left out: lines of
+   all lengths come while the buffer is full.  */
+static void
+each_line_left_out_for_a_stalled_reader_is_counted (void)
+{
+  static char block[1500];
+  static char part[65536];
+  GString *text = g_string_new (NULL);
+  unsigned logged = 3000;
+  int pipe_fds[2];
+  ssize_t count;
+
+  memset (block, 'x', sizeof block - 1);
+  CU_ASSERT_EQUAL_FATAL (pipe (pipe_fds), 0);
+  CU_ASSERT_EQUAL_FATAL (gs_log_open_on (GS_LOG_INFO, "n", pipe_fds[1]),
+                         GS_OK);
+  for (unsigned i = 0; i < logged; i++)
+    gs_log (GS_LOG_INFO, "any", "i=%u %.*s", i, (int)(i * 7 % 1500), block);
+  fcntl (pipe_fds[0], F_SETFL, O_NONBLOCK);
+  for (unsigned i = 0; i < 5000 && strstr (text->str, "event=after") == NULL;
+       i++)
+    {
+      while ((count = read (pipe_fds[0], part, sizeof part)) > 0)
+        g_string_append_len (text, part, count);
+      if (i % 100 == 99)
+        {
+          gs_log (GS_LOG_INFO, "after", "i=%u", i);
+          logged++;
+        }
+      g_usleep (1000);
+    }
+  g_usleep (100000);
+  while ((count = read (pipe_fds[0], part, sizeof part)) > 0)
+    g_string_append_len (text, part, count);
+  CU_ASSERT_EQUAL (count_of (text->str, "event=any ")
+                       + count_of (text->str, "event=after ")
+                       + sum_of (text->str, "reason=slow_reader lines="),
+                   logged);
+  gs_log_close ();
+  close (pipe_fds[0]);
+  close (pipe_fds[1]);
+  g_string_free (text, TRUE);
+}
+
 static void
 closing_does_not_wait_for_a_stalled_reader (void)
 {
@@ -290,6 +361,8 @@
     { "different_lines_are_all_written", different_lines_are_all_written },
     { "a_stalled_reader_does_not_block_logging",
       a_stalled_reader_does_not_block_logging },
+    { "each_line_left_out_for_a_stalled_reader_is_counted",
+      each_line_left_out_for_a_stalled_reader_is_counted },
     { "closing_does_not_wait_for_a_stalled_reader",
       closing_does_not_wait_for_a_stalled_reader },
     { "lines_lost_by_a_failed_write_are_counted",
