placer: what replicas say of themselves in a source of its own

placer.c had grown to 952 lines; a reader of the choice had to pass over limits, leaving and refusals. placer_statements.c now holds these, placer_private.h the shared state.

--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -1,7 +1,6 @@
-#include "gateway/placer.h"
+#include "gateway/placer_private.h"
 
 #include "garnetstack/log.h"
-#include "gateway/replica_limit.h"
 
 #include <math.h>
 #include <string.h>
@@ -34,9 +33,6 @@
 #define PREFERRED_CACHED_PROBABILITY 0.9
 /* How long a block counts as cached after this node last used it.  */
 #define BLOCK_TTL (30 * GS_SEC)
-/* Replicas recorded for a block: the preferred one, and others that took its
-   requests while the preferred one was full.  */
-#define BLOCK_HOLDERS_MAX 4
 /* Recorded blocks, eight megabytes; the record is emptied when it is full.  */
 #define BLOCKS_MAX 65536
 /* Share of an engine's memory that running requests may fill; the rest is left
@@ -66,62 +62,6 @@
    of its peers' connections with a delay.  */
 #define CONNECTIONS_RATIO_MAX 0.9
 
-/* Requests a second; far more than a replica is ever sent.  */
-#define LIMIT_MAX 1e6
-/* Smallest difference of two limits is one divided by this.  */
-#define LIMIT_STEPS 1e6
-
-typedef struct
-{
-  gs_replica_t replica;
-  bool listed;         /* in the latest replica list */
-  uint32_t generation; /* rises when the row gets another replica */
-  uint64_t hash;       /* placer_replica_hash() of its id */
-  uint32_t in_flight;
-  uint64_t backlog_tokens;
-  uint64_t reserved_tokens;
-  uint32_t peer_in_flight;
-  double peer_in_flight_mean; /* over the latest reports */
-  uint64_t peer_backlog_tokens;
-  uint64_t peer_reserved_tokens;
-  unsigned failures; /* in a row */
-  unsigned ejections;
-  gs_time_t ejected_until;
-  gs_time_t full_until; /* the replica has rejected a request as full */
-  replica_limit_t limit;
-  bool leaving;            /* as the replica said in an answer */
-  gs_time_t leaving_at;    /* when a node received that */
-  gs_time_t refused_until; /* the replica wants nothing from this node */
-} replica_row_t;
-
-typedef struct
-{
-  uint32_t row;
-  uint32_t generation;
-  gs_time_t used_at;
-} block_holder_t;
-
-typedef struct
-{
-  uint64_t id;
-  unsigned count;
-  block_holder_t holders[BLOCK_HOLDERS_MAX];
-} cached_block_t;
-
-struct placer
-{
-  GArray *rows;        /* of replica_row_t */
-  GHashTable *by_id;   /* id -> row + 1 */
-  GHashTable *by_hash; /* hash of the id -> row + 1 */
-  GHashTable *blocks;  /* id -> cached_block_t */
-  double read_speed;   /* tokens per millisecond */
-  unsigned peers;      /* other nodes that place requests */
-  GArray *nodes;       /* of uint64_t: see placer_nodes_set() */
-  unsigned members;
-  GArray *available; /* of uint32_t; scratch: rows that are not full */
-  gs_rng_t rng;
-};
-
 void
 placer_create (placer_t **out, uint64_t seed)
 {
@@ -162,18 +102,12 @@
   return XXH3_64bits (id, strlen (id));
 }
 
-static replica_row_t *
-row_at (const placer_t *placer, uint32_t row)
-{
-  return &g_array_index (placer->rows, replica_row_t, row);
-}
-
 static replica_row_t *
 row_find (const placer_t *placer, const char *id)
 {
   guint row = GPOINTER_TO_UINT (g_hash_table_lookup (placer->by_id, id));
 
-  return row > 0 ? row_at (placer, row - 1) : NULL;
+  return row > 0 ? placer_row (placer, row - 1) : NULL;
 }
 
 /* @return a row that no replica and no attempt uses; NULL if the table is
@@ -185,7 +119,7 @@
 
   for (guint i = 0; i < placer->rows->len; i++)
     {
-      replica_row_t *row = row_at (placer, i);
+      replica_row_t *row = placer_row (placer, i);
 
       if (!row->listed && row->in_flight == 0 && row->replica.id[0] == '\0')
         return row;
@@ -193,7 +127,7 @@
   if (placer->rows->len >= ROWS_MAX)
     return NULL;
   g_array_append_val (placer->rows, empty);
-  return row_at (placer, placer->rows->len - 1);
+  return placer_row (placer, placer->rows->len - 1);
 }
 
 /* A restarted replica may keep its id but has an empty cache, so the new
@@ -223,7 +157,7 @@
 {
   for (guint i = 0; i < placer->rows->len; i++)
     {
-      replica_row_t *row = row_at (placer, i);
+      replica_row_t *row = placer_row (placer, i);
 
       if (row->listed || row->in_flight > 0 || row->replica.id[0] == '\0')
         continue;
@@ -237,7 +171,7 @@
 placer_replicas_set (placer_t *placer, const gs_replica_list_t *list)
 {
   for (guint i = 0; i < placer->rows->len; i++)
-    row_at (placer, i)->listed = false;
+    placer_row (placer, i)->listed = false;
   for (unsigned i = 0; i < list->count; i++)
     {
       const gs_replica_t *replica = &list->rows[i];
@@ -253,7 +187,7 @@
                       replica->id);
               continue;
             }
-          number = (guint)(row - row_at (placer, 0)) + 1;
+          number = (guint)(row - placer_row (placer, 0)) + 1;
           row->hash = placer_replica_hash (replica->id);
           g_hash_table_insert (placer->by_id, g_strdup (replica->id),
                                GUINT_TO_POINTER (number));
@@ -273,7 +207,7 @@
   placer->peers = peers;
   for (guint i = 0; i < placer->rows->len; i++)
     {
-      replica_row_t *row = row_at (placer, i);
+      replica_row_t *row = placer_row (placer, i);
 
       row->peer_in_flight = 0;
       row->peer_backlog_tokens = 0;
@@ -283,7 +217,7 @@
     {
       guint number = GPOINTER_TO_UINT (
           g_hash_table_lookup (placer->by_hash, &loads[i].replica));
-      replica_row_t *row = number > 0 ? row_at (placer, number - 1) : NULL;
+      replica_row_t *row = number > 0 ? placer_row (placer, number - 1) : NULL;
 
       if (row == NULL)
         continue;
@@ -293,7 +227,7 @@
     }
   for (guint i = 0; i < placer->rows->len; i++)
     {
-      replica_row_t *row = row_at (placer, i);
+      replica_row_t *row = placer_row (placer, i);
 
       row->peer_in_flight_mean
           += PEER_MEAN_WEIGHT
@@ -337,7 +271,7 @@
 cached_tokens (const placer_t *placer, gs_time_t now,
                const placer_query_t *query, uint32_t index, bool preferred)
 {
-  const replica_row_t *row = row_at (placer, index);
+  const replica_row_t *row = placer_row (placer, index);
   double tokens = 0;
   double probability = 1;
 
@@ -357,8 +291,9 @@
   return (uint32_t)MIN (tokens, (double)query->prompt_tokens);
 }
 
-static bool
-is_usable (const replica_row_t *row, gs_time_t now, const char *service)
+bool
+placer_row_is_usable (const replica_row_t *row, gs_time_t now,
+                      const char *service)
 {
   return row->listed && row->replica.state == GS_REPLICA_READY && !row->leaving
          && row->ejected_until <= now
@@ -372,7 +307,7 @@
 eject_check_time (const placer_t *placer, gs_time_t now, const char *service)
 {
   for (guint i = 0; i < placer->rows->len; i++)
-    if (is_usable (row_at (placer, i), now, service))
+    if (placer_row_is_usable (placer_row (placer, i), now, service))
       return now;
   return GS_TIME_NEVER;
 }
@@ -431,10 +366,10 @@
     return best;
   for (guint i = 0; i < placer->rows->len; i++)
     {
-      const replica_row_t *row = row_at (placer, i);
+      const replica_row_t *row = placer_row (placer, i);
       uint64_t value;
 
-      if (!is_usable (row, now, query->service))
+      if (!placer_row_is_usable (row, now, query->service))
         continue;
       value = preference_hash (row, session);
       if (best == PLACER_ROW_NONE || value > best_value)
@@ -457,7 +392,7 @@
 predict (placer_t *placer, gs_time_t now, const placer_query_t *query,
          uint32_t index, bool preferred)
 {
-  const replica_row_t *row = row_at (placer, index);
+  const replica_row_t *row = placer_row (placer, index);
   double backlog = (double)(row->backlog_tokens + row->peer_backlog_tokens);
   prediction_t out = { .uncached_tokens = 0 };
   double delay;
@@ -521,7 +456,7 @@
 
   return query->engine
          && block_find_holder (g_hash_table_lookup (placer->blocks, &session),
-                               index, row_at (placer, index)->generation)
+                               index, placer_row (placer, index)->generation)
                 != NULL;
 }
 
@@ -568,9 +503,9 @@
   g_array_set_size (placer->available, 0);
   for (guint i = 0; i < placer->rows->len; i++)
     {
-      const replica_row_t *row = row_at (placer, i);
+      const replica_row_t *row = placer_row (placer, i);
 
-      if (!is_usable (row, eject_time, query->service))
+      if (!placer_row_is_usable (row, eject_time, query->service))
         continue;
       out->candidates++;
       if (is_full (row, now, query))
@@ -595,10 +530,10 @@
                                query->service);
   out->uncached_tokens = comparison.best.uncached_tokens;
   out->first_event_expected_at = comparison.best.first_event_at;
-  out->in_flight = slots_taken (row_at (placer, out->row), query->engine);
+  out->in_flight = slots_taken (placer_row (placer, out->row), query->engine);
   out->backlog_tokens
-      = (uint32_t)(row_at (placer, out->row)->backlog_tokens
-                   + row_at (placer, out->row)->peer_backlog_tokens);
+      = (uint32_t)(placer_row (placer, out->row)->backlog_tokens
+                   + placer_row (placer, out->row)->peer_backlog_tokens);
   return GS_OK;
 }
 
@@ -608,7 +543,7 @@
 block_record_holder (placer_t *placer, gs_time_t now, uint64_t id,
                      uint32_t index)
 {
-  uint32_t generation = row_at (placer, index)->generation;
+  uint32_t generation = placer_row (placer, index)->generation;
   cached_block_t *block = g_hash_table_lookup (placer->blocks, &id);
   block_holder_t *oldest;
 
@@ -633,7 +568,7 @@
       if (holder->used_at < oldest->used_at)
         oldest = holder;
     }
-  if (block->count < BLOCK_HOLDERS_MAX)
+  if (block->count < PLACER_BLOCK_HOLDERS_MAX)
     oldest = &block->holders[block->count++];
   *oldest = (block_holder_t){ index, generation, now };
 }
@@ -643,7 +578,7 @@
                       const placer_query_t *query,
                       const placer_choice_t *choice, placer_ticket_t *ticket)
 {
-  replica_row_t *row = row_at (placer, choice->row);
+  replica_row_t *row = placer_row (placer, choice->row);
 
   *ticket = (placer_ticket_t){
     .row = choice->row,
@@ -668,7 +603,7 @@
 placer_first_event_record (placer_t *placer, gs_time_t now,
                            placer_ticket_t *ticket)
 {
-  replica_row_t *row = row_at (placer, ticket->row);
+  replica_row_t *row = placer_row (placer, ticket->row);
   double backlog = (double)(row->backlog_tokens + row->peer_backlog_tokens);
   double elapsed_msec
       = (double)(now - ticket->sent_at - FIRST_EVENT_DELAY) / GS_MSEC;
@@ -703,7 +638,7 @@
 placer_attempt_end (placer_t *placer, gs_time_t now, placer_ticket_t *ticket,
                     placer_outcome_t outcome)
 {
-  replica_row_t *row = row_at (placer, ticket->row);
+  replica_row_t *row = placer_row (placer, ticket->row);
 
   row->in_flight--;
   row->backlog_tokens -= ticket->uncached_tokens;
@@ -736,7 +671,7 @@
 const gs_replica_t *
 placer_replica (const placer_t *placer, uint32_t row)
 {
-  return &row_at (placer, row)->replica;
+  return &placer_row (placer, row)->replica;
 }
 
 void
@@ -744,7 +679,7 @@
 {
   for (guint i = 0; i < placer->rows->len && out->len < max; i++)
     {
-      const replica_row_t *row = row_at (placer, i);
+      const replica_row_t *row = placer_row (placer, i);
       placer_load_t load
           = { .in_flight = row->in_flight,
               .backlog_tokens = (uint32_t)row->backlog_tokens,
@@ -763,160 +698,6 @@
   return placer->read_speed;
 }
 
-static void
-row_share_limit (const placer_t *placer, gs_time_t now, replica_row_t *row)
-{
-  replica_limit_share (&row->limit, now, row->hash,
-                       (const uint64_t *)(void *)placer->nodes->data,
-                       placer->nodes->len, placer->members);
-}
-
-static bool
-row_state_limit (const placer_t *placer, gs_time_t now, replica_row_t *row,
-                 gs_time_t stated_at, double per_sec, const char *source)
-{
-  if (!replica_limit_state (&row->limit, now, stated_at, per_sec))
-    return false;
-  row_share_limit (placer, now, row);
-  gs_log (GS_LOG_INFO, "replica_limit",
-          "id=%s service=%s per_sec=%.3f sharers=%u own_per_sec=%.3f"
-          " source=%s age_ms=%lld",
-          row->replica.id, row->replica.service, row->limit.per_sec,
-          row->limit.sharers, replica_limit_own_rate (&row->limit, now),
-          source, (long long)((now - stated_at) / GS_MSEC));
-  return true;
-}
-
-void
-placer_nodes_set (placer_t *placer, gs_time_t now, const uint64_t *nodes,
-                  size_t count, unsigned members)
-{
-  g_array_set_size (placer->nodes, 0);
-  g_array_append_vals (placer->nodes, nodes, (guint)count);
-  placer->members = members;
-  for (guint i = 0; i < placer->rows->len; i++)
-    if (replica_limit_is_set (&row_at (placer, i)->limit, now))
-      row_share_limit (placer, now, row_at (placer, i));
-}
-
-static bool
-row_state_leaving (replica_row_t *row, gs_time_t now, gs_time_t stated_at,
-                   const char *source)
-{
-  if (row->leaving)
-    return false;
-  row->leaving = true;
-  row->leaving_at = stated_at;
-  gs_log (GS_LOG_INFO, "replica_leaving",
-          "id=%s service=%s source=%s age_ms=%lld", row->replica.id,
-          row->replica.service, source,
-          (long long)((now - stated_at) / GS_MSEC));
-  return true;
-}
-
-/* Nodes tell each other limits in millionths.  In the same steps here, what
-   comes back from them is not taken for a change.  */
-static double
-limit_in_steps (double per_sec)
-{
-  return round (CLAMP (per_sec, REPLICA_LIMIT_MIN, LIMIT_MAX) * LIMIT_STEPS)
-         / LIMIT_STEPS;
-}
-
-/* An answer without a limit ends the limit only if its request was sent after
-   the limit was known: answers overtake each other.  */
-bool
-placer_statement_record (placer_t *placer, gs_time_t now,
-                         const placer_ticket_t *ticket,
-                         const placer_statement_t *statement)
-{
-  replica_row_t *row = row_at (placer, ticket->row);
-  double per_sec = statement->limit_per_sec;
-  bool changed;
-
-  if (ticket->generation != row->generation)
-    return false;
-  changed = statement->leaving && row_state_leaving (row, now, now, "answer");
-  if (statement->refused_until > row->refused_until)
-    {
-      row->refused_until = statement->refused_until;
-      gs_log (GS_LOG_INFO, "replica_refuses", "id=%s service=%s for_ms=%lld",
-              row->replica.id, row->replica.service,
-              (long long)((row->refused_until - now) / GS_MSEC));
-    }
-  if (per_sec < 0
-      && (!replica_limit_is_set (&row->limit, now)
-          || ticket->sent_at <= row->limit.stated_at))
-    return changed;
-  return row_state_limit (placer, now, row, now,
-                          per_sec < 0 ? 0 : limit_in_steps (per_sec), "answer")
-         || changed;
-}
-
-void
-placer_statements_import (placer_t *placer, gs_time_t now,
-                          const statement_t *statements, unsigned count)
-{
-  for (unsigned i = 0; i < count; i++)
-    {
-      const statement_t *statement = &statements[i];
-      guint number = GPOINTER_TO_UINT (
-          g_hash_table_lookup (placer->by_hash, &statement->replica));
-      replica_row_t *row = number > 0 ? row_at (placer, number - 1) : NULL;
-
-      /* A replica that has started again is not bound by what it said.  */
-      if (row == NULL
-          || (uint64_t)row->replica.started_ms != statement->started_ms)
-        continue;
-      row_state_limit (placer, now, row, statement->stated_at,
-                       (double)statement->limit_micros / LIMIT_STEPS, "peer");
-      if (statement->leaving != 0)
-        row_state_leaving (row, now, statement->stated_at, "peer");
-    }
-}
-
-void
-placer_statements_export (const placer_t *placer, gs_time_t now, GArray *out)
-{
-  for (guint i = 0; i < placer->rows->len; i++)
-    {
-      const replica_row_t *row = row_at (placer, i);
-      statement_t statement
-          = { .replica = row->hash,
-              .started_ms = (uint64_t)row->replica.started_ms,
-              .leaving = row->leaving,
-              .limit_micros
-              = (uint64_t)round (row->limit.per_sec * LIMIT_STEPS),
-              .stated_at = row->limit.stated_at };
-
-      if (row->leaving)
-        statement.stated_at = MAX (statement.stated_at, row->leaving_at);
-      if (statement.stated_at != 0 && row->replica.id[0] != '\0'
-          && now <= statement.stated_at + REPLICA_LIMIT_TTL)
-        g_array_append_val (out, statement);
-    }
-}
-
-gs_time_t
-placer_opens_at (const placer_t *placer, gs_time_t now, const char *service)
-{
-  gs_time_t earliest = GS_TIME_NEVER;
-
-  for (guint i = 0; i < placer->rows->len; i++)
-    {
-      const replica_row_t *row = row_at (placer, i);
-      gs_time_t opens_at = MAX (row->refused_until,
-                                replica_limit_opens_at (&row->limit, now));
-
-      if (!is_usable (row, now, service))
-        continue;
-      if (opens_at <= now)
-        return 0;
-      earliest = MIN (earliest, opens_at);
-    }
-  return earliest == GS_TIME_NEVER ? 0 : earliest;
-}
-
 void
 placer_slots_count (const placer_t *placer, gs_time_t now, const char *service,
                     unsigned *slots, unsigned *taken)
@@ -925,28 +706,12 @@
   *taken = 0;
   for (guint i = 0; i < placer->rows->len; i++)
     {
-      const replica_row_t *row = row_at (placer, i);
+      const replica_row_t *row = placer_row (placer, i);
 
-      if (!is_usable (row, 0, service)
+      if (!placer_row_is_usable (row, 0, service)
           || replica_limit_is_set (&row->limit, now))
         continue;
       *slots += row->replica.slots;
       *taken += MIN (slots_taken (row, true), row->replica.slots);
     }
 }
-
-double
-placer_limited_rate (const placer_t *placer, gs_time_t now,
-                     const char *service)
-{
-  double rate = 0;
-
-  for (guint i = 0; i < placer->rows->len; i++)
-    {
-      const replica_row_t *row = row_at (placer, i);
-
-      if (is_usable (row, now, service))
-        rate += replica_limit_own_rate (&row->limit, now);
-    }
-  return rate;
-}
--- /dev/null
+++ b/src/gateway/placer_private.h
@@ -0,0 +1,78 @@
+/**
+ * @file placer_private.h
+ * State of the placer, shared by placer.c (choice and load) and
+ * placer_statements.c (what replicas say of themselves).
+ */
+#ifndef GS_GATEWAY_PLACER_PRIVATE_H
+#define GS_GATEWAY_PLACER_PRIVATE_H
+
+#include "gateway/placer.h"
+#include "gateway/replica_limit.h"
+
+/* Replicas recorded for a block: the preferred one, and others that took its
+   requests while the preferred one was full.  */
+#define PLACER_BLOCK_HOLDERS_MAX 4
+
+typedef struct
+{
+  gs_replica_t replica;
+  bool listed;         /* in the latest replica list */
+  uint32_t generation; /* rises when the row gets another replica */
+  uint64_t hash;       /* placer_replica_hash() of its id */
+  uint32_t in_flight;
+  uint64_t backlog_tokens;
+  uint64_t reserved_tokens;
+  uint32_t peer_in_flight;
+  double peer_in_flight_mean; /* over the latest reports */
+  uint64_t peer_backlog_tokens;
+  uint64_t peer_reserved_tokens;
+  unsigned failures; /* in a row */
+  unsigned ejections;
+  gs_time_t ejected_until;
+  gs_time_t full_until; /* the replica has rejected a request as full */
+  replica_limit_t limit;
+  bool leaving;            /* as the replica said in an answer */
+  gs_time_t leaving_at;    /* when a node received that */
+  gs_time_t refused_until; /* the replica wants nothing from this node */
+} replica_row_t;
+
+typedef struct
+{
+  uint32_t row;
+  uint32_t generation;
+  gs_time_t used_at;
+} block_holder_t;
+
+typedef struct
+{
+  uint64_t id;
+  unsigned count;
+  block_holder_t holders[PLACER_BLOCK_HOLDERS_MAX];
+} cached_block_t;
+
+struct placer
+{
+  GArray *rows;        /* of replica_row_t */
+  GHashTable *by_id;   /* id -> row + 1 */
+  GHashTable *by_hash; /* hash of the id -> row + 1 */
+  GHashTable *blocks;  /* id -> cached_block_t */
+  double read_speed;   /* tokens per millisecond */
+  unsigned peers;      /* other nodes that place requests */
+  GArray *nodes;       /* of uint64_t: see placer_nodes_set() */
+  unsigned members;
+  GArray *available; /* of uint32_t; scratch: rows that are not full */
+  gs_rng_t rng;
+};
+
+static inline replica_row_t *
+placer_row (const placer_t *placer, uint32_t row)
+{
+  return &g_array_index (placer->rows, replica_row_t, row);
+}
+
+/* @return whether a replica of a service may get requests at all, full or
+   not  */
+bool placer_row_is_usable (const replica_row_t *row, gs_time_t now,
+                           const char *service);
+
+#endif
