usage: after a set-back, windows of a holder that is gone count as sent

Some windows of a holder that died around a set-back are missed instead.

Test: "a window that a killed holder may have sent is not reported anew" fails without.

--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -166,6 +166,10 @@
       gs_log (GS_LOG_WARN, "lease_reset", "era=%llu before=%llu fencing=%llu",
               (unsigned long long)era, (unsigned long long)duties->era,
               (unsigned long long)duties->fencing);
+      /* The last holder may have been killed right after it sent a report of
+         which the store has lost the record.  */
+      if (!gs_lease_is_valid (&duties->lease, now))
+        usage_ledger_assume_sent (&duties->ledger, gs_clock_monotonic_wall ());
       gs_lease_store_reset (&duties->lease, now, era << ERA_TOKEN_SHIFT);
       usage_ledger_invalidate (&duties->ledger);
     }
--- a/src/gateway/usage_ledger.c
+++ b/src/gateway/usage_ledger.c
@@ -53,10 +53,18 @@
   usage_ledger_begin (ledger, wall);
   return MAX (
       MAX (ledger->window == 0 ? ledger->first_window : ledger->window + 1,
-           ledger->sent_window + 1),
+           MAX (ledger->sent_window, ledger->assumed_window) + 1),
       oldest);
 }
 
+void
+usage_ledger_assume_sent (usage_ledger_t *ledger, int64_t wall)
+{
+  ledger->assumed_window
+      = MAX (ledger->assumed_window,
+             (wall - ledger->settle_delay) / ledger->window_length - 1);
+}
+
 void
 usage_ledger_sent_record (usage_ledger_t *ledger, int64_t window)
 {
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -46,10 +46,12 @@
                              known; 0 for none */
   uint64_t revision;    /**< of the record; 0 for none */
   json_t *counts;       /**< of the record: account -> requests */
-  int64_t own_window;   /**< last window that this process has sent */
-  json_t *own_counts;   /**< the counts that it sent */
-  json_t *write_counts; /**< counts of the last write that was started */
-  gs_time_t due;        /**< earliest time of the next call */
+  int64_t assumed_window; /**< last window that another process may have sent
+                               unknown to this one; 0 for none */
+  int64_t own_window;     /**< last window that this process has sent */
+  json_t *own_counts;     /**< the counts that it sent */
+  json_t *write_counts;   /**< counts of the last write that was started */
+  gs_time_t due;          /**< earliest time of the next call */
 } usage_ledger_t;
 
 /** @param window_length length of a window
@@ -73,6 +75,12 @@
     up to it is reported anew, even if the store has lost the record. */
 void usage_ledger_sent_record (usage_ledger_t *ledger, int64_t window);
 
+/** Assume that another process has sent each window whose counts had settled
+   at
+    @p wall, as the store may have lost the records of these.  No such window
+   is reported anew; one that is recorded still is. */
+void usage_ledger_assume_sent (usage_ledger_t *ledger, int64_t wall);
+
 /**
  * Decide the next action.  Its result is to be passed to the function of that
  * action below; until then there is no other action.
--- a/tests/test_usage_ledger.c
+++ b/tests/test_usage_ledger.c
@@ -278,7 +278,55 @@
   json_decref (environment.record);
 }
 
+/* A holder sends a window and is killed before it can tell anybody, and the
+   store comes back without the record of it.  */
+static void
+a_window_that_a_killed_holder_may_have_sent_is_not_reported_anew (void)
+{
+  environment_t environment = { .revision = 0 };
+  usage_ledger_t killed;
+  usage_ledger_t successor;
+  gs_time_t now = GS_SEC;
+  int64_t wall = WALL;
+  json_t *copy = NULL;
+  uint64_t copy_revision = 0;
+
+  usage_ledger_init (&killed, WINDOW_LENGTH, REPORT_TIMEOUT);
+  usage_ledger_init (&successor, WINDOW_LENGTH, REPORT_TIMEOUT);
+  for (unsigned i = 0; i < 200; i++)
+    {
+      if (i == 100)
+        {
+          copy = json_deep_copy (environment.record);
+          copy_revision = environment.revision;
+        }
+      step (&killed, &environment, now, wall, 100, FAULT_NONE);
+      now += 100 * GS_MSEC;
+      wall += 100 * GS_MSEC;
+    }
+  json_decref (environment.record);
+  environment.record = copy;
+  environment.revision = copy_revision;
+  usage_ledger_assume_sent (&successor, wall);
+  for (unsigned i = 0; i < 300; i++)
+    {
+      step (&successor, &environment, now, wall, 90, FAULT_NONE);
+      now += 100 * GS_MSEC;
+      wall += 100 * GS_MSEC;
+    }
+  check_window_counts_never_differ (&environment);
+  /* Windows that ended later are reported.  */
+  CU_ASSERT_EQUAL (environment.reported_counts[environment.report_count - 1],
+                   90);
+  CU_ASSERT (environment.report_count >= 7);
+  usage_ledger_clear (&killed);
+  usage_ledger_clear (&successor);
+  json_decref (environment.record);
+}
+
 static const check_case_t cases[] = {
+  { "a window that a killed holder may have sent is not reported anew",
+    a_window_that_a_killed_holder_may_have_sent_is_not_reported_anew },
   { "a holder that reports later leaves no window out",
     a_holder_that_reports_later_leaves_no_window_out },
   { "a process repeats the counts that it has sent",
