tests: a watch of the stand-in store reports changes made while it expires

Hypotheses: the first node's watch was lost; its traffic thread dropped the routes; the stand-in answered the watch without the change.

Cause: the third one. events_watch_locked listed the events, waited, and after the wait had expired answered with the list of before and the revision of now. The wait releases the lock, so a change made between its end and the answer was in the revision and not in the events, and no later watch asked for it.

The program's own code is not involved: the platform's store states that a watch from a revision reports all later changes.

Change: events and history are looked at again after the wait.

--- a/tests/gateway_world_private.h
+++ b/tests/gateway_world_private.h
@@ -10,6 +10,12 @@
 /* A stand-in that sends no response closes the connection after this time.  */
 #define SILENCE_TIMEOUT (5 * GS_SEC)
 
+/** Write an object while the caller holds the world's lock.
+    @param spec borrowed
+    @return the object, borrowed */
+json_t *world_object_put_locked (gateway_world_t *world, const char *kind,
+                                 const char *name, json_t *spec);
+
 /** Serve a connection to the store; @p context is a world_store_t. */
 void world_serve_store (void *context, raw_conn_t *conn);
 
--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -31,9 +31,9 @@
   pthread_cond_broadcast (&world->changed);
 }
 
-static json_t *
-object_put_locked (gateway_world_t *world, const char *kind, const char *name,
-                   json_t *spec)
+json_t *
+world_object_put_locked (gateway_world_t *world, const char *kind,
+                         const char *name, json_t *spec)
 {
   json_t *object = object_create (name, ++world->revision, spec);
 
@@ -50,7 +50,7 @@
   uint64_t revision;
 
   pthread_mutex_lock (&world->lock);
-  object_put_locked (world, kind, name, spec);
+  world_object_put_locked (world, kind, name, spec);
   revision = world->revision;
   pthread_mutex_unlock (&world->lock);
   json_decref (spec);
@@ -218,6 +218,7 @@
 {
   struct timespec deadline;
   store_mode_t mode = world->store_mode;
+  bool expired = false;
 
   clock_gettime (CLOCK_REALTIME, &deadline);
   deadline.tv_sec += wait_ms / 1000;
@@ -237,16 +238,19 @@
           return 410;
         }
       events = events_list_locked (world, kind, above);
-      if (json_array_size (events) > 0 || world->stopping
-          || world->store_mode != mode
-          || pthread_cond_timedwait (&world->changed, &world->lock, &deadline)
-                 != 0)
+      if (json_array_size (events) > 0 || expired || world->stopping
+          || world->store_mode != mode)
         {
           *out = json_pack ("{s:o, s:I}", "events", events, "current_rev",
                             (json_int_t)world->revision);
           return 200;
         }
       json_decref (events);
+      /* The lock is released during the wait, so a change can come between its
+         end and the response.  */
+      expired
+          = pthread_cond_timedwait (&world->changed, &world->lock, &deadline)
+            != 0;
     }
 }
 
@@ -270,8 +274,8 @@
       *out = json_incref (current);
       return 409;
     }
-  *out = json_incref (
-      object_put_locked (world, kind, name, json_object_get (sent, "spec")));
+  *out = json_incref (world_object_put_locked (
+      world, kind, name, json_object_get (sent, "spec")));
   return 200;
 }
 
