feed: a response from before a copy of another node is not applied

What callers would see: requests sent to replicas that have left, until their connections fail; and, on sites with more than one page of replicas (about 500), a node that knows only those of the last page, until the entries of the others change.

A watch brought back objects that were created after its start and removed before the copy; the watch from the copy's revision does not report such a removal again. A list's response was taken for its first page, and removed all objects of the pages before it. Nodes copy replicas while their first list is read, and while the store is lost to them, so both can meet.

Change: a list's response is ignored once a copy has completed, a watch's if its revision is below the feed's.

--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -302,6 +302,9 @@
       return;
     }
   handle_success (feed, now);
+  /* A copy from another node has completed since the call began.  */
+  if (!feed->needs_list)
+    return;
   /* Pages of two eras do not belong together.  */
   if (!check_era (feed, now, result)
       || (feed->list_after != NULL
@@ -361,9 +364,13 @@
       return;
     }
   handle_success (feed, now);
+  /* A copy from another node is ahead of this response, and may lack objects
+     that have been removed since.  */
+  if (result->revision < feed->revision)
+    return;
   for (unsigned i = 0; i < result->count; i++)
     apply_object (feed, now, &result->objects[i], result->revision);
-  feed->revision = MAX (feed->revision, result->revision);
+  feed->revision = result->revision;
   if (result->count > 0)
     feed->due = now + WATCH_BATCH_INTERVAL;
 }
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -382,8 +382,11 @@
       "%s%c%u", removes ? "-" : "", 'a' + name, history->newest);
 }
 
+/* @param other feed whose export arrives while the watch is open, if it is
+   ahead  */
 static void
-watch_changes (feed_t *feed, fake_store_t *store, const history_t *history)
+watch_changes (feed_t *feed, fake_store_t *store, const history_t *history,
+               const feed_t *other)
 {
   GString *events = g_string_new (NULL);
   unsigned from = (unsigned)feed_revision (feed) + 1;
@@ -393,6 +396,8 @@
     g_string_append_printf (events, "%s%s", i > from ? " " : "",
                             history->events[i]);
   tick (feed, true);
+  if (feed_revision (other) > feed_revision (feed))
+    import_from (other, feed, feed_revision (feed));
   answer_objects (store, MIN (history->newest, from + 15), false, events->str);
   g_string_free (events, TRUE);
 }
@@ -459,7 +464,7 @@
             append_change (&history, &rng);
           if (to < WATCHING_FEEDS
               && feed_revision (feeds[to]) < history.newest)
-            watch_changes (feeds[to], &stores[to], &history);
+            watch_changes (feeds[to], &stores[to], &history, feeds[from]);
           else if (feed_revision (feeds[from]) > feed_revision (feeds[to]))
             import_from (feeds[from], feeds[to], feed_revision (feeds[to]));
           matches = feed_revision (feeds[to]) == 0
@@ -476,6 +481,61 @@
     }
 }
 
+/* A copy brings the feed past the changes that its open watch reports.  Guards
+   against an object that was removed since and would stay: a replica that has
+   left and still gets requests.  */
+static void
+a_watch_answered_after_a_later_copy_restores_nothing (void)
+{
+  feed_pair_t pair;
+
+  start_pair (&pair);
+  update_source (&pair, 10, "a5");
+  import_from (pair.source, pair.target, 0);
+  tick (pair.target, true);
+  update_source (&pair, 14, "b12 -b14");
+  import_from (pair.source, pair.target, 10);
+  answer_objects (&pair.stores[1], 12, false, "b12");
+  CU_ASSERT_FALSE (feed_has (pair.target, "b"));
+  CU_ASSERT_EQUAL (feed_revision (pair.target), 14);
+  tick (pair.target, true);
+  CU_ASSERT_TRUE (pair.stores[1].is_watch);
+  CU_ASSERT_EQUAL (pair.stores[1].after_revision, 14);
+  stop_pair (&pair);
+}
+
+/* The same for a list: of one page, and of two with a copy between them.  */
+static void
+a_list_answered_after_a_copy_changes_nothing (void)
+{
+  for (unsigned pages = 1; pages <= 2; pages++)
+    {
+      feed_pair_t pair;
+
+      start_pair (&pair);
+      update_source (&pair, 10, "a5 b7 c9");
+      update_source (&pair, 14, "-c14");
+      tick (pair.target, true);
+      if (pages == 2)
+        {
+          answer_objects (&pair.stores[1], 10, true, "a5 b7");
+          tick (pair.target, true);
+        }
+      import_from (pair.source, pair.target, 0);
+      CU_ASSERT_EQUAL (feed_revision (pair.target), 14);
+      answer_objects (&pair.stores[1], 10, false,
+                      pages == 2 ? "c9" : "a5 b7 c9");
+      CU_ASSERT_TRUE (feed_has (pair.target, "a"));
+      CU_ASSERT_TRUE (feed_has (pair.target, "b"));
+      CU_ASSERT_FALSE (feed_has (pair.target, "c"));
+      CU_ASSERT_EQUAL (feed_store_lost_at (pair.target), 0);
+      tick (pair.target, true);
+      CU_ASSERT_TRUE (pair.stores[1].is_watch);
+      CU_ASSERT_EQUAL (pair.stores[1].after_revision, 14);
+      stop_pair (&pair);
+    }
+}
+
 /* A feed further behind than the recorded removals gets a full export.  */
 static void
 feed_far_behind_gets_full_export (void)
@@ -707,6 +767,10 @@
     changes_in_quick_succession_share_a_watch },
   { "imports in any order match the store",
     imports_in_any_order_match_the_store },
+  { "a watch answered after a later copy restores nothing",
+    a_watch_answered_after_a_later_copy_restores_nothing },
+  { "a list answered after a copy changes nothing",
+    a_list_answered_after_a_copy_changes_nothing },
   { "malformed exports are rejected", malformed_exports_are_rejected },
 };
 
