tests: the line after a stalled reader is found without a time limit

What was seen: log/a_stalled_reader_does_not_block_logging failed once, beside a loaded machine: the line that counts lines left out was not in what it read.

Cause: the test gave the log's thread 100 ms to empty its buffers, and then read once, up to 64 KB, whatever had arrived.

Change: the test reads until a line logged later arrives, and the line directly before it must be the count, where before it could stand anywhere in the text.

--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -170,6 +170,50 @@
   out[count] = '\0';
 }
 
+/* Reads a pipe that the log has filled, and logs a line "after" now and then
+   until one of them arrives.
+   @param out receives what was read, through that line
+   @return number of lines logged  */
+static unsigned
+read_until_after (int fd, GString *out)
+{
+  static char part[65536];
+  gs_time_t deadline = gs_clock_now () + 10 * GS_SEC;
+  unsigned logged = 0;
+  ssize_t count;
+
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  for (unsigned i = 1;
+       strstr (out->str, "event=after") == NULL && gs_clock_now () < deadline;
+       i++)
+    {
+      while ((count = read (fd, part, sizeof part)) > 0)
+        g_string_append_len (out, part, count);
+      if (i % 100 == 0)
+        gs_log (GS_LOG_INFO, "after", "i=%u", ++logged);
+      g_usleep (1000);
+    }
+  g_usleep (100000);
+  while ((count = read (fd, part, sizeof part)) > 0)
+    g_string_append_len (out, part, count);
+  return logged;
+}
+
+/* @return the line before the first one that contains @p event, freed by the
+   caller; NULL if there is none  */
+static char *
+line_before (const char *text, const char *event)
+{
+  char **lines = g_strsplit (text, "\n", -1);
+  char *found = NULL;
+
+  for (char **line = lines; *line != NULL && found == NULL; line++)
+    if (line > lines && strstr (*line, event) != NULL)
+      found = g_strdup (line[-1]);
+  g_strfreev (lines);
+  return found;
+}
+
 /* Nothing reads the pipe while the lines are logged, and the pipe is full long
    before the last line.  */
 static void
@@ -177,8 +221,9 @@
 {
   static char block[1500];
   int pipe_fds[2];
+  GString *text = g_string_new (NULL);
   gs_time_t begin;
-  char last[65536];
+  char *before;
 
   memset (block, 'x', sizeof block - 1);
   CU_ASSERT_EQUAL_FATAL (pipe (pipe_fds), 0);
@@ -189,18 +234,13 @@
     gs_log (GS_LOG_INFO, "big", "i=%u %s", i, block);
   CU_ASSERT (gs_clock_now () - begin < 2 * GS_SEC);
   /* When the reader continues, a line states how many were lost.  */
-  fcntl (pipe_fds[0], F_SETFL, O_NONBLOCK);
-  for (unsigned i = 0; i < 100; i++)
-    {
-      while (read (pipe_fds[0], last, sizeof last) > 0)
-        ;
-      g_usleep (1000);
-    }
-  gs_log (GS_LOG_INFO, "after", "a=1");
-  read_lines (pipe_fds[0], last, sizeof last);
+  read_until_after (pipe_fds[0], text);
+  before = line_before (text->str, "event=after");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (before);
   CU_ASSERT_PTR_NOT_NULL (
-      strstr (last, "event=log_left_out reason=slow_reader lines="));
-  CU_ASSERT_PTR_NOT_NULL (strstr (last, "event=after"));
+      strstr (before, "event=log_left_out reason=slow_reader lines="));
+  g_free (before);
+  g_string_free (text, TRUE);
   gs_log_close ();
   close (pipe_fds[0]);
   close (pipe_fds[1]);
@@ -239,11 +279,9 @@
 each_line_left_out_for_a_stalled_reader_is_counted (void)
 {
   static char block[1500];
-  static char part[65536];
   GString *text = g_string_new (NULL);
   unsigned logged = 3000;
   int pipe_fds[2];
-  ssize_t count;
 
   memset (block, 'x', sizeof block - 1);
   CU_ASSERT_EQUAL_FATAL (pipe (pipe_fds), 0);
@@ -251,22 +289,7 @@
                          GS_OK);
   for (unsigned i = 0; i < logged; i++)
     gs_log (GS_LOG_INFO, "any", "i=%u %.*s", i, (int)(i * 7 % 1500), block);
-  fcntl (pipe_fds[0], F_SETFL, O_NONBLOCK);
-  for (unsigned i = 0; i < 5000 && strstr (text->str, "event=after") == NULL;
-       i++)
-    {
-      while ((count = read (pipe_fds[0], part, sizeof part)) > 0)
-        g_string_append_len (text, part, count);
-      if (i % 100 == 99)
-        {
-          gs_log (GS_LOG_INFO, "after", "i=%u", i);
-          logged++;
-        }
-      g_usleep (1000);
-    }
-  g_usleep (100000);
-  while ((count = read (pipe_fds[0], part, sizeof part)) > 0)
-    g_string_append_len (text, part, count);
+  logged += read_until_after (pipe_fds[0], text);
   CU_ASSERT_EQUAL (count_of (text->str, "event=any ")
                        + count_of (text->str, "event=after ")
                        + sum_of (text->str, "reason=slow_reader lines="),
