placer: what a replica has said outlives a gap in its entry

What callers would see: requests at a replica that has said that it leaves, that it wants nothing, or that it takes less.

An entry comes back when the store has lost it: it expired while the store was away, or the store came back older than the entry.

Change: what binds is kept for a minute, and applies again if the same process is listed again. placer_replicas_set gets the time for that.

--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -72,6 +72,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   placer->by_hash
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  placer->former
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   placer->blocks
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   placer->available = g_array_new (FALSE, FALSE, sizeof (uint32_t));
@@ -90,6 +92,7 @@
   g_array_unref (placer->nodes);
   g_array_unref (placer->available);
   g_hash_table_unref (placer->blocks);
+  g_hash_table_unref (placer->former);
   g_hash_table_unref (placer->by_hash);
   g_hash_table_unref (placer->by_id);
   g_array_unref (placer->rows);
@@ -153,7 +156,7 @@
 
 /* Frees the rows of removed replicas on which no attempt runs.  */
 static void
-rows_clear_unused (placer_t *placer)
+rows_clear_unused (placer_t *placer, gs_time_t now)
 {
   for (guint i = 0; i < placer->rows->len; i++)
     {
@@ -161,6 +164,7 @@
 
       if (row->listed || row->in_flight > 0 || row->replica.id[0] == '\0')
         continue;
+      placer_former_add (placer, now, row);
       g_hash_table_remove (placer->by_id, row->replica.id);
       g_hash_table_remove (placer->by_hash, &row->hash);
       *row = (replica_row_t){ .generation = row->generation + 1 };
@@ -168,7 +172,8 @@
 }
 
 void
-placer_replicas_set (placer_t *placer, const gs_replica_list_t *list)
+placer_replicas_set (placer_t *placer, gs_time_t now,
+                     const gs_replica_list_t *list)
 {
   for (guint i = 0; i < placer->rows->len; i++)
     placer_row (placer, i)->listed = false;
@@ -176,9 +181,10 @@
     {
       const gs_replica_t *replica = &list->rows[i];
       replica_row_t *row = row_find (placer, replica->id);
+      bool is_new = row == NULL;
       guint number;
 
-      if (row == NULL)
+      if (is_new)
         {
           row = row_allocate (placer);
           if (row == NULL)
@@ -196,8 +202,11 @@
                                GUINT_TO_POINTER (number));
         }
       row_set_replica (placer, row, replica);
+      if (is_new)
+        placer_former_restore (placer, now, row);
     }
-  rows_clear_unused (placer);
+  rows_clear_unused (placer, now);
+  placer_former_expire (placer, now);
 }
 
 void
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -88,8 +88,10 @@
 void placer_destroy (placer_t *placer);
 
 /** Replace the list of replicas.  A replica with an id that was listed before
-    keeps its load. */
-void placer_replicas_set (placer_t *placer, const gs_replica_list_t *list);
+    keeps its load.  One that comes back after it was missing is still bound by
+    what it said, unless it has started again. */
+void placer_replicas_set (placer_t *placer, gs_time_t now,
+                          const gs_replica_list_t *list);
 
 /** @return hash that stands for a replica in the reports of other nodes */
 uint64_t placer_replica_hash (const char *id);
--- a/src/gateway/placer_private.h
+++ b/src/gateway/placer_private.h
@@ -55,6 +55,7 @@
   GArray *rows;        /* of replica_row_t */
   GHashTable *by_id;   /* id -> row + 1 */
   GHashTable *by_hash; /* hash of the id -> row + 1 */
+  GHashTable *former;  /* hash of the id -> former_replica_t */
   GHashTable *blocks;  /* id -> cached_block_t */
   double read_speed;   /* tokens per millisecond */
   unsigned peers;      /* other nodes that place requests */
@@ -70,6 +71,19 @@
   return &g_array_index (placer->rows, replica_row_t, row);
 }
 
+/* Keeps what a replica has said while no list contains it.  Does nothing if it
+   has said nothing that binds.  */
+void placer_former_add (placer_t *placer, gs_time_t now,
+                        const replica_row_t *row);
+
+/* Sets what the replica of a new row said before, if its process is the same.
+ */
+void placer_former_restore (placer_t *placer, gs_time_t now,
+                            replica_row_t *row);
+
+/* Removes entries of replicas that have been missing for long.  */
+void placer_former_expire (placer_t *placer, gs_time_t now);
+
 /* @return whether a replica of a service may get requests at all, full or
    not  */
 bool placer_row_is_usable (const replica_row_t *row, gs_time_t now,
--- a/src/gateway/placer_statements.c
+++ b/src/gateway/placer_statements.c
@@ -3,12 +3,23 @@
 #include "garnetstack/log.h"
 
 #include <math.h>
+#include <string.h>
 
 /* Requests a second; far more than a replica is ever sent.  */
 #define LIMIT_MAX 1e6
 /* Smallest difference of two limits is one divided by this.  */
 #define LIMIT_STEPS 1e6
 
+/* How long a replica that no list contains is still bound by what it said.
+   Entries that expire while the store is unavailable come back sooner.  */
+#define FORMER_TTL REPLICA_LIMIT_TTL
+
+typedef struct
+{
+  replica_row_t row;
+  gs_time_t removed_at;
+} former_replica_t;
+
 static void
 row_share_limit (const placer_t *placer, gs_time_t now, replica_row_t *row)
 {
@@ -178,3 +189,49 @@
     }
   return rate;
 }
+
+void
+placer_former_add (placer_t *placer, gs_time_t now, const replica_row_t *row)
+{
+  former_replica_t *former;
+
+  if (!row->leaving && row->refused_until <= now
+      && !replica_limit_is_set (&row->limit, now))
+    return;
+  former = g_new (former_replica_t, 1);
+  *former = (former_replica_t){ *row, now };
+  g_hash_table_replace (placer->former, &former->row.hash, former);
+}
+
+void
+placer_former_restore (placer_t *placer, gs_time_t now, replica_row_t *row)
+{
+  const former_replica_t *former
+      = g_hash_table_lookup (placer->former, &row->hash);
+
+  if (former == NULL)
+    return;
+  if (former->row.replica.started_ms == row->replica.started_ms
+      && strcmp (former->row.replica.address, row->replica.address) == 0)
+    {
+      row->limit = former->row.limit;
+      row->leaving = former->row.leaving;
+      row->leaving_at = former->row.leaving_at;
+      row->refused_until = former->row.refused_until;
+      if (replica_limit_is_set (&row->limit, now))
+        row_share_limit (placer, now, row);
+    }
+  g_hash_table_remove (placer->former, &row->hash);
+}
+
+void
+placer_former_expire (placer_t *placer, gs_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, placer->former);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now > ((const former_replica_t *)value)->removed_at + FORMER_TTL)
+      g_hash_table_iter_remove (&iter);
+}
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -339,7 +339,7 @@
 
   gs_replica_list_unref (traffic->replicas);
   traffic->replicas = message->list;
-  placer_replicas_set (traffic->placer, traffic->replicas);
+  placer_replicas_set (traffic->placer, gs_clock_now (), traffic->replicas);
   if (traffic->replicas->count > TRAFFIC_LOADS_MAX)
     gs_log (GS_LOG_WARN, "loads_left_out", "replicas=%u told_of=%u",
             traffic->replicas->count, TRAFFIC_LOADS_MAX);
--- a/tests/test_placer.c
+++ b/tests/test_placer.c
@@ -36,7 +36,7 @@
   placer_t *placer;
 
   placer_create (&placer, seed);
-  placer_replicas_set (placer, list);
+  placer_replicas_set (placer, GS_SEC, list);
   gs_replica_list_unref (list);
   return placer;
 }
@@ -246,11 +246,11 @@
   placer_ticket_t ticket;
 
   placer_attempt_begin (placer, GS_SEC, &query, &choice, &ticket);
-  placer_replicas_set (placer, remaining);
+  placer_replicas_set (placer, GS_SEC, remaining);
   for (unsigned i = 0; i < 20; i++)
     CU_ASSERT_EQUAL (run_request (placer, GS_SEC, 100 + i), 0);
   placer_attempt_end (placer, 2 * GS_SEC, &ticket, PLACER_SUCCEEDED);
-  placer_replicas_set (placer, remaining);
+  placer_replicas_set (placer, GS_SEC, remaining);
   CU_ASSERT_STRING_EQUAL (placer_replica (placer, 1)->id, "");
   gs_replica_list_unref (remaining);
   placer_destroy (placer);
@@ -271,7 +271,7 @@
   CU_ASSERT_EQUAL (choice.uncached_tokens,
                    PROMPT_TOKENS - SHARED_TOKENS - 500);
   restarted->rows[0].started_ms = 99;
-  placer_replicas_set (placer, restarted);
+  placer_replicas_set (placer, GS_SEC, restarted);
   placer_pick (placer, 4 * GS_SEC, &query, &choice);
   CU_ASSERT (choice.uncached_tokens > PROMPT_TOKENS - SHARED_TOKENS - 500);
   gs_replica_list_unref (restarted);
@@ -313,7 +313,7 @@
       for (unsigned i = 0; i < FLEET_REPLICAS; i++)
         list->rows[i].slots = FLEET_SLOTS;
       placer_create (&placer, node + 1);
-      placer_replicas_set (placer, list);
+      placer_replicas_set (placer, GS_SEC, list);
       gs_replica_list_unref (list);
       placer_peer_loads_set (placer, loads, FLEET_REPLICAS, NODES - 1);
       for (unsigned i = 0; i < REQUESTS; i++)
@@ -394,7 +394,7 @@
   CU_ASSERT (send_allowed (placer, 2 * GS_SEC, 3 * GS_SEC, LIMIT_PER_SEC)
              <= 3);
   list->rows[0].started_ms = 5;
-  placer_replicas_set (placer, list);
+  placer_replicas_set (placer, GS_SEC, list);
   CU_ASSERT (send_allowed (placer, 3 * GS_SEC, 4 * GS_SEC, -1) > 90);
   gs_replica_list_unref (list);
   placer_destroy (placer);
@@ -464,7 +464,7 @@
       placer_statement_record (placer, 7 * GS_SEC, &ticket, &answer));
   CU_ASSERT_EQUAL (send_allowed (placer, 7 * GS_SEC, 8 * GS_SEC, -1), 0);
   list->rows[0].started_ms = 9;
-  placer_replicas_set (placer, list);
+  placer_replicas_set (placer, GS_SEC, list);
   /* What it said before it started again comes late.  */
   placer_statements_import (placer, 8 * GS_SEC, &statement, 1);
   CU_ASSERT (send_allowed (placer, 9 * GS_SEC, 10 * GS_SEC, -1) > 90);
@@ -496,7 +496,7 @@
   for (uint64_t i = 0; i < 50; i++)
     CU_ASSERT_EQUAL (run_request (placer, 7 * GS_SEC, i + 10), 0);
   list->rows[1].started_ms = 9;
-  placer_replicas_set (placer, list);
+  placer_replicas_set (placer, GS_SEC, list);
   answer.refused_until = 9 * GS_SEC;
   placer_statement_record (placer, 7 * GS_SEC, &tickets[0], &answer);
   CU_ASSERT (send_allowed (placer, 7 * GS_SEC, 8 * GS_SEC, -1) > 90);
@@ -504,6 +504,49 @@
   placer_destroy (placer);
 }
 
+/* Guards against requests to a replica that has said that it leaves, refuses
+   or takes less, after its entry was missing for a moment: the store had lost
+   it.
+ */
+static void
+what_a_replica_said_outlives_a_gap_in_its_entry (void)
+{
+  static const placer_statement_t answers[]
+      = { { .limit_per_sec = -1, .leaving = true },
+          { .limit_per_sec = -1, .refused_until = 60 * GS_SEC },
+          { .limit_per_sec = 1 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
+    for (unsigned starts_again = 0; starts_again < 2; starts_again++)
+      {
+        placer_t *placer = make_placer (1, 1);
+        gs_replica_list_t *none = make_list (0);
+        gs_replica_list_t *list = make_list (1);
+        placer_ticket_t ticket = { .row = 0, .generation = 1 };
+        unsigned allowed;
+
+        CU_ASSERT_TRUE (
+            placer_statement_record (placer, 2 * GS_SEC, &ticket, &answers[i])
+            || answers[i].refused_until != 0);
+        placer_replicas_set (placer, 3 * GS_SEC, none);
+        list->rows[0].started_ms = starts_again != 0 ? 9 : 0;
+        placer_replicas_set (placer, 4 * GS_SEC, list);
+        allowed
+            = send_allowed (placer, 5 * GS_SEC, 6 * GS_SEC,
+                            starts_again != 0 ? -1 : answers[i].limit_per_sec);
+        CU_ASSERT (starts_again != 0 ? allowed > 90 : allowed <= 1);
+        /* An entry that is missing for good is forgotten.  */
+        list->rows[0].started_ms = 0;
+        placer_replicas_set (placer, 7 * GS_SEC, none);
+        placer_replicas_set (placer, 200 * GS_SEC, none);
+        placer_replicas_set (placer, 200 * GS_SEC, list);
+        CU_ASSERT (send_allowed (placer, 201 * GS_SEC, 202 * GS_SEC, -1) > 90);
+        gs_replica_list_unref (list);
+        gs_replica_list_unref (none);
+        placer_destroy (placer);
+      }
+}
+
 /* An answer of the process before comes after the replica has started again.
  */
 static void
@@ -521,7 +564,7 @@
   CU_ASSERT_EQUAL (placer_pick (placer, GS_SEC, &query, &choice), GS_OK);
   placer_attempt_begin (placer, GS_SEC, &query, &choice, &ticket);
   list->rows[0].started_ms = 9;
-  placer_replicas_set (placer, list);
+  placer_replicas_set (placer, GS_SEC, list);
   CU_ASSERT_FALSE (
       placer_statement_record (placer, 2 * GS_SEC, &ticket, &answer));
   placer_attempt_end (placer, 2 * GS_SEC, &ticket, PLACER_SUCCEEDED);
@@ -567,6 +610,8 @@
     a_limit_of_any_value_survives_the_way_to_other_nodes },
   { "a replica that refuses gets nothing until the end of that time",
     a_replica_that_refuses_gets_nothing_until_the_end_of_that_time },
+  { "what a replica said outlives a gap in its entry",
+    what_a_replica_said_outlives_a_gap_in_its_entry },
   { "a leaving replica gets nothing until it starts again",
     a_leaving_replica_gets_nothing_until_it_starts_again },
   { "a replica gets what its limit allows until it names none",
