duties: a process that starts after the store came back older waits and assumes

Cause: only a process that ran through the change of era reset its lease and took windows for sent. One that started after it found its predecessor's record in the copy, or none, took the lease at once, and reported the windows after the copy's record anew, with the counts of its own few requests.

Change: a lease record with a token of an earlier era, or none, may be older than the last holder's. Such a process waits a whole term, also for its predecessor's lease, and as the first holder of the era counts the windows that had settled as sent. A record with a token of the era ends both. In the first era nothing changes.

--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -59,13 +59,22 @@
                        + drift_max (lease);
 }
 
+/* @return true if the record may be older than the last holder's, as the store
+   came back from an older copy and nobody has taken the lease since.  */
+static bool
+is_before_reset (const gs_lease_t *lease)
+{
+  return lease->record.fencing <= lease->lost_fencing_max;
+}
+
 /* @return true if this node may write the lease: it holds it or it is free,
    and no other node can hold one that the store has lost  */
 static bool
 may_write (const gs_lease_t *lease, gs_time_t now)
 {
-  return now >= lease->lost_lease_deadline
-         && (is_own (lease, &lease->record) || is_free (lease, now));
+  if (now < lease->lost_lease_deadline && is_before_reset (lease))
+    return false;
+  return is_own (lease, &lease->record) || is_free (lease, now);
 }
 
 static gs_lease_action_t
@@ -78,8 +87,12 @@
   /* The store creates an object only if there is none, so nobody has held a
      lease whose object this write creates.  */
   if (!own)
-    lease->taken_from_other
-        = lease->version != 0 && !is_of_predecessor (lease);
+    {
+      lease->taken_from_other
+          = lease->version != 0 && !is_of_predecessor (lease);
+      lease->first_since_reset
+          = lease->lost_fencing_max != 0 && is_before_reset (lease);
+    }
   lease->lost_lease_deadline = 0;
   action.version = lease->version;
   action.record = lease->record;
@@ -217,6 +230,7 @@
   bool held = gs_lease_is_valid (lease, now);
 
   lease->fencing_floor = MAX (lease->fencing_floor, fencing_floor);
+  lease->lost_fencing_max = fencing_floor;
   lease->act_deadline = 0;
   lease->record_stale = true;
   lease->due = now;
@@ -224,6 +238,15 @@
       = held ? 0 : now + lease->times.term + drift_max (lease);
 }
 
+void
+gs_lease_reset_assume (gs_lease_t *lease, gs_time_t now,
+                       uint64_t fencing_floor)
+{
+  lease->fencing_floor = MAX (lease->fencing_floor, fencing_floor);
+  lease->lost_fencing_max = fencing_floor;
+  lease->lost_lease_deadline = now + lease->times.term + drift_max (lease);
+}
+
 void
 gs_lease_fence (gs_lease_t *lease, uint64_t fencing)
 {
--- a/src/control/lease.h
+++ b/src/control/lease.h
@@ -92,8 +92,14 @@
   gs_time_t store_response_at;  /**< last response of the store */
   unsigned failures;            /**< consecutive failed store calls */
   gs_time_t due;                /**< earliest time of the next call */
-  /** Until then another node may hold a lease that the store has lost. */
+  /** Until then another node may hold a lease that the store has lost, unless
+      the record has a token above lost_fencing_max. */
   gs_time_t lost_lease_deadline;
+  /** Highest token that may have been in use before the store last came back
+      from an older copy; 0 if it has not. */
+  uint64_t lost_fencing_max;
+  /** No holder since then is known to have been before this one. */
+  bool first_since_reset;
   gs_time_t act_deadline; /**< orders must be sent before; 0 for none */
 } gs_lease_t;
 
@@ -139,6 +145,15 @@
 void gs_lease_store_reset (gs_lease_t *lease, gs_time_t now,
                            uint64_t fencing_floor);
 
+/**
+ * Handle that the store came back from an older copy at some time before this
+ * process began.  Unless the record is of a holder since then, the process
+ * waits a whole term, also for the lease of its predecessor.
+ * @param fencing_floor higher than each token that was used before
+ */
+void gs_lease_reset_assume (gs_lease_t *lease, gs_time_t now,
+                            uint64_t fencing_floor);
+
 /** @return true if this node holds the lease and may send an order at @p now.
     Check before each order. */
 bool gs_lease_is_valid (const gs_lease_t *lease, gs_time_t now);
--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -15,6 +15,8 @@
 #define USAGE_START_DELAY (1500 * GS_MSEC)
 /* Fencing tokens of one era; far more than nodes take the lease.  */
 #define ERA_TOKEN_SHIFT 20
+/* Era of a store that has never come back from an older copy.  */
+#define ERA_FIRST 1
 #define USAGE_NAME "usage"
 /* The store normally answers within milliseconds, and takes up to fifty times
    as long when degraded.  */
@@ -64,6 +66,7 @@
   duties_options_t options;
   gs_lease_t lease;
   uint64_t era;              /* of the store, as last known; 0 for none */
+  bool began_in_later_era;   /* the store had come back older before */
   uint64_t fencing;          /* token of the held lease; 0 for none */
   gs_time_t takeover_at;     /* a new holder does not act before */
   uint64_t takeover_fencing; /* token that takeover_at was set for */
@@ -173,6 +176,13 @@
       gs_lease_store_reset (&duties->lease, now, era << ERA_TOKEN_SHIFT);
       usage_ledger_invalidate (&duties->ledger);
     }
+  else if (era > ERA_FIRST)
+    {
+      gs_log (GS_LOG_INFO, "lease_reset_assumed", "era=%llu",
+              (unsigned long long)era);
+      gs_lease_reset_assume (&duties->lease, now, era << ERA_TOKEN_SHIFT);
+      duties->began_in_later_era = true;
+    }
   else
     duties->lease.fencing_floor
         = MAX (duties->lease.fencing_floor, era << ERA_TOKEN_SHIFT);
@@ -267,6 +277,10 @@
                                      ? duties->options.deployment->lease_time
                                      : 0);
       duties->takeover_fencing = fencing;
+      /* A holder that was killed may have sent windows of which the store has
+         lost the record.  */
+      if (duties->began_in_later_era && duties->lease.first_since_reset)
+        usage_ledger_assume_sent (&duties->ledger, gs_clock_monotonic_wall ());
       usage_ledger_invalidate (&duties->ledger);
       scaler_reset (duties->scaler);
     }
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -369,12 +369,63 @@
   CU_ASSERT_FALSE (gs_lease_is_valid (&a, now + GS_LEASE_TERM / 2));
 }
 
+/* A process that starts cannot know how long ago the store came back older.
+   Guards against a lease that is taken while its holder, of which the store
+   has no record, still acts.  */
+static void
+a_process_that_starts_after_the_store_came_back_older_waits (void)
+{
+  /* In the record: nobody, this node's process before, another node; a token
+     of before, or one that was taken since.  */
+  static const struct
+  {
+    const char *holder;
+    uint64_t fencing;
+    bool waits;
+    bool is_first;
+  } rows[] = {
+    { "", 0, true, true },      { "a", 5, true, true },
+    { "", 5, true, true },      { "b", 5, true, true },
+    { "", 1001, false, false }, { "a", 1001, false, false },
+    { "b", 1001, true, false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      gs_lease_t a;
+      gs_lease_t b;
+      lease_object_t object;
+      gs_time_t begin = GS_SEC;
+      gs_time_t now;
+
+      start (&a, &b, &object);
+      if (rows[i].fencing != 0)
+        {
+          object.version = 7;
+          object.record.fencing = rows[i].fencing;
+          object.record.incarnation = 99;
+          g_strlcpy (object.record.holder, rows[i].holder,
+                     sizeof object.record.holder);
+        }
+      gs_lease_reset_assume (&a, begin, 1000);
+      for (now = begin; !gs_lease_is_valid (&a, now) && now < 60 * GS_SEC;
+           now += 100 * GS_MSEC)
+        run_node (&a, now, true, &object);
+      CU_ASSERT_EQUAL (now > begin + GS_LEASE_TERM, rows[i].waits);
+      CU_ASSERT (now < begin + 2 * GS_LEASE_TERM);
+      CU_ASSERT (a.record.fencing > 1000);
+      CU_ASSERT_EQUAL (a.first_since_reset, rows[i].is_first);
+    }
+}
+
 int
 main (void)
 {
   static const check_case_t cases[] = {
     { "a lease that the store has lost stays with its holder",
       a_lease_that_the_store_has_lost_stays_with_its_holder },
+    { "a process that starts after the store came back older waits",
+      a_process_that_starts_after_the_store_came_back_older_waits },
     { "a lost lease is taken after a term if its holder is gone",
       a_lost_lease_is_taken_after_a_term_if_its_holder_is_gone },
     { "an earlier holder in a store that came back older waits",
--- a/tests/test_process_gateway_store.c
+++ b/tests/test_process_gateway_store.c
@@ -162,7 +162,40 @@
   end_world ();
 }
 
+static void
+request_for (unsigned tenths_sec, unsigned nodes)
+{
+  for (unsigned i = 0; i < tenths_sec; i++)
+    {
+      status_at (i % nodes, "/a/never/good");
+      g_usleep (ONE_SECOND / 10);
+    }
+}
+
+/* All nodes lose power with what they had counted, and the store comes back
+   without the record of windows that were sent.  */
+static void
+windows_sent_before_all_nodes_were_killed_are_not_reported_anew (void)
+{
+  start_gateway (1);
+  gw_start (&world, 1, true);
+  request_for (40, 2);
+  gw_store_copy (&world);
+  request_for (40, 2);
+  CU_ASSERT (json_array_size (world.usage_reports) > 3);
+  for (unsigned i = 0; i < 2; i++)
+    gw_signal (&world, i, SIGKILL);
+  gw_store_set_back (&world);
+  for (unsigned i = 0; i < 2; i++)
+    gw_start (&world, i, true);
+  request_for (60, 2);
+  CU_ASSERT_EQUAL (gw_duty_violations_count (&world), 0);
+  end_world ();
+}
+
 static const check_case_t cases[] = {
+  { "windows sent before all nodes were killed are not reported anew",
+    windows_sent_before_all_nodes_were_killed_are_not_reported_anew },
   { "a configuration never reverts when the store comes back older",
     a_configuration_never_reverts_when_the_store_comes_back_older },
   { "changes under revisions given out again are seen",
