soak: replicas are reached through their proxies

The proxy had turned the reset into a regular end, which makes such an answer complete by the protocol. It now passes on a reset as one, and ends connections with one on which it has dropped data.

--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -20,8 +20,7 @@
 gw_replica_publish (gateway_world_t *world, unsigned index, const char *state)
 {
   world_replica_t *replica = &world->replicas[index];
-  char *address
-      = g_strdup_printf ("127.0.0.1:%u", raw_server_port (replica->server));
+  char *address = g_strdup_printf ("127.0.0.1:%u", replica->port);
 
   gw_object_put (world, "servers", replica->id,
                  json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i}",
--- a/tests/raw_proxy.c
+++ b/tests/raw_proxy.c
@@ -17,11 +17,13 @@
   atomic_bool stopping;
 };
 
-/* Forwards one block as the current mode demands.
+/* Forwards one block as the current mode demands.  An end that is no regular
+   one, or comes after data that were dropped, is passed on as a reset: a
+   response without a length would look complete otherwise.
    @return false if the connection has ended  */
 static bool
 block_forward (raw_proxy_t *proxy, raw_conn_t *from, raw_conn_t *to,
-               bool is_response)
+               bool is_response, bool *dropped)
 {
   char block[BLOCK_BYTES];
   int mode = atomic_load (&proxy->mode);
@@ -30,12 +32,16 @@
   if (mode == PROXY_SILENT)
     return true;
   count = recv (from->fd, block, sizeof block, 0);
+  if (count < 0 || (count == 0 && *dropped))
+    raw_reset_on_close (to);
   if (count <= 0)
     return false;
   if (mode == PROXY_DELAY)
     g_usleep (BLOCK_DELAY_USEC);
   if (mode != PROXY_NO_RESPONSES || !is_response)
     raw_send (to, block, (size_t)count);
+  else
+    *dropped = true;
   return true;
 }
 
@@ -45,6 +51,7 @@
   raw_proxy_t *proxy = context;
   raw_conn_t server_conn;
   bool open = true;
+  bool dropped = false;
 
   if (!raw_connect (&server_conn, proxy->target))
     return;
@@ -66,9 +73,9 @@
         }
       poll (polled, 2, POLL_INTERVAL_MSEC);
       if (polled[0].revents != 0)
-        open = block_forward (proxy, client, &server_conn, false);
+        open = block_forward (proxy, client, &server_conn, false, &dropped);
       if (open && polled[1].revents != 0)
-        open = block_forward (proxy, &server_conn, client, true);
+        open = block_forward (proxy, &server_conn, client, true, &dropped);
     }
   raw_close (&server_conn);
 }
