store: a watch's response that has begun may take longer than its wait

What callers would see: on sites with large configurations, routes that come into force up to a second later than they need to (CONFIG).

The loop gets a deadline for the start of a response, as libcurl has one for the whole only.

Tests: "a watch with a long response ends whole" (failed before), "a response that has begun may take longer" (four responses, silent ones among them).

--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -98,6 +98,9 @@
   size_t body_length;
   gs_time_t deadline;          /**< of the whole request; 0 or GS_TIME_NEVER
                                     for none */
+  gs_time_t response_deadline; /**< of the start of the response; 0 for none.
+                                    Checked at least once a second, and each
+                                    time that the loop wakes up */
   gs_time_t progress_deadline; /**< now plus the longest time without data,
                                     which is rounded down to whole seconds but
                                     is at least one; 0 for none */
--- a/include/garnetstack/object_store.h
+++ b/include/garnetstack/object_store.h
@@ -76,8 +76,10 @@
       page */
   void (*list) (void *context, const char *kind, const char *after_name,
                 gs_time_t deadline, gs_object_cb_t callback, void *argument);
-  /** Wait for changes after a revision, until shortly before the deadline.
-      Ends with GS_OK and no object when there were none. */
+  /** Wait for changes after a revision, until shortly before the deadline,
+      which is that of the start of the response: how long the changes take to
+      arrive depends on their size.  Ends with GS_OK and no object when there
+      were none. */
   void (*watch) (void *context, const char *kind, uint64_t after_revision,
                  gs_time_t deadline, gs_object_cb_t callback, void *argument);
   /** Read one object. */
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -53,7 +53,9 @@
   gs_time_t tick_due;
   gs_loop_cb_t tick;
   void *tick_context;
-  GHashTable *calls; /* set of gs_http_call_t */
+  GHashTable *calls;    /* set of gs_http_call_t */
+  GHashTable *awaiting; /* of these, calls with a response_deadline and no
+                           response yet */
   atomic_bool stopping;
 };
 
@@ -68,6 +70,7 @@
   char version[VERSION_BYTES];
   bool no_resend;
   bool send_started; /* libcurl has begun to send the request at least once */
+  gs_time_t response_deadline;
   gs_http_line_cb_t on_line;
   gs_http_data_cb_t on_data;
   gs_http_done_cb_t on_done;
@@ -82,6 +85,7 @@
   gs_loop_t *loop = call->loop;
 
   g_hash_table_remove (loop->calls, call);
+  g_hash_table_remove (loop->awaiting, call);
   curl_multi_remove_handle (loop->multi, call->easy);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
@@ -110,6 +114,7 @@
     return;
   open_calls = g_hash_table_get_keys (loop->calls);
   g_list_free_full (open_calls, call_discard);
+  g_hash_table_unref (loop->awaiting);
   g_hash_table_unref (loop->calls);
   while (ck_ring_dequeue_mpsc (&loop->ring, loop->slots, &task))
     g_free (task);
@@ -311,6 +316,33 @@
       }
 }
 
+/* @return a call whose response has not begun in time; NULL if there is none
+ */
+static gs_http_call_t *
+overdue_call (const gs_loop_t *loop, gs_time_t now)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, loop->awaiting);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (now >= ((const gs_http_call_t *)key)->response_deadline)
+      return key;
+  return NULL;
+}
+
+/* A callback may start or cancel others, so the set is searched anew after
+   each.  */
+static void
+finish_overdue_calls (gs_loop_t *loop)
+{
+  gs_time_t now = gs_clock_now ();
+  gs_http_call_t *call;
+
+  while ((call = overdue_call (loop, now)) != NULL)
+    finish_call (call, CURLE_OPERATION_TIMEDOUT);
+}
+
 static void
 on_socket_ready (void *context, int fd, short events)
 {
@@ -375,6 +407,7 @@
 
   loop->multi = curl_multi_init ();
   loop->calls = g_hash_table_new (NULL, NULL);
+  loop->awaiting = g_hash_table_new (NULL, NULL);
   loop->slots = g_new0 (ck_ring_buffer_t, QUEUE_TASKS_MAX);
   loop->watches = g_array_new (FALSE, TRUE, sizeof (fd_watch_t));
   loop->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
@@ -443,6 +476,7 @@
       run_tasks (loop);
       run_timer (loop);
       finish_calls (loop);
+      finish_overdue_calls (loop);
       run_tick (loop);
     }
   atomic_store (&loop->stopping, false);
@@ -476,6 +510,7 @@
   gs_http_call_t *call = context;
   size_t length = size * count;
 
+  g_hash_table_remove (call->loop->awaiting, call);
   if (call->on_line != NULL && !call->on_line (call->context, data, length))
     return 0;
   if (length > sizeof header_name - 1
@@ -601,6 +636,9 @@
   call->context = request->context;
   call->context_free = request->context_free;
   g_hash_table_add (loop->calls, call);
+  call->response_deadline = request->response_deadline;
+  if (request->response_deadline != 0)
+    g_hash_table_add (loop->awaiting, call);
 
   for (size_t i = 0; request->headers != NULL && request->headers[i] != NULL;
        i++)
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -1,4 +1,5 @@
 #include "check.h"
+#include "raw_http.h"
 
 #include "garnetstack/loop.h"
 #include "garnetstack/server.h"
@@ -220,6 +221,78 @@
     }
 }
 
+#define RESPONSE_DEADLINE_MS 400
+
+/* Times after the request, in milliseconds.  */
+typedef struct
+{
+  unsigned head_ms; /* 0: never */
+  unsigned body_ms; /* 0: never */
+  gs_status_t status;
+} slow_response_t;
+
+static void
+respond_slowly (void *context, raw_conn_t *conn)
+{
+  const slow_response_t *times = context;
+  raw_message_t request;
+
+  if (!raw_read_request (conn, &request))
+    return;
+  raw_message_clear (&request);
+  if (times->head_ms != 0)
+    {
+      g_usleep (times->head_ms * 1000);
+      raw_printf (conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhe");
+    }
+  if (times->body_ms != 0)
+    {
+      g_usleep ((times->body_ms - times->head_ms) * 1000);
+      raw_printf (conn, "llo");
+    }
+  raw_wait_close (conn, gs_clock_now () + 10 * GS_SEC);
+}
+
+/* A change that comes late in a long poll needs time to arrive, while a silent
+   connection must be found early.  */
+static void
+a_response_that_has_begun_may_take_longer (void)
+{
+  static const slow_response_t rows[] = { { 100, 200, GS_OK },
+                                          { 100, 900, GS_OK },
+                                          { 0, 0, GS_ETIMEOUT },
+                                          { 100, 0, GS_ETIMEOUT } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      gs_http_request_t request = GS_HTTP_REQUEST_INIT;
+      gs_time_t begin = gs_clock_now ();
+      raw_server_t *server;
+      fetch_t fetch = { .body = g_string_new (NULL) };
+      char *url;
+
+      raw_server_create (&server, respond_slowly, (void *)&rows[i]);
+      url = g_strdup_printf ("http://127.0.0.1:%u/", raw_server_port (server));
+      gs_loop_create (&fetch.loop);
+      request.url = url;
+      request.on_done = on_fetched;
+      request.context = &fetch;
+      request.response_deadline = begin + RESPONSE_DEADLINE_MS * GS_MSEC;
+      request.deadline = begin + 3 * GS_SEC;
+      gs_loop_http (NULL, fetch.loop, &request);
+      gs_loop_run (fetch.loop);
+      CU_ASSERT_EQUAL (fetch.status, rows[i].status);
+      if (rows[i].status == GS_OK)
+        CU_ASSERT_STRING_EQUAL (fetch.body->str, "hello");
+      CU_ASSERT_EQUAL (gs_clock_now () < begin + 2 * GS_SEC,
+                       rows[i].status == GS_OK || rows[i].head_ms == 0);
+      gs_loop_destroy (fetch.loop);
+      raw_server_destroy (server);
+      g_string_free (fetch.body, TRUE);
+      g_free (url);
+    }
+}
+
 int
 main (void)
 {
@@ -229,6 +302,8 @@
     { "no_callback_after_unwatch", no_callback_after_unwatch },
     { "request_status_tells_how_the_response_ended",
       request_status_tells_how_the_response_ended },
+    { "a response that has begun may take longer",
+      a_response_that_has_begun_may_take_longer },
   };
 
   return CHECK_RUN ("loop", cases);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -370,7 +370,87 @@
     }
 }
 
+/* A store whose response to a watch begins in time and takes longer.  */
+typedef struct
+{
+  unsigned body_ms; /* from the head to the end of the body */
+  size_t bytes;     /* of the object */
+  gs_status_t status;
+  unsigned count;
+} slow_watch_t;
+
+typedef struct
+{
+  gs_loop_t *loop;
+  gs_object_result_t result;
+} watch_result_t;
+
+static void
+respond_to_watch (void *context, raw_conn_t *conn)
+{
+  const slow_watch_t *row = context;
+  char *filler = g_strnfill (row->bytes, 'x');
+  char *body = g_strdup_printf (
+      "{\"events\":[{\"object\":{\"meta\":{\"name\":\"main\","
+      "\"revision\":8},\"spec\":\"%s\"}}],\"current_rev\":8}",
+      filler);
+  raw_message_t request;
+
+  if (raw_read_request (conn, &request))
+    {
+      raw_message_clear (&request);
+      raw_printf (conn, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n{",
+                  strlen (body));
+      g_usleep (row->body_ms * 1000);
+      raw_send (conn, body + 1, strlen (body) - 1);
+      raw_wait_close (conn, gs_clock_now () + 10 * GS_SEC);
+    }
+  g_free (body);
+  g_free (filler);
+}
+
+static void
+on_watch_result (void *argument, const gs_object_result_t *result)
+{
+  watch_result_t *out = argument;
+
+  out->result = *result;
+  gs_loop_stop (out->loop);
+}
+
+/* Guards against a large configuration that comes late in a watch and is cut
+   off at its deadline, and against changes that never fit into one response.
+ */
+static void
+a_watch_with_a_long_response_ends_whole (void)
+{
+  static const slow_watch_t rows[] = { { 1500, 100, GS_OK, 1 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      gs_endpoint_t endpoint = { .host = "127.0.0.1" };
+      watch_result_t out = { .loop = NULL };
+      gs_object_store_t store;
+      raw_server_t *server;
+
+      raw_server_create (&server, respond_to_watch, (void *)&rows[i]);
+      endpoint.port = raw_server_port (server);
+      gs_loop_create (&out.loop);
+      gs_platform_store_create (&store, out.loop, &endpoint);
+      store.watch (store.context, "config", 5, gs_clock_now () + GS_SEC,
+                   on_watch_result, &out);
+      gs_loop_run (out.loop);
+      CU_ASSERT_EQUAL (out.result.status, rows[i].status);
+      CU_ASSERT_EQUAL (out.result.count, rows[i].count);
+      gs_loop_destroy (out.loop);
+      gs_platform_store_destroy (&store);
+      raw_server_destroy (server);
+    }
+}
+
 static const check_case_t cases[] = {
+  { "a watch with a long response ends whole",
+    a_watch_with_a_long_response_ends_whole },
   { "what a replica says in a rejection is read",
     what_a_replica_says_in_a_rejection_is_read },
   { "a limit in an answer is read and forwarded",
