feed: a watch whose response is cut off is followed by a list

What callers would see: a node that was away for a while stays on an old configuration until a peer gives it a copy (CONFIG); a node alone, for good.

Responses above 4 MB end with an error, so five versions of 0.8 MB never arrive, and the watch was made again from the same revision each time.

Change: the store's result says that a response began and did not end, and the feed then lists, which brings only what there is now, in pages.

Tests: "a watch that is cut off is followed by a list", and the second row of "a watch with a long response ends whole or says that it did not"; both failed before.

--- a/include/garnetstack/object_store.h
+++ b/include/garnetstack/object_store.h
@@ -56,6 +56,7 @@
                           for get and put */
   uint64_t era;      /**< of the store, in any response; 0 if there is none or
                           it names none */
+  bool incomplete;   /**< a response with objects began and did not end */
   bool more;         /**< the list has a next page, which starts after the name
                           of the last object of this one */
   unsigned count;    /**< number of objects */
--- a/src/gateway/feed.c
+++ b/src/gateway/feed.c
@@ -360,6 +360,9 @@
     }
   if (result->status != GS_OK)
     {
+      /* A list is shorter than a watch's response with several versions of an
+         object, which may not fit.  */
+      feed->needs_list |= result->incomplete;
       handle_failure (feed, now, result->status);
       return;
     }
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -281,6 +281,32 @@
   stop (feed, &store, &recorder);
 }
 
+/* Guards against a watch that asks for the same changes again and again, which
+   are too many for one response.  */
+static void
+a_watch_that_is_cut_off_is_followed_by_a_list (void)
+{
+  feed_t *feed;
+  fake_store_t store;
+  recorder_t recorder;
+  gs_object_result_t cut = { .status = GS_EUNKNOWN, .incomplete = true };
+
+  start_listed (&feed, &store, &recorder, 10, "a5 b7");
+  tick (feed, true);
+  CU_ASSERT_TRUE (store.is_watch);
+  answer (&store, &cut);
+  CU_ASSERT_EQUAL (recorder.losses, 1);
+  tick (feed, true);
+  CU_ASSERT_FALSE (store.is_watch);
+  answer_objects (&store, 30, false, "a20");
+  CU_ASSERT_EQUAL (recorder.recoveries, 1);
+  CU_ASSERT_STRING_EQUAL (recorder.events->str, "+a5 +b7 +a20 -b ");
+  tick (feed, true);
+  CU_ASSERT_TRUE (store.is_watch);
+  CU_ASSERT_EQUAL (store.after_revision, 30);
+  stop (feed, &store, &recorder);
+}
+
 /* The store charges for each call.  */
 static void
 changes_in_quick_succession_share_a_watch (void)
@@ -767,6 +793,8 @@
     changes_in_quick_succession_share_a_watch },
   { "imports in any order match the store",
     imports_in_any_order_match_the_store },
+  { "a watch that is cut off is followed by a list",
+    a_watch_that_is_cut_off_is_followed_by_a_list },
   { "a watch answered after a later copy restores nothing",
     a_watch_answered_after_a_later_copy_restores_nothing },
   { "a list answered after a copy changes nothing",
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -376,6 +376,7 @@
   unsigned body_ms; /* from the head to the end of the body */
   size_t bytes;     /* of the object */
   gs_status_t status;
+  bool incomplete;
   unsigned count;
 } slow_watch_t;
 
@@ -422,9 +423,11 @@
    off at its deadline, and against changes that never fit into one response.
  */
 static void
-a_watch_with_a_long_response_ends_whole (void)
+a_watch_with_a_long_response_ends_whole_or_says_that_it_did_not (void)
 {
-  static const slow_watch_t rows[] = { { 1500, 100, GS_OK, 1 } };
+  static const slow_watch_t rows[]
+      = { { 1500, 100, GS_OK, false, 1 },
+          { 0, (size_t)5 << 20, GS_EUNKNOWN, true, 0 } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     {
@@ -441,6 +444,7 @@
                    on_watch_result, &out);
       gs_loop_run (out.loop);
       CU_ASSERT_EQUAL (out.result.status, rows[i].status);
+      CU_ASSERT_EQUAL (out.result.incomplete, rows[i].incomplete);
       CU_ASSERT_EQUAL (out.result.count, rows[i].count);
       gs_loop_destroy (out.loop);
       gs_platform_store_destroy (&store);
@@ -449,8 +453,8 @@
 }
 
 static const check_case_t cases[] = {
-  { "a watch with a long response ends whole",
-    a_watch_with_a_long_response_ends_whole },
+  { "a watch with a long response ends whole or says that it did not",
+    a_watch_with_a_long_response_ends_whole_or_says_that_it_did_not },
   { "what a replica says in a rejection is read",
     what_a_replica_says_in_a_rejection_is_read },
   { "a limit in an answer is read and forwarded",
