loop: an event of a closed connection does not reach its descriptor's next one

The request had waited 175 ms to be read, while the node put a configuration of 4,200 routes in force; it was cut 3 ms after it was passed on, at replica and caller together.

Cause: the loop takes up to 64 ready events at a time, by descriptor number. An earlier callback of the batch can close a connection and accept another one, which gets its number, and the hang-up of the first was then reported to the second, whose request was cancelled as left by its caller. After a stall a batch holds both: callers whose time has run out hang up while others connect.

Change: an event carries the generation of the watch that it was asked for.

Test: "a hang-up is not reported to the next connection of its descriptor" failed before.

--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -38,6 +38,7 @@
   gs_loop_fd_cb_t callback; /* NULL when not watched */
   void *context;
   uint32_t events;
+  uint32_t generation; /* rises when the descriptor is watched anew */
 } fd_watch_t;
 
 struct gs_loop
@@ -180,7 +181,7 @@
 
   if (watch->callback == NULL)
     return;
-  *watch = (fd_watch_t){ NULL, NULL, 0 };
+  *watch = (fd_watch_t){ .generation = watch->generation };
   epoll_ctl (loop->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
 }
 
@@ -214,17 +215,24 @@
   return out;
 }
 
+static uint64_t
+event_key (int fd, uint32_t generation)
+{
+  return (uint64_t)generation << 32 | (uint32_t)fd;
+}
+
 void
 gs_loop_watch (gs_loop_t *loop, int fd, short events, gs_loop_fd_cb_t callback,
                void *context)
 {
   fd_watch_t *watch = get_watch (loop, fd);
-  struct epoll_event entry
-      = { .events = to_epoll_events (events), .data = { .fd = fd } };
   bool known = watch->callback != NULL;
+  uint32_t generation = watch->generation + (known ? 0 : 1);
+  struct epoll_event entry = { .events = to_epoll_events (events),
+                               .data = { .u64 = event_key (fd, generation) } };
   bool same = known && watch->events == entry.events;
 
-  *watch = (fd_watch_t){ callback, context, entry.events };
+  *watch = (fd_watch_t){ callback, context, entry.events, generation };
   if (!same)
     epoll_ctl (loop->epoll_fd, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd,
                &entry);
@@ -243,8 +251,9 @@
     }
 }
 
-/* A callback may remove the watches of other descriptors that are ready, so
-   each watch is looked up just before its callback is called.  Descriptors
+/* A callback may remove the watches of other descriptors that are ready, or
+   watch new connections that got their numbers, so each watch is looked up
+   just before its callback is called, and its generation compared. Descriptors
    beyond READY_EVENTS_MAX are reported by the next wait.  */
 static void
 run_watches (gs_loop_t *loop, int timeout_ms)
@@ -254,10 +263,11 @@
 
   for (int i = 0; i < count; i++)
     {
-      int fd = ready[i].data.fd;
+      int fd = (int)(uint32_t)ready[i].data.u64;
       fd_watch_t watch = *get_watch (loop, fd);
 
-      if (watch.callback != NULL)
+      if (watch.callback != NULL
+          && ready[i].data.u64 == event_key (fd, watch.generation))
         watch.callback (watch.context, fd,
                         from_epoll_events (ready[i].events));
     }
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -7,6 +7,7 @@
 #include <poll.h>
 #include <pthread.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define POSTERS 4
@@ -117,6 +118,66 @@
   gs_loop_destroy (pipes.loop);
 }
 
+/* Connections whose ends hang up; the first one that is reported closes the
+   other, and watches a new connection that gets its descriptor.  */
+typedef struct
+{
+  gs_loop_t *loop;
+  int fds[2][2];
+  int new_fds[2];
+  unsigned calls;
+  unsigned new_calls;
+} successors_t;
+
+static void
+on_new_connection (void *context, int fd, short events)
+{
+  ((successors_t *)context)->new_calls++;
+}
+
+static void
+on_first_hangup (void *context, int fd, short events)
+{
+  successors_t *state = context;
+  int other = state->fds[fd == state->fds[0][0]][0];
+
+  if (state->calls++ > 0)
+    return;
+  gs_loop_unwatch (state->loop, fd);
+  gs_loop_unwatch (state->loop, other);
+  CU_ASSERT_EQUAL (socketpair (AF_UNIX, SOCK_STREAM, 0, state->new_fds), 0);
+  CU_ASSERT_EQUAL (dup2 (state->new_fds[0], other), other);
+  gs_loop_watch (state->loop, other, POLLRDHUP, on_new_connection, state);
+}
+
+/* Guards against a request that is cut off because another connection hung up
+   whose descriptor it got.  */
+static void
+a_hangup_is_not_reported_to_the_next_connection_of_its_descriptor (void)
+{
+  successors_t state = { .calls = 0 };
+
+  gs_loop_create (&state.loop);
+  for (int i = 0; i < 2; i++)
+    CU_ASSERT_EQUAL_FATAL (socketpair (AF_UNIX, SOCK_STREAM, 0, state.fds[i]),
+                           0);
+  for (int i = 0; i < 2; i++)
+    {
+      gs_loop_watch (state.loop, state.fds[i][0], POLLRDHUP, on_first_hangup,
+                     &state);
+      close (state.fds[i][1]);
+    }
+  gs_loop_tick_set (state.loop, 50 * GS_MSEC, stop_loop, state.loop);
+  gs_loop_run (state.loop);
+  CU_ASSERT_EQUAL (state.calls, 1);
+  CU_ASSERT_EQUAL (state.new_calls, 0);
+  /* Its own hang-up is reported.  */
+  close (state.new_fds[1]);
+  gs_loop_run (state.loop);
+  CU_ASSERT (state.new_calls > 0);
+  gs_loop_destroy (state.loop);
+}
+
 typedef struct
 {
   gs_loop_t *loop;
@@ -300,6 +361,8 @@
     { "tasks_posted_by_many_threads_all_run",
       tasks_posted_by_many_threads_all_run },
     { "no_callback_after_unwatch", no_callback_after_unwatch },
+    { "a hang-up is not reported to the next connection of its descriptor",
+      a_hangup_is_not_reported_to_the_next_connection_of_its_descriptor },
     { "request_status_tells_how_the_response_ended",
       request_status_tells_how_the_response_ended },
     { "a response that has begun may take longer",
