--- a/bench/bench_peers.c
+++ b/bench/bench_peers.c
@@ -10,6 +10,8 @@
 #define DEATHS 3
 #define WAIT_MAX (30 * GS_SEC)
 #define REPLICAS_PER_NODE 1.5
+/* One replica of so many names a limit in its answers.  */
+#define REPLICAS_PER_LIMIT 10
 #define ACCOUNTS 40
 /* Requests that a node has at replicas at one time.  */
 #define IN_FLIGHT 12
@@ -108,13 +110,94 @@
   return peers_world_now (world) - start;
 }
 
+/* Bytes a second of the nodes.  */
+typedef struct
+{
+  double mean;
+  double most;
+  double crossing; /* mean, to other data centres */
+} byte_rates_t;
+
+static void
+measure_bytes (peers_world_t *world, unsigned nodes, byte_rates_t *out)
+{
+  uint64_t crossed;
+
+  *out = (byte_rates_t){ 0 };
+  for (unsigned node = 0; node < nodes; node++)
+    peers_world_bytes_take (world, node, &crossed);
+  peers_world_run (world, MEASURED_TIME);
+  for (unsigned node = 0; node < nodes; node++)
+    {
+      double rate = (double)peers_world_bytes_take (world, node, &crossed)
+                    * GS_SEC / MEASURED_TIME;
+
+      out->mean += rate / nodes;
+      out->most = MAX (out->most, rate);
+      out->crossing += (double)crossed * GS_SEC / MEASURED_TIME / nodes;
+    }
+}
+
+static bool
+knows_statement (peers_world_t *world, unsigned node, uint64_t replica)
+{
+  traffic_peers_t *view = peers_view_create (peers_world_peers (world, node),
+                                             peers_world_now (world));
+  bool known = false;
+
+  for (guint i = 0; i < view->statements->len; i++)
+    known
+        |= g_array_index (view->statements, statement_t, i).replica == replica;
+  traffic_peers_free (view);
+  return known;
+}
+
+static void
+add_statement (peers_world_t *world, unsigned node, uint64_t replica,
+               bool leaving)
+{
+  statement_t statement = { .replica = replica,
+                            .leaving = leaving,
+                            .limit_micros = leaving ? 0 : 1900000,
+                            .stated_at = peers_world_now (world) };
+
+  g_array_append_val (peers_world_report (world, node)->statements, statement);
+}
+
+/* @return time until all nodes knew of a replica that one has heard leave  */
+static gs_time_t
+measure_statement (peers_world_t *world, unsigned nodes)
+{
+  gs_time_t start = peers_world_now (world);
+  unsigned missing = nodes;
+
+  add_statement (world, nodes - 1, UINT64_MAX, true);
+  while (missing > 0 && peers_world_now (world) < start + WAIT_MAX)
+    {
+      peers_world_run (world, STEP);
+      missing = 0;
+      for (unsigned node = 0; node < nodes; node++)
+        missing += !knows_statement (world, node, UINT64_MAX);
+    }
+  return peers_world_now (world) - start;
+}
+
+static void
+add_limits (peers_world_t *world, unsigned nodes)
+{
+  unsigned replicas = (unsigned)(nodes * REPLICAS_PER_NODE) + 1;
+
+  for (unsigned i = 0; i < replicas; i += REPLICAS_PER_LIMIT)
+    add_statement (world, i % nodes, (i + 1) * UINT64_C (0x9e3779b97f4a7c15),
+                   false);
+}
+
 static void
 measure_size (unsigned nodes, double loss)
 {
   peers_world_options_t options = PEERS_WORLD_OPTIONS_INIT;
-  double mean = 0;
-  double most = 0;
-  double crossing = 0;
+  byte_rates_t rates;
+  byte_rates_t limited;
   peers_world_t *world;
 
   options.nodes = nodes;
@@ -125,27 +208,16 @@
   for (unsigned node = 0; node < nodes; node++)
     fill_report (world, node, nodes);
   peers_world_run (world, SETTLE_TIME);
-  for (unsigned node = 0; node < nodes; node++)
-    {
-      uint64_t crossed;
-
-      peers_world_bytes_take (world, node, &crossed);
-    }
-  peers_world_run (world, MEASURED_TIME);
-  for (unsigned node = 0; node < nodes; node++)
-    {
-      uint64_t crossed;
-      double rate = (double)peers_world_bytes_take (world, node, &crossed)
-                    * GS_SEC / MEASURED_TIME;
-
-      mean += rate / nodes;
-      most = MAX (most, rate);
-      crossing += (double)crossed * GS_SEC / MEASURED_TIME / nodes;
-    }
-  printf ("%5u  %4.1f%%  %9.1f  %9.1f  %9.1f", nodes, 100 * loss, mean / 1e3,
-          most / 1e3, crossing / 1e3);
+  measure_bytes (world, nodes, &rates);
+  printf ("%5u  %4.1f%%  %9.1f  %9.1f  %9.1f", nodes, 100 * loss,
+          rates.mean / 1e3, rates.most / 1e3, rates.crossing / 1e3);
   printf ("  %8lld", (long long)(measure_config (world, nodes) / GS_MSEC));
-  printf ("  %8lld\n", (long long)(measure_deaths (world, nodes) / GS_MSEC));
+  printf ("  %8lld", (long long)(measure_deaths (world, nodes) / GS_MSEC));
+  printf ("  %8lld", (long long)(measure_statement (world, nodes) / GS_MSEC));
+  add_limits (world, nodes);
+  peers_world_run (world, SETTLE_TIME);
+  measure_bytes (world, nodes, &limited);
+  printf ("  %9.1f\n", limited.mean / 1e3);
   peers_world_destroy (world);
 }
 
@@ -168,7 +240,7 @@
       return 2;
     }
   printf ("nodes   loss  kB/s mean   kB/s max  kB/s to other data centres"
-          "  config ms  death ms\n");
+          "  config ms  death ms  leaving ms  kB/s with limits\n");
   if (argc > 1)
     measure_size ((unsigned)atoi (argv[1]), loss);
   else
