usage: what may have been sent before a set-back is told by the record's era

A new holder that the one before could not tell what it had sent re-reads the record after a set-back, which lacks that window, and reports it anew. And a process that started after a set-back trusted the record of usage once the lease had been taken in the era; the node that took it may have been lost before it wrote a record.

Change: the record of usage holds the era in which it was written. A process that finds a later era at its start trusts only a record of that era.

--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -87,12 +87,8 @@
   /* The store creates an object only if there is none, so nobody has held a
      lease whose object this write creates.  */
   if (!own)
-    {
-      lease->taken_from_other
-          = lease->version != 0 && !is_of_predecessor (lease);
-      lease->first_since_reset
-          = lease->lost_fencing_max != 0 && is_before_reset (lease);
-    }
+    lease->taken_from_other
+        = lease->version != 0 && !is_of_predecessor (lease);
   lease->lost_lease_deadline = 0;
   action.version = lease->version;
   action.record = lease->record;
--- a/src/control/lease.h
+++ b/src/control/lease.h
@@ -98,8 +98,6 @@
   /** Highest token that may have been in use before the store last came back
       from an older copy; 0 if it has not. */
   uint64_t lost_fencing_max;
-  /** No holder since then is known to have been before this one. */
-  bool first_since_reset;
   gs_time_t act_deadline; /**< orders must be sent before; 0 for none */
 } gs_lease_t;
 
--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -66,7 +66,8 @@
   duties_options_t options;
   gs_lease_t lease;
   uint64_t era;              /* of the store, as last known; 0 for none */
-  bool began_in_later_era;   /* the store had come back older before */
+  bool doubts_record;        /* the store came back older before this process
+                                began, which may be after the record of usage */
   uint64_t fencing;          /* token of the held lease; 0 for none */
   gs_time_t takeover_at;     /* a new holder does not act before */
   uint64_t takeover_fencing; /* token that takeover_at was set for */
@@ -169,19 +170,17 @@
       gs_log (GS_LOG_WARN, "lease_reset", "era=%llu before=%llu fencing=%llu",
               (unsigned long long)era, (unsigned long long)duties->era,
               (unsigned long long)duties->fencing);
-      /* The last holder may have been killed right after it sent a report of
-         which the store has lost the record.  */
-      if (!gs_lease_is_valid (&duties->lease, now))
-        usage_ledger_assume_sent (&duties->ledger, gs_clock_monotonic_wall ());
+      usage_ledger_store_reset (&duties->ledger, gs_clock_monotonic_wall (),
+                                gs_lease_is_valid (&duties->lease, now));
+      duties->doubts_record = false;
       gs_lease_store_reset (&duties->lease, now, era << ERA_TOKEN_SHIFT);
-      usage_ledger_invalidate (&duties->ledger);
     }
   else if (era > ERA_FIRST)
     {
       gs_log (GS_LOG_INFO, "lease_reset_assumed", "era=%llu",
               (unsigned long long)era);
       gs_lease_reset_assume (&duties->lease, now, era << ERA_TOKEN_SHIFT);
-      duties->began_in_later_era = true;
+      duties->doubts_record = true;
     }
   else
     duties->lease.fencing_floor
@@ -277,10 +276,6 @@
                                      ? duties->options.deployment->lease_time
                                      : 0);
       duties->takeover_fencing = fencing;
-      /* A holder that was killed may have sent windows of which the store has
-         lost the record.  */
-      if (duties->began_in_later_era && duties->lease.first_since_reset)
-        usage_ledger_assume_sent (&duties->ledger, gs_clock_monotonic_wall ());
       usage_ledger_invalidate (&duties->ledger);
       scaler_reset (duties->scaler);
     }
@@ -365,6 +360,13 @@
                           status_in_era (duties, result),
                           object != NULL ? object->revision : 0,
                           object != NULL ? object->value : NULL);
+  if (!duties->doubts_record || !duties->ledger.valid)
+    return;
+  /* A holder that was killed may have sent windows of which the store has lost
+     the record.  */
+  if (duties->ledger.record_era != duties->era)
+    usage_ledger_assume_sent (&duties->ledger, gs_clock_monotonic_wall ());
+  duties->doubts_record = false;
 }
 
 static void
@@ -433,7 +435,7 @@
     case USAGE_WRITE:
       duties->writing_window = action.window;
       record = usage_ledger_write_start (
-          &duties->ledger, action.window,
+          &duties->ledger, action.window, duties->era,
           sum_window_usage (duties, now, action.window));
       store->put (store->context, DUTIES_KIND, USAGE_NAME, action.revision,
                   record, now + STORE_TIMEOUT, on_usage_written, duties);
--- a/src/gateway/usage_ledger.c
+++ b/src/gateway/usage_ledger.c
@@ -65,6 +65,21 @@
              (wall - ledger->settle_delay) / ledger->window_length - 1);
 }
 
+void
+usage_ledger_store_reset (usage_ledger_t *ledger, int64_t wall, bool is_holder)
+{
+  if (!is_holder || !ledger->valid)
+    usage_ledger_assume_sent (ledger, wall);
+  else
+    {
+      bool unsent = ledger->written && !ledger->sent;
+
+      ledger->assumed_window
+          = MAX (ledger->assumed_window, ledger->window - (unsent ? 1 : 0));
+    }
+  usage_ledger_invalidate (ledger);
+}
+
 void
 usage_ledger_sent_record (usage_ledger_t *ledger, int64_t window)
 {
@@ -141,16 +156,23 @@
         ledger,
         (int64_t)json_integer_value (json_object_get (value, "window")),
         revision, json_incref (json_object_get (value, "counts")));
+  if (ledger->valid)
+    {
+      ledger->record_era
+          = (uint64_t)json_integer_value (json_object_get (value, "era"));
+      ledger->written = false;
+    }
 }
 
 json_t *
-usage_ledger_write_start (usage_ledger_t *ledger, int64_t window,
+usage_ledger_write_start (usage_ledger_t *ledger, int64_t window, uint64_t era,
                           json_t *counts)
 {
   json_decref (ledger->write_counts);
   ledger->write_counts = counts;
-  return json_pack ("{s:I, s:O}", "window", (json_int_t)window, "counts",
-                    counts);
+  ledger->write_era = era;
+  return json_pack ("{s:I, s:O, s:I}", "window", (json_int_t)window, "counts",
+                    counts, "era", (json_int_t)era);
 }
 
 void
@@ -159,7 +181,12 @@
 {
   ledger->busy = false;
   if (status == GS_OK)
-    set_record (ledger, window, revision, json_incref (ledger->write_counts));
+    {
+      set_record (ledger, window, revision,
+                  json_incref (ledger->write_counts));
+      ledger->record_era = ledger->write_era;
+      ledger->written = true;
+    }
   else
     {
       /* The write may have taken effect, or another node has written.  */
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -45,12 +45,15 @@
   int64_t sent_window;  /**< last window that any process has sent, as far as
                              known; 0 for none */
   uint64_t revision;    /**< of the record; 0 for none */
+  uint64_t record_era;  /**< era of the store in which it was written */
+  bool written;         /**< by this process, since it last read it */
   json_t *counts;       /**< of the record: account -> requests */
   int64_t assumed_window; /**< last window that another process may have sent
                                unknown to this one; 0 for none */
   int64_t own_window;     /**< last window that this process has sent */
   json_t *own_counts;     /**< the counts that it sent */
   json_t *write_counts;   /**< counts of the last write that was started */
+  uint64_t write_era;     /**< era at that time */
   gs_time_t due;          /**< earliest time of the next call */
 } usage_ledger_t;
 
@@ -76,11 +79,18 @@
 void usage_ledger_sent_record (usage_ledger_t *ledger, int64_t window);
 
 /** Assume that another process has sent each window whose counts had settled
-   at
-    @p wall, as the store may have lost the records of these.  No such window
-   is reported anew; one that is recorded still is. */
+    at @p wall, as the store may have lost the records of these.  No such
+   window is reported anew; one that is recorded still is. */
 void usage_ledger_assume_sent (usage_ledger_t *ledger, int64_t wall);
 
+/**
+ * Handle that the store came back from an older copy.  Windows that may have
+ * been sent by then are not reported anew; a holder knows which these are.
+ * @param is_holder whether this process may act for the duty
+ */
+void usage_ledger_store_reset (usage_ledger_t *ledger, int64_t wall,
+                               bool is_holder);
+
 /**
  * Decide the next action.  Its result is to be passed to the function of that
  * action below; until then there is no other action.
@@ -98,10 +108,11 @@
                              const json_t *value);
 
 /** Prepare the write of USAGE_WRITE.
+    @param era of the store, 0 if it has none
     @param counts account -> requests; taken over
     @return the record to write, owned by the caller */
 json_t *usage_ledger_write_start (usage_ledger_t *ledger, int64_t window,
-                                  json_t *counts);
+                                  uint64_t era, json_t *counts);
 
 /** Take the result of USAGE_WRITE.
     @param revision of the record after a successful write
