store: eras count from 0 or 1, and the first change is a set-back either way

Cause: 0 stood both for a store that names no era and for its era 0, so a change from 0 to 1 looked like a header seen for the first time. The users' page says that the number rises by one each time, not where it starts.

Where a process finds the second era at its start, the store may be new or have come back once: a record of an earlier era then makes it wait, no record does not, so a new deployment loses no time. A node that holds the lease when the header first appears keeps it.

--- a/include/garnetstack/object_store.h
+++ b/include/garnetstack/object_store.h
@@ -54,8 +54,8 @@
   gs_status_t status;
   uint64_t revision; /**< of the store, for lists and watches; of the object,
                           for get and put */
-  uint64_t era;      /**< of the store, in any response; 0 if there is none or
-                          it names none */
+  uint64_t era;      /**< of the store, in any response; 1 or 2 if it has never
+                          come back older; 0 if it names none */
   bool incomplete;   /**< a response with objects began and did not end */
   bool more;         /**< the list has a next page, which starts after the name
                           of the last object of this one */
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -64,7 +64,8 @@
 static bool
 is_before_reset (const gs_lease_t *lease)
 {
-  return lease->record.fencing <= lease->lost_fencing_max;
+  return lease->record.fencing <= lease->lost_fencing_max
+         && (lease->version != 0 || !lease->absent_is_new);
 }
 
 /* @return true if this node may write the lease: it holds it or it is free,
@@ -227,6 +228,7 @@
 
   lease->fencing_floor = MAX (lease->fencing_floor, fencing_floor);
   lease->lost_fencing_max = fencing_floor;
+  lease->absent_is_new = false;
   lease->act_deadline = 0;
   lease->record_stale = true;
   lease->due = now;
@@ -236,11 +238,13 @@
 
 void
 gs_lease_reset_assume (gs_lease_t *lease, gs_time_t now,
-                       uint64_t fencing_floor)
+                       uint64_t fencing_floor, bool absent_is_new)
 {
   lease->fencing_floor = MAX (lease->fencing_floor, fencing_floor);
   lease->lost_fencing_max = fencing_floor;
-  lease->lost_lease_deadline = now + lease->times.term + drift_max (lease);
+  lease->absent_is_new = absent_is_new;
+  if (!gs_lease_is_valid (lease, now))
+    lease->lost_lease_deadline = now + lease->times.term + drift_max (lease);
 }
 
 void
--- a/src/control/lease.h
+++ b/src/control/lease.h
@@ -98,6 +98,8 @@
   /** Highest token that may have been in use before the store last came back
       from an older copy; 0 if it has not. */
   uint64_t lost_fencing_max;
+  /** If there is no record, nobody has held the lease. */
+  bool absent_is_new;
   gs_time_t act_deadline; /**< orders must be sent before; 0 for none */
 } gs_lease_t;
 
@@ -144,13 +146,14 @@
                            uint64_t fencing_floor);
 
 /**
- * Handle that the store came back from an older copy at some time before this
- * process began.  Unless the record is of a holder since then, the process
- * waits a whole term, also for the lease of its predecessor.
+ * Handle that the store may have come back from an older copy at some time
+ * before this process began.  Unless the record is of a holder since then, the
+ * process waits a whole term, also for the lease of its predecessor.
  * @param fencing_floor higher than each token that was used before
+ * @param absent_is_new whether a store without a record is a new one
  */
 void gs_lease_reset_assume (gs_lease_t *lease, gs_time_t now,
-                            uint64_t fencing_floor);
+                            uint64_t fencing_floor, bool absent_is_new);
 
 /** @return true if this node holds the lease and may send an order at @p now.
     Check before each order. */
--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -15,8 +15,10 @@
 #define USAGE_START_DELAY (1500 * GS_MSEC)
 /* Fencing tokens of one era; far more than nodes take the lease.  */
 #define ERA_TOKEN_SHIFT 20
-/* Era of a store that has never come back from an older copy.  */
-#define ERA_FIRST 1
+/* Eras of a store that has never come back from an older copy: it counts from
+   one of these.  */
+#define ERA_FIRST_MIN 1
+#define ERA_FIRST_MAX 2
 #define USAGE_NAME "usage"
 /* The store normally answers within milliseconds, and takes up to fifty times
    as long when degraded.  */
@@ -66,8 +68,8 @@
   duties_options_t options;
   gs_lease_t lease;
   uint64_t era;              /* of the store, as last known; 0 for none */
-  bool doubts_record;        /* the store came back older before this process
-                                began, which may be after the record of usage */
+  bool doubts_record;        /* the store may have come back older before this
+                                process began, and lack records of usage */
   uint64_t fencing;          /* token of the held lease; 0 for none */
   gs_time_t takeover_at;     /* a new holder does not act before */
   uint64_t takeover_fencing; /* token that takeover_at was set for */
@@ -175,11 +177,12 @@
       duties->doubts_record = false;
       gs_lease_store_reset (&duties->lease, now, era << ERA_TOKEN_SHIFT);
     }
-  else if (era > ERA_FIRST)
+  else if (era > ERA_FIRST_MIN)
     {
       gs_log (GS_LOG_INFO, "lease_reset_assumed", "era=%llu",
               (unsigned long long)era);
-      gs_lease_reset_assume (&duties->lease, now, era << ERA_TOKEN_SHIFT);
+      gs_lease_reset_assume (&duties->lease, now, era << ERA_TOKEN_SHIFT,
+                             era <= ERA_FIRST_MAX);
       duties->doubts_record = true;
     }
   else
@@ -364,7 +367,8 @@
     return;
   /* A holder that was killed may have sent windows of which the store has lost
      the record.  */
-  if (duties->ledger.record_era != duties->era)
+  if (duties->ledger.record_era != duties->era
+      && (object != NULL || duties->era > ERA_FIRST_MAX))
     usage_ledger_assume_sent (&duties->ledger, gs_clock_monotonic_wall ());
   duties->doubts_record = false;
 }
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -93,6 +93,7 @@
   GHashTable *objects;      /* "kind/name" -> json_t object */
   unsigned era;             /* sent in all answers; 0 for none */
   GHashTable *copy;         /* of objects, by gw_store_copy(); NULL for none */
+  unsigned era_offset;      /* the header names the era less this */
   uint64_t copy_revision;
   json_t *history;       /* watch events with revision and kind */
   GPtrArray *arrivals;   /* of arrival_t */
