--- a/src/gateway/relay_log.c
+++ b/src/gateway/relay_log.c
@@ -67,6 +67,30 @@
                                   : 0;
 }
 
+/* Long enough for PARTS_LOGGED_MAX hexadecimal ids.  */
+typedef struct
+{
+  char text[160];
+} parts_text_t;
+
+#define PARTS_LOGGED_MAX 8
+
+/* @return ids of the prompt parts that other requests may have as well, which
+   is all but the last one; "-" if there are none  */
+static const char *
+format_shared_parts (parts_text_t *out, const gs_request_headers_t *request)
+{
+  size_t used = 0;
+
+  g_strlcpy (out->text, "-", sizeof out->text);
+  for (unsigned i = 0; i + 1 < request->block_count && i < PARTS_LOGGED_MAX;
+       i++)
+    used += (size_t)g_snprintf (
+        out->text + used, sizeof out->text - used, "%s%llx", i > 0 ? "," : "",
+        (unsigned long long)request->blocks[i].id);
+  return out->text;
+}
+
 /* Answered requests are logged as routine lines, which are dropped first when
    the log rate is too high.  All other outcomes are logged at info level.  */
 void
@@ -74,7 +98,8 @@
                unsigned status, const char *reason)
 {
   gs_log_value_t id;
-  char line[512];
+  parts_text_t parts;
+  char line[704];
 
   update_metrics (relay, now, outcome, reason);
   g_snprintf (
@@ -82,7 +107,7 @@
       "id=%s route=%s account=%s outcome=%s status=%u reason=%s"
       " sends=%u runs=%u replica=%s first_ms=%lld total_ms=%lld"
       " left_ms=%lld tokens=%u limit=%llu room=%.0f events=%llu"
-      " waiting=%u candidates=%u full=%u",
+      " waiting=%u candidates=%u full=%u parts=%s",
       gs_log_quote (&id, relay->request.id),
       relay->route != NULL ? relay->route->name : "-",
       relay->account != NULL ? relay->account->name : "-", outcome, status,
@@ -94,7 +119,8 @@
       relay->account != NULL ? (unsigned long long)relay->account->rate : 0ULL,
       account_quota_left (relay, now), (unsigned long long)relay->events.count,
       relay->service != NULL ? g_queue_get_length (&relay->service->queue) : 0,
-      relay->choice.candidates, relay->choice.full);
+      relay->choice.candidates, relay->choice.full,
+      format_shared_parts (&parts, &relay->request));
   if (strcmp (outcome, "answered") == 0)
     gs_log_routine ("request", "%s", line);
   else
@@ -135,6 +161,7 @@
                    const char *reason)
 {
   gs_log_value_t id;
+  parts_text_t parts;
   char labels[96];
 
   g_snprintf (labels, sizeof labels, "service=\"%s\",outcome=\"%s\"",
@@ -142,11 +169,12 @@
   gs_meter_add ("attempts_lost_total", labels, 1);
   gs_log (GS_LOG_INFO, "attempt",
           "id=%s replica=%s send=%u outcome=%s status=%u reason=\"%s\""
-          " took_ms=%lld began=%d last_event=%llu",
+          " took_ms=%lld began=%d last_event=%llu parts=%s",
           gs_log_quote (&id, relay->request.id), relay->replica_id,
           relay->attempts, outcome, relay->head.status, reason,
           elapsed_msec (relay->sent_at, gs_clock_now ()),
-          relay->attempt_responded, (unsigned long long)relay->events.last_id);
+          relay->attempt_responded, (unsigned long long)relay->events.last_id,
+          format_shared_parts (&parts, &relay->request));
 }
 
 void
