tests: replicas that crash on a part of a prompt

Two gateways, four replicas that crash when they begin to answer a request with one part and are back after a second. The test fails: 23 requests with the part reached replicas from 3 s after the fifth crash, 3 are allowed, and 152 of 292 sound requests were answered.

--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -30,6 +30,31 @@
   g_free (address);
 }
 
+void
+gw_replicas_restart (gateway_world_t *world)
+{
+  for (unsigned i = 0; i < world->replica_count; i++)
+    {
+      world_replica_t *replica = &world->replicas[i];
+      bool due;
+
+      pthread_mutex_lock (&world->lock);
+      due = replica->crashed_at != 0
+            && gs_clock_now () > replica->crashed_at + WORLD_RESTART_TIME;
+      pthread_mutex_unlock (&world->lock);
+      if (!due)
+        continue;
+      gw_object_remove (world, "servers", replica->id);
+      raw_server_restart (replica->server);
+      g_snprintf (replica->id, sizeof replica->id, "i-%u-%u", i,
+                  ++replica->starts);
+      pthread_mutex_lock (&world->lock);
+      replica->crashed_at = 0;
+      pthread_mutex_unlock (&world->lock);
+      gw_replica_publish (world, i, "ready");
+    }
+}
+
 static json_t *
 route_create (const char *name, const char *prefix, const char *kind,
               bool resumable, unsigned max_attempts)
@@ -120,6 +145,7 @@
   world->usage_reports = json_array ();
   world->orders = json_array ();
   world->arrivals = g_ptr_array_new_with_free_func (arrival_free);
+  world->crashes = g_array_new (FALSE, FALSE, sizeof (gs_time_t));
   world->directory = g_dir_make_tmp ("gateway-XXXXXX", NULL);
   for (unsigned i = 0; i < WORLD_GATEWAYS_MAX; i++)
     {
@@ -475,6 +501,7 @@
   json_decref (world->usage_reports);
   json_decref (world->orders);
   g_ptr_array_unref (world->arrivals);
+  g_array_unref (world->crashes);
   g_free (world->directory);
   pthread_cond_destroy (&world->changed);
   pthread_mutex_destroy (&world->lock);
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -19,6 +19,8 @@
 #define WORLD_SLOTS 8 /* of each replica */
 /* A node sends a replica half as many requests more than it has slots.  */
 #define WORLD_IN_FLIGHT_MAX 12
+/** Time from the crash of a replica until it is back. */
+#define WORLD_RESTART_TIME GS_SEC
 #define WORLD_API_KEY "test-key"
 #define WORLD_ACCOUNT "test-account"
 
@@ -57,6 +59,8 @@
   uint16_t port;           /* of the replica, or of a proxy before it */
   const char *headers;     /* more lines of its answers, or NULL */
   const char *retry_after; /* rejects requests with this, or NULL */
+  unsigned starts;         /* processes of this replica so far */
+  gs_time_t crashed_at;    /* 0 while it runs */
 } world_replica_t;
 
 /** The store's listener for one gateway. */
@@ -104,6 +108,8 @@
   raw_server_t *provider;
   world_replica_t replicas[WORLD_REPLICAS_MAX];
   unsigned replica_count;
+  const char *crash_part; /* see gw_crash_part_set() */
+  GArray *crashes;        /* of gs_time_t: when replicas crashed */
   world_gateway_t gateways[WORLD_GATEWAYS_MAX];
   char *directory;
 };
@@ -158,6 +164,24 @@
 void gw_replica_refuse (gateway_world_t *world, unsigned index,
                         const char *retry_after);
 
+/** Let each replica crash that begins to answer a request with a part in its
+    prompt, other than the last one.
+    @param part id and length, a string literal such as "dead:400"; NULL for
+    none */
+void gw_crash_part_set (gateway_world_t *world, const char *part);
+
+/** Start replicas that crashed WORLD_RESTART_TIME ago, each under a new id. */
+void gw_replicas_restart (gateway_world_t *world);
+
+/** @return when replicas have crashed, an array of gs_time_t; freed with
+    g_array_unref() */
+GArray *gw_crashes_list (gateway_world_t *world);
+
+/** @return number of requests that reached replicas at or after @p from and
+    whose head contains a text */
+unsigned gw_arrivals_with (gateway_world_t *world, const char *text,
+                           gs_time_t from);
+
 /** Drop all watch events, so that watches from an earlier revision get 410. */
 void gw_store_compact (gateway_world_t *world);
 
--- a/tests/raw_http.c
+++ b/tests/raw_http.c
@@ -260,20 +260,19 @@
     }
 }
 
-void
-raw_server_create (raw_server_t **out, raw_handler_t handler, void *context)
+/* @param port to listen on; 0 for a free one  */
+static void
+server_listen (raw_server_t *server, uint16_t port)
 {
-  raw_server_t *server = g_new0 (raw_server_t, 1);
-  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
   socklen_t length = sizeof address;
+  int on = 1;
 
-  server->handler = handler;
-  server->context = context;
-  server->fds = g_hash_table_new (NULL, NULL);
-  pthread_mutex_init (&server->lock, NULL);
-  pthread_cond_init (&server->conn_ended, NULL);
   server->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  /* Connections from before a crash may still use the port.  */
+  setsockopt (server->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (bind (server->fd, (struct sockaddr *)&address, sizeof address) != 0
       || listen (server->fd, LISTEN_BACKLOG_MAX) != 0)
     {
@@ -283,6 +282,19 @@
   getsockname (server->fd, (struct sockaddr *)&address, &length);
   server->port = ntohs (address.sin_port);
   pthread_create (&server->thread, NULL, listener_run, server);
+}
+
+void
+raw_server_create (raw_server_t **out, raw_handler_t handler, void *context)
+{
+  raw_server_t *server = g_new0 (raw_server_t, 1);
+
+  server->handler = handler;
+  server->context = context;
+  server->fds = g_hash_table_new (NULL, NULL);
+  pthread_mutex_init (&server->lock, NULL);
+  pthread_cond_init (&server->conn_ended, NULL);
+  server_listen (server, 0);
   *out = server;
 }
 
@@ -292,21 +304,44 @@
   return server->port;
 }
 
-void
-raw_server_destroy (raw_server_t *server)
+static void
+connections_shut_down (raw_server_t *server)
 {
   GHashTableIter iter;
   gpointer fd;
 
+  pthread_mutex_lock (&server->lock);
+  g_hash_table_iter_init (&iter, server->fds);
+  while (g_hash_table_iter_next (&iter, &fd, NULL))
+    shutdown (GPOINTER_TO_INT (fd), SHUT_RDWR);
+  pthread_mutex_unlock (&server->lock);
+}
+
+void
+raw_server_crash (raw_server_t *server)
+{
+  shutdown (server->fd, SHUT_RDWR);
+  connections_shut_down (server);
+}
+
+void
+raw_server_restart (raw_server_t *server)
+{
+  pthread_join (server->thread, NULL);
+  close (server->fd);
+  server_listen (server, server->port);
+}
+
+void
+raw_server_destroy (raw_server_t *server)
+{
   if (server == NULL)
     return;
   shutdown (server->fd, SHUT_RDWR);
   pthread_join (server->thread, NULL);
   close (server->fd);
+  connections_shut_down (server);
   pthread_mutex_lock (&server->lock);
-  g_hash_table_iter_init (&iter, server->fds);
-  while (g_hash_table_iter_next (&iter, &fd, NULL))
-    shutdown (GPOINTER_TO_INT (fd), SHUT_RDWR);
   while (g_hash_table_size (server->fds) > 0)
     pthread_cond_wait (&server->conn_ended, &server->lock);
   pthread_mutex_unlock (&server->lock);
--- a/tests/raw_http.h
+++ b/tests/raw_http.h
@@ -72,6 +72,14 @@
                         void *context);
 uint16_t raw_server_port (const raw_server_t *server);
 
+/** End as a process that crashes: close the listener and all connections.  May
+    be called by a handler. */
+void raw_server_crash (raw_server_t *server);
+
+/** Listen again on the same port after raw_server_crash(); the test program
+    exits if that fails. */
+void raw_server_restart (raw_server_t *server);
+
 /** Shut down the listener and all connections, and wait for the threads. */
 void raw_server_destroy (raw_server_t *server);
 
--- /dev/null
+++ b/tests/test_process_gateway_crash.c
@@ -0,0 +1,118 @@
+#include "check.h"
+#include "gateway_steps.h"
+
+#include <string.h>
+
+/* Guards against requests that nodes send on to one replica after the other
+   although each replica that began to answer one like them has crashed.  */
+
+/* What nodes may still send from this long after the last crash that they are
+   allowed to learn from.  */
+#define LEARN_TIMEOUT (3 * GS_SEC)
+#define SENT_AFTER_MAX 3
+#define PART_CRASHES_MAX 5
+
+#define REQUEST_INTERVAL_USEC 15000
+/* One request in so many makes replicas crash.  */
+#define CRASHING_INTERVAL 12
+#define GATEWAYS 2
+
+typedef struct
+{
+  unsigned sent;
+  unsigned answered;
+} counts_t;
+
+/* Sends requests to all gateways in turn.
+   @param crashing_headers of one request in CRASHING_INTERVAL
+   @param from when the sound requests begin to count  */
+static counts_t
+send_mixed (const char *crashing_headers, gs_time_t from, gs_time_t until)
+{
+  counts_t counts = { 0, 0 };
+
+  for (unsigned i = 0; gs_clock_now () < until; i++)
+    {
+      bool crashing = i % CRASHING_INTERVAL == 0;
+      char *id = g_strdup_printf ("%s-%u", crashing ? "crashing" : "sound", i);
+      char *headers
+          = crashing ? g_strdup_printf (crashing_headers, i)
+                     : g_strdup_printf ("X-Prompt-Prefix: 5c1e:800,ab%u:400,"
+                                        "%x:10\r\n",
+                                        i % 3, i + 1000);
+      gs_time_t sent_at = gs_clock_now ();
+      char *answer = gw_request (&world, i % GATEWAYS, "POST", "/a/never/good",
+                                 id, headers, "x");
+
+      if (!crashing && sent_at >= from)
+        {
+          counts.sent++;
+          counts.answered += status_of (answer) == 200;
+        }
+      g_free (answer);
+      g_free (headers);
+      g_free (id);
+      gw_replicas_restart (&world);
+      g_usleep (REQUEST_INTERVAL_USEC);
+    }
+  return counts;
+}
+
+/* @return when the crash with a number happened; 0 if there were fewer  */
+static gs_time_t
+crash_time (unsigned number)
+{
+  GArray *crashes = gw_crashes_list (&world);
+  gs_time_t at = crashes->len >= number
+                     ? g_array_index (crashes, gs_time_t, number - 1)
+                     : 0;
+
+  g_array_unref (crashes);
+  return at;
+}
+
+static void
+start_two_gateways (void)
+{
+  start_gateway (WORLD_REPLICAS_MAX);
+  gw_start (&world, 1, true);
+}
+
+#define CRASH_PART "dead1:400"
+
+static void
+requests_with_a_part_that_crashes_replicas_are_not_sent_on (void)
+{
+  gs_time_t start;
+  gs_time_t last;
+  counts_t sound;
+  unsigned sent_after;
+
+  start_two_gateways ();
+  gw_crash_part_set (&world, CRASH_PART);
+  start = gs_clock_now ();
+  sound = send_mixed ("X-Prompt-Prefix: 5c1e:800," CRASH_PART ",%x:10\r\n",
+                      start + 2 * LEARN_TIMEOUT, start + 4 * LEARN_TIMEOUT);
+  last = crash_time (PART_CRASHES_MAX);
+  sent_after
+      = last == 0
+            ? 0
+            : gw_arrivals_with (&world, CRASH_PART, last + LEARN_TIMEOUT);
+  printf ("\n  %u requests that crash replicas sent on; %u of %u sound ones"
+          " answered ",
+          sent_after, sound.answered, sound.sent);
+  CU_ASSERT (sent_after <= SENT_AFTER_MAX);
+  CU_ASSERT (sound.answered > sound.sent * 9 / 10);
+  end_world ();
+}
+
+static const check_case_t cases[] = {
+  { "requests with a part that crashes replicas are not sent on",
+    requests_with_a_part_that_crashes_replicas_are_not_sent_on },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("process_gateway_crash", cases);
+}
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -82,6 +82,81 @@
   return peak;
 }
 
+void
+gw_crash_part_set (gateway_world_t *world, const char *part)
+{
+  pthread_mutex_lock (&world->lock);
+  world->crash_part = part;
+  pthread_mutex_unlock (&world->lock);
+}
+
+GArray *
+gw_crashes_list (gateway_world_t *world)
+{
+  GArray *list;
+
+  pthread_mutex_lock (&world->lock);
+  list = g_array_copy (world->crashes);
+  pthread_mutex_unlock (&world->lock);
+  return list;
+}
+
+unsigned
+gw_arrivals_with (gateway_world_t *world, const char *text, gs_time_t from)
+{
+  unsigned count = 0;
+
+  pthread_mutex_lock (&world->lock);
+  for (guint i = 0; i < world->arrivals->len; i++)
+    {
+      const arrival_t *arrival = world->arrivals->pdata[i];
+
+      count += arrival->arrived_at >= from
+               && strstr (arrival->head, text) != NULL;
+    }
+  pthread_mutex_unlock (&world->lock);
+  return count;
+}
+
+/* @return whether the replica crashes on a request  */
+static bool
+crashes_on (world_replica_t *replica, const raw_message_t *request)
+{
+  char *parts = raw_message_header (request, "X-Prompt-Prefix");
+  const char *crash_part;
+  bool found = false;
+
+  pthread_mutex_lock (&replica->world->lock);
+  crash_part = replica->world->crash_part;
+  pthread_mutex_unlock (&replica->world->lock);
+  if (crash_part != NULL && parts != NULL && strrchr (parts, ',') != NULL)
+    {
+      *strrchr (parts, ',') = '\0';
+      found = strstr (parts, crash_part) != NULL;
+    }
+  g_free (parts);
+  return found;
+}
+
+static void
+replica_crash (world_replica_t *replica)
+{
+  gateway_world_t *world = replica->world;
+  gs_time_t now = gs_clock_now ();
+  bool runs;
+
+  pthread_mutex_lock (&world->lock);
+  runs = replica->crashed_at == 0;
+  if (runs)
+    {
+      replica->crashed_at = now;
+      g_array_append_val (world->crashes, now);
+    }
+  pthread_mutex_unlock (&world->lock);
+  if (runs)
+    raw_server_crash (replica->server);
+}
+
 /* @return more header lines of the replica's answers, "" for none  */
 static const char *
 more_headers (const arrival_t *arrival)
@@ -203,6 +278,20 @@
     false, false },
 };
 
+#define CRASH_DELAY_USEC 50000
+
+/* Begins a response and crashes.  */
+static void
+crash_in_response (raw_conn_t *conn, arrival_t *arrival)
+{
+  raw_printf (conn,
+              "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_FORMAT
+              "Content-Length: 100\r\n\r\nbegin",
+              arrival->id, arrival->id);
+  g_usleep (CRASH_DELAY_USEC);
+  replica_crash (arrival->replica_state);
+}
+
 #define SECOND_RESPONSE                                                       \
   "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT "Content-Length: 5\r\n\r\nextra"
 
@@ -336,6 +425,11 @@
   if (!raw_read_body (conn, request))
     return false;
   arrival = arrival_record (replica, request, &earlier);
+  if (crashes_on (replica, request))
+    {
+      crash_in_response (conn, arrival);
+      return false;
+    }
   return respond (conn, arrival, earlier);
 }
 
