--- a/include/garnetstack/header_codec.h
+++ b/include/garnetstack/header_codec.h
@@ -62,6 +62,8 @@
                                request */
   bool is_signed;         /**< a signature header is present; it is not
                                verified */
+  bool framed;            /**< the body has a length or is chunked; otherwise
+                               it ends with the connection */
   bool encoded;           /**< the body has a content encoding, such as gzip */
   char id[GS_NAME_BYTES]; /**< id of the attempt that the response belongs to;
                                "" if not given */
--- a/src/gateway/digest.c
+++ b/src/gateway/digest.c
@@ -11,7 +11,7 @@
 /* Nested arrays: the digest, a list of rows or members, and one of these.  */
 #define NESTING_MAX 3
 /* Fields that digest_encode() writes.  */
-#define FIELD_COUNT 15
+#define FIELD_COUNT 17
 
 static const row_layout_t load_layout
     = { sizeof (placer_load_t),
@@ -37,6 +37,7 @@
     .members = g_array_new (FALSE, TRUE, sizeof (digest_member_t)),
     .statements = g_array_new (FALSE, TRUE, sizeof (statement_row_t))
   };
+  quarantine_rows_init (&digest->quarantine);
 }
 
 void
@@ -50,6 +51,7 @@
   digest->report = NULL;
   digest->members = NULL;
   digest->statements = NULL;
+  quarantine_rows_clear (&digest->quarantine);
 }
 
 static void
@@ -85,6 +87,7 @@
   pack_members (&out, digest->members);
   row_codec_pack (&out, &statement_layout, digest->statements);
   msgpack_pack_uint64 (&out, digest->usage_window);
+  quarantine_rows_pack (&out, &digest->quarantine);
   bytes = g_byte_array_sized_new ((guint)buffer.size);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
@@ -133,6 +136,7 @@
         {
           row_reader_rows (&reader, &statement_layout, out->statements);
           out->usage_window = row_reader_number (&reader);
+          quarantine_rows_read (&reader, &out->quarantine);
         }
     }
   msgpack_unpacked_destroy (&unpacked);
--- a/src/gateway/digest.h
+++ b/src/gateway/digest.h
@@ -35,6 +35,8 @@
                               that sends none */
   uint64_t usage_window; /**< last usage window that any node has sent; 0 for
                               none */
+  quarantine_rows_t quarantine; /**< empty from nodes of a version that sends
+                                     none */
 } digest_t;
 
 /** Set up an empty digest, with an empty report and no members. */
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -12,7 +12,7 @@
 #define HEAD_COUNT 10
 #define AGGREGATE_COUNT 6
 /* Elements after the aggregate, which older versions neither send nor read. */
-#define TAIL_COUNT 2
+#define TAIL_COUNT 4
 
 static const row_layout_t status_layout
     = { sizeof (peer_status_t),
@@ -48,6 +48,7 @@
     .statuses = g_array_new (FALSE, TRUE, sizeof (peer_status_t)),
     .statements = g_array_new (FALSE, TRUE, sizeof (statement_row_t)),
   };
+  quarantine_rows_init (&message->quarantine);
   aggregate_init (&message->aggregate);
 }
 
@@ -60,6 +61,7 @@
   if (message->statements != NULL)
     g_array_unref (message->statements);
   message->statements = NULL;
+  quarantine_rows_clear (&message->quarantine);
   aggregate_clear (&message->aggregate);
 }
 
@@ -120,6 +122,7 @@
   msgpack_packer_init (&out, &buffer, msgpack_sbuffer_write);
   row_codec_pack (&out, &statement_layout, message->statements);
   msgpack_pack_uint64 (&out, message->usage_window);
+  quarantine_rows_pack (&out, &message->quarantine);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
@@ -157,6 +160,7 @@
         {
           row_reader_rows (&reader, &statement_layout, out->statements);
           out->usage_window = row_reader_number (&reader);
+          quarantine_rows_read (&reader, &out->quarantine);
         }
     }
   msgpack_unpacked_destroy (&unpacked);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -57,6 +57,7 @@
   for (unsigned i = 0; i < peers->seed_count; i++)
     peers->seeds[i] = seeds[i];
   statements_create (&peers->statements);
+  quarantine_create (&peers->quarantine, false);
   gs_rng_seed (&peers->rng, seed);
   *out = peers;
 }
@@ -70,6 +71,7 @@
     aggregate_clear (&peers->sent[i].aggregate);
   peer_message_clear (&peers->view);
   statements_destroy (peers->statements);
+  quarantine_destroy (peers->quarantine);
   if (peers->fleet_view.bytes != NULL)
     g_byte_array_unref (peers->fleet_view.bytes);
   g_array_unref (peers->fleet_view.statuses);
@@ -183,6 +185,19 @@
   return peers->statements;
 }
 
+void
+peers_quarantine_export (const peers_t *peers, gs_time_t now,
+                         quarantine_rows_t *out)
+{
+  const traffic_report_t *report
+      = peers->listener.get_report (peers->listener.context);
+
+  if (report != NULL)
+    quarantine_import (peers->quarantine, report->quarantine.made_at,
+                       &report->quarantine);
+  quarantine_export (peers->quarantine, now, out);
+}
+
 static void
 digest_fill (const peers_t *peers, gs_time_t now, digest_t *out)
 {
@@ -200,6 +215,7 @@
   out->replicas_revision = state.replicas_revision;
   out->usage_window = state.usage_window;
   statements_export (peers_statements_update (peers), now, out->statements);
+  peers_quarantine_export (peers, now, &out->quarantine);
   if (report == NULL)
     return;
   g_array_append_vals (out->report->loads, report->loads->data,
@@ -305,6 +321,7 @@
     }
   notify_listener (peers, now, &digest->self.peers, &state);
   statements_import (peers->statements, now, digest->statements);
+  quarantine_import (peers->quarantine, now, &digest->quarantine);
   aggregate_init (&aggregate);
   aggregate_add_report (&aggregate, digest->report, true);
   peers_report_store (peers, now, &digest->self, 0, &aggregate, true);
@@ -358,6 +375,7 @@
                            .usage_window = out->usage_window };
   notify_listener (peers, now, &out->self.peers, &state);
   statements_import (peers->statements, now, out->statements);
+  quarantine_import (peers->quarantine, now, &out->quarantine);
   return peer;
 }
 
--- a/src/gateway/peers_fleet.c
+++ b/src/gateway/peers_fleet.c
@@ -405,6 +405,7 @@
   out->members_revision = state.members_revision;
   out->usage_window = state.usage_window;
   statements_export (peers_statements_update (peers), now, out->statements);
+  peers_quarantine_export (peers, now, &out->quarantine);
 }
 
 GByteArray *
@@ -637,6 +638,8 @@
   view->nodes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   peers_accepting_nodes (peers, now, view->nodes);
   view->statements = statements_list (peers_statements_update (peers));
+  quarantine_rows_init (&view->quarantine);
+  peers_quarantine_export (peers, now, &view->quarantine);
   append_reports (peers, now, view);
   if (peers->role == PEERS_ROLE_AGGREGATOR)
     foreach_data_centre (peers, now, append_summary, view);
--- a/src/gateway/peers_private.h
+++ b/src/gateway/peers_private.h
@@ -113,6 +113,7 @@
   gs_time_t statuses_due; /* when an aggregator updates it */
   fleet_view_t fleet_view;
   statements_t *statements; /* of replicas, as this node and others say */
+  quarantine_t *quarantine; /* what this node and others know */
 };
 
 /* @return whether a message of the peer itself came recently.  */
@@ -171,6 +172,10 @@
    @return all known ones  */
 statements_t *peers_statements_update (const peers_t *peers);
 
+/* Add what this node's traffic thread knows, and append all that is known.  */
+void peers_quarantine_export (const peers_t *peers, gs_time_t now,
+                              quarantine_rows_t *out);
+
 /* @param out array of uint64_t; gets the hashes of the nodes that accept
    requests, this one first  */
 void peers_accepting_nodes (const peers_t *peers, gs_time_t now, GArray *out);
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -105,6 +105,13 @@
   return XXH3_64bits (id, strlen (id));
 }
 
+uint64_t
+placer_process_hash (const gs_replica_t *replica)
+{
+  return XXH3_64bits_withSeed (replica->id, strlen (replica->id),
+                               (XXH64_hash_t)replica->started_ms);
+}
+
 static replica_row_t *
 row_find (const placer_t *placer, const char *id)
 {
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -96,6 +96,10 @@
 /** @return hash that stands for a replica in the reports of other nodes */
 uint64_t placer_replica_hash (const char *id);
 
+/** @return hash that stands for a process of a replica, which may start again
+    under the id that it had */
+uint64_t placer_process_hash (const gs_replica_t *replica);
+
 /** Replace the load that all peers put on replicas.
     @param peers number of nodes that place requests besides this one */
 void placer_peer_loads_set (placer_t *placer, const placer_peer_load_t *loads,
--- /dev/null
+++ b/src/gateway/quarantine.c
@@ -0,0 +1,718 @@
+#include "gateway/quarantine.h"
+
+#include "garnetstack/log.h"
+
+/* Losses that put a part into quarantine.  A part that was answered shortly
+   before the first of them is more likely in many requests than harmful.  */
+#define LOSSES_MIN 4
+#define LOSSES_MIN_IF_ANSWERED 5
+#define ANSWERED_LATELY (30 * GS_SEC)
+/* Different prompts among these losses: a request of which each repeat is lost
+   says nothing of the other requests with one of its parts.  */
+#define PROMPTS_MIN 2
+/* How long a loss is sent to other nodes after it was recorded or cleared;
+   nodes that cannot reach each other for a while miss nothing.  */
+#define SEND_PERIOD (10 * GS_SEC)
+#define LOSSES_MAX 4096
+/* Parts that were answered, as far as this node knows, half a megabyte; the
+   record is emptied when it is full.  */
+#define ANSWERED_MAX 8192
+/* Connections of a process that break off within this time have broken off
+   together, as all nodes together see it.  */
+#define SAME_LOSS_PERIOD GS_SEC
+/* Interval at which expired losses are dropped.  */
+#define EXPIRE_INTERVAL GS_SEC
+
+static const row_layout_t loss_layout
+    = { sizeof (quarantine_loss_row_t),
+        QUARANTINE_LOSSES_SENT_MAX,
+        7,
+        { ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, key),
+          ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, prompt),
+          ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, process),
+          ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, sent_age_ms),
+          ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, lost_age_ms),
+          ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, position),
+          ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, cleared) } };
+static const row_layout_t key_layout
+    = { sizeof (quarantine_key_row_t),
+        QUARANTINE_KEYS_MAX,
+        3,
+        { ROW_COLUMN (ROW_NUMBER, quarantine_key_row_t, key),
+          ROW_COLUMN (ROW_NUMBER, quarantine_key_row_t, age_ms),
+          ROW_COLUMN (ROW_NUMBER, quarantine_key_row_t, released) } };
+
+void
+quarantine_rows_init (quarantine_rows_t *rows)
+{
+  *rows = (quarantine_rows_t){
+    .losses = g_array_new (FALSE, TRUE, sizeof (quarantine_loss_row_t)),
+    .keys = g_array_new (FALSE, TRUE, sizeof (quarantine_key_row_t))
+  };
+}
+
+void
+quarantine_rows_clear (quarantine_rows_t *rows)
+{
+  g_clear_pointer (&rows->losses, g_array_unref);
+  g_clear_pointer (&rows->keys, g_array_unref);
+}
+
+void
+quarantine_rows_pack (msgpack_packer *out, const quarantine_rows_t *rows)
+{
+  row_codec_pack (out, &loss_layout, rows->losses);
+  row_codec_pack (out, &key_layout, rows->keys);
+}
+
+void
+quarantine_rows_read (row_reader_t *reader, quarantine_rows_t *out)
+{
+  if (!row_reader_has_next (reader))
+    return;
+  row_reader_rows (reader, &loss_layout, out->losses);
+  row_reader_rows (reader, &key_layout, out->keys);
+}
+
+typedef struct
+{
+  uint64_t prompt;
+  uint64_t process;
+  gs_time_t sent_at;
+  gs_time_t lost_at;
+  gs_time_t changed_at; /* when it was recorded or cleared here */
+  uint64_t position;    /* of the part in its prompt */
+  bool cleared;
+} loss_t;
+
+/* A part with losses, or in quarantine.  */
+typedef struct
+{
+  uint64_t key;
+  GArray *losses;           /* of loss_t, by lost_at */
+  gs_time_t answered_at;    /* last answer before the first loss; 0 for none */
+  gs_time_t quarantined_at; /* 0 if not in quarantine */
+  gs_time_t released_at;    /* 0 if no answer has ended a quarantine */
+} suspect_t;
+
+struct quarantine
+{
+  bool decides;
+  GHashTable *suspects;  /* key -> suspect_t */
+  GHashTable *processes; /* process -> gs_time_t of its last loss */
+  GHashTable *answered;  /* key -> gs_time_t of the last answer */
+  unsigned loss_count;
+  unsigned quarantined_count;
+  gs_time_t expire_due;
+  bool update_due; /* losses have come since the last update */
+};
+
+static void
+suspect_free (gpointer data)
+{
+  suspect_t *suspect = data;
+
+  g_array_unref (suspect->losses);
+  g_free (suspect);
+}
+
+static GHashTable *
+times_new (void)
+{
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+}
+
+static void
+time_set (GHashTable *times, uint64_t key, gs_time_t time)
+{
+  g_hash_table_insert (times, g_memdup2 (&key, sizeof key),
+                       g_memdup2 (&time, sizeof time));
+}
+
+void
+quarantine_create (quarantine_t **out, bool decides)
+{
+  quarantine_t *quarantine = g_new0 (quarantine_t, 1);
+
+  quarantine->decides = decides;
+  quarantine->suspects = g_hash_table_new_full (g_int64_hash, g_int64_equal,
+                                                NULL, suspect_free);
+  quarantine->processes = times_new ();
+  quarantine->answered = times_new ();
+  *out = quarantine;
+}
+
+void
+quarantine_destroy (quarantine_t *quarantine)
+{
+  if (quarantine == NULL)
+    return;
+  g_hash_table_unref (quarantine->answered);
+  g_hash_table_unref (quarantine->processes);
+  g_hash_table_unref (quarantine->suspects);
+  g_free (quarantine);
+}
+
+static suspect_t *
+suspect_find (const quarantine_t *quarantine, uint64_t key)
+{
+  return g_hash_table_lookup (quarantine->suspects, &key);
+}
+
+static suspect_t *
+suspect_ensure (quarantine_t *quarantine, uint64_t key)
+{
+  suspect_t *suspect = suspect_find (quarantine, key);
+  const gs_time_t *answered_at;
+
+  if (suspect != NULL)
+    return suspect;
+  suspect = g_new0 (suspect_t, 1);
+  suspect->key = key;
+  suspect->losses = g_array_new (FALSE, FALSE, sizeof (loss_t));
+  answered_at = g_hash_table_lookup (quarantine->answered, &key);
+  suspect->answered_at = answered_at != NULL ? *answered_at : 0;
+  g_hash_table_insert (quarantine->suspects, &suspect->key, suspect);
+  return suspect;
+}
+
+static loss_t *
+loss_at (const suspect_t *suspect, guint index)
+{
+  return &g_array_index (suspect->losses, loss_t, index);
+}
+
+static loss_t *
+loss_find (const suspect_t *suspect, uint64_t process, gs_time_t lost_at)
+{
+  for (guint i = 0; i < suspect->losses->len; i++)
+    if (loss_at (suspect, i)->process == process
+        && ABS (loss_at (suspect, i)->lost_at - lost_at) <= SAME_LOSS_PERIOD)
+      return loss_at (suspect, i);
+  return NULL;
+}
+
+static void
+loss_clear (loss_t *loss, gs_time_t now)
+{
+  if (loss->cleared)
+    return;
+  loss->cleared = true;
+  loss->changed_at = now;
+}
+
+static void
+suspect_clear (suspect_t *suspect, gs_time_t now)
+{
+  for (guint i = 0; i < suspect->losses->len; i++)
+    loss_clear (loss_at (suspect, i), now);
+}
+
+/* Makes room for a loss.  What was suspected longest ago goes first.  */
+static void
+drop_oldest (quarantine_t *quarantine)
+{
+  suspect_t *oldest = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      suspect_t *suspect = value;
+
+      if (suspect->quarantined_at == 0 && suspect->losses->len > 0
+          && (oldest == NULL
+              || loss_at (suspect, suspect->losses->len - 1)->lost_at
+                     < loss_at (oldest, oldest->losses->len - 1)->lost_at))
+        oldest = suspect;
+    }
+  if (oldest == NULL)
+    return;
+  quarantine->loss_count -= oldest->losses->len;
+  g_hash_table_remove (quarantine->suspects, &oldest->key);
+}
+
+/* @return whether a part in quarantine was lost with a process  */
+static bool
+is_explained (const quarantine_t *quarantine, uint64_t key, uint64_t process)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (quarantine->quarantined_count == 0)
+    return false;
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const suspect_t *suspect = value;
+
+      if (suspect->quarantined_at == 0 || suspect->key == key)
+        continue;
+      for (guint i = 0; i < suspect->losses->len; i++)
+        if (loss_at (suspect, i)->process == process
+            && !loss_at (suspect, i)->cleared)
+          return true;
+    }
+  return false;
+}
+
+/* Losses of processes that the part in quarantine was lost with do not speak
+   against other parts.  */
+static void
+clear_explained (quarantine_t *quarantine, gs_time_t now,
+                 const suspect_t *cause)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      suspect_t *suspect = value;
+
+      if (suspect == cause || suspect->quarantined_at != 0)
+        continue;
+      for (guint i = 0; i < suspect->losses->len; i++)
+        for (guint k = 0; k < cause->losses->len; k++)
+          if (loss_at (cause, k)->process == loss_at (suspect, i)->process
+              && !loss_at (cause, k)->cleared)
+            loss_clear (loss_at (suspect, i), now);
+    }
+}
+
+/* A loss that was cleared before this node heard of it is of no use.  */
+static void
+loss_put (quarantine_t *quarantine, gs_time_t now, uint64_t key,
+          const loss_t *loss)
+{
+  suspect_t *suspect = suspect_find (quarantine, key);
+  loss_t *known = suspect != NULL
+                      ? loss_find (suspect, loss->process, loss->lost_at)
+                      : NULL;
+  loss_t added = *loss;
+  guint place;
+
+  if (known != NULL && loss->cleared)
+    loss_clear (known, now);
+  if (known != NULL || loss->cleared || now >= loss->lost_at + QUARANTINE_TTL)
+    return;
+  if (quarantine->loss_count >= LOSSES_MAX)
+    drop_oldest (quarantine);
+  suspect = suspect_ensure (quarantine, key);
+  added.changed_at = now;
+  added.cleared = is_explained (quarantine, key, loss->process);
+  place = suspect->losses->len;
+  while (place > 0 && loss_at (suspect, place - 1)->lost_at > added.lost_at)
+    place--;
+  g_array_insert_val (suspect->losses, place, added);
+  quarantine->loss_count++;
+  quarantine->update_due = true;
+  if (!added.cleared)
+    time_set (quarantine->processes, added.process, added.lost_at);
+  if (suspect->quarantined_at != 0)
+    clear_explained (quarantine, now, suspect);
+}
+
+void
+quarantine_loss_record (quarantine_t *quarantine, gs_time_t now,
+                        const quarantine_subject_t *subject, uint64_t process,
+                        gs_time_t sent_at)
+{
+  loss_t loss = { .prompt = subject->prompt,
+                  .process = process,
+                  .sent_at = sent_at,
+                  .lost_at = now };
+
+  for (unsigned i = 0; i < subject->part_count; i++)
+    {
+      loss.position = i;
+      loss_put (quarantine, now, subject->parts[i], &loss);
+    }
+}
+
+static void
+suspect_quarantine (quarantine_t *quarantine, suspect_t *suspect, gs_time_t at)
+{
+  suspect->quarantined_at = at;
+  suspect->released_at = 0;
+  quarantine->quarantined_count++;
+}
+
+/* Ends a quarantine, if there is one.
+   @param reason of the end, for the log  */
+static void
+suspect_release (quarantine_t *quarantine, gs_time_t now, suspect_t *suspect,
+                 const char *reason)
+{
+  if (suspect->quarantined_at == 0)
+    return;
+  if (quarantine->decides)
+    gs_log (GS_LOG_INFO, "quarantine_ended",
+            "part=%llx reason=%s lasted_ms=%lld",
+            (unsigned long long)suspect->key, reason,
+            (long long)((now - suspect->quarantined_at) / GS_MSEC));
+  suspect->quarantined_at = 0;
+  quarantine->quarantined_count--;
+  suspect_clear (suspect, now);
+}
+
+void
+quarantine_success_record (quarantine_t *quarantine, gs_time_t now,
+                           const quarantine_subject_t *subject)
+{
+  if (g_hash_table_size (quarantine->answered) >= ANSWERED_MAX)
+    g_hash_table_remove_all (quarantine->answered);
+  for (unsigned i = 0; i < subject->part_count; i++)
+    {
+      suspect_t *suspect = suspect_find (quarantine, subject->parts[i]);
+      gs_time_t *answered_at
+          = g_hash_table_lookup (quarantine->answered, &subject->parts[i]);
+
+      if (answered_at != NULL)
+        *answered_at = now;
+      else
+        time_set (quarantine->answered, subject->parts[i], now);
+      if (suspect == NULL)
+        continue;
+      suspect->answered_at = now;
+      if (suspect->quarantined_at != 0)
+        suspect->released_at = now;
+      suspect_release (quarantine, now, suspect, "answered");
+      suspect_clear (suspect, now);
+    }
+}
+
+void
+quarantine_process_answer_record (quarantine_t *quarantine, gs_time_t now,
+                                  uint64_t process, gs_time_t sent_at)
+{
+  const gs_time_t *lost_at
+      = g_hash_table_lookup (quarantine->processes, &process);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (lost_at == NULL || sent_at <= *lost_at)
+    return;
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      suspect_t *suspect = value;
+
+      for (guint i = 0; i < suspect->losses->len; i++)
+        if (loss_at (suspect, i)->process == process)
+          loss_clear (loss_at (suspect, i), now);
+    }
+  g_hash_table_remove (quarantine->processes, &process);
+}
+
+static gs_time_t
+suspect_end (const suspect_t *suspect, gs_time_t now)
+{
+  return suspect->quarantined_at != 0
+                 && now < suspect->quarantined_at + QUARANTINE_TTL
+             ? suspect->quarantined_at + QUARANTINE_TTL
+             : 0;
+}
+
+gs_time_t
+quarantine_end (const quarantine_t *quarantine, gs_time_t now,
+                const quarantine_subject_t *subject)
+{
+  gs_time_t end = 0;
+
+  for (unsigned i = 0; i < subject->part_count; i++)
+    {
+      const suspect_t *suspect = suspect_find (quarantine, subject->parts[i]);
+
+      if (suspect != NULL)
+        end = MAX (end, suspect_end (suspect, now));
+    }
+  return end;
+}
+
+/* @return length of the longest series of losses that speak against a part,
+   each of another process and of a request that was sent after the loss
+   before; 0 if all have the same prompt  */
+static unsigned
+count_losses (const suspect_t *suspect)
+{
+  const loss_t *counted[LOSSES_MIN_IF_ANSWERED];
+  unsigned count = 0;
+  bool differs = false;
+
+  for (guint i = 0; i < suspect->losses->len && count < G_N_ELEMENTS (counted);
+       i++)
+    {
+      const loss_t *loss = loss_at (suspect, i);
+      bool counts
+          = !loss->cleared
+            && (count == 0 || loss->sent_at >= counted[count - 1]->lost_at);
+
+      differs
+          |= !loss->cleared && loss->prompt != loss_at (suspect, 0)->prompt;
+      for (unsigned k = 0; k < count; k++)
+        counts &= counted[k]->process != loss->process;
+      if (counts)
+        counted[count++] = loss;
+    }
+  return differs ? count : 0;
+}
+
+static gs_time_t
+first_loss_at (const suspect_t *suspect)
+{
+  for (guint i = 0; i < suspect->losses->len; i++)
+    if (!loss_at (suspect, i)->cleared)
+      return loss_at (suspect, i)->lost_at;
+  return 0;
+}
+
+static bool
+is_harmful (const suspect_t *suspect, unsigned losses)
+{
+  bool answered
+      = suspect->answered_at != 0
+        && suspect->answered_at + ANSWERED_LATELY >= first_loss_at (suspect);
+
+  return losses >= (answered ? LOSSES_MIN_IF_ANSWERED : LOSSES_MIN);
+}
+
+static uint64_t
+last_position (const suspect_t *suspect)
+{
+  return loss_at (suspect, suspect->losses->len - 1)->position;
+}
+
+/* @return whether a part is the more likely cause of losses than another one:
+   it has more of them, it was not answered for longer, or it comes later in
+   prompts and so is in fewer of them  */
+static bool
+is_worse (const suspect_t *a, unsigned a_losses, const suspect_t *b,
+          unsigned b_losses)
+{
+  if (a_losses != b_losses)
+    return a_losses > b_losses;
+  if (a->answered_at != b->answered_at)
+    return a->answered_at < b->answered_at;
+  return last_position (a) > last_position (b);
+}
+
+/* @return the most likely cause among the harmful parts; NULL if there are
+   none  */
+static suspect_t *
+find_worst (const quarantine_t *quarantine, unsigned *losses)
+{
+  suspect_t *worst = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      suspect_t *suspect = value;
+      unsigned count
+          = suspect->quarantined_at == 0 ? count_losses (suspect) : 0;
+
+      if (count == 0 || !is_harmful (suspect, count)
+          || (worst != NULL && !is_worse (suspect, count, worst, *losses)))
+        continue;
+      worst = suspect;
+      *losses = count;
+    }
+  return worst;
+}
+
+static bool
+is_loss_expired (const loss_t *loss, gs_time_t now)
+{
+  return now > loss->lost_at + QUARANTINE_TTL
+         || (loss->cleared && now > loss->changed_at + SEND_PERIOD);
+}
+
+static void
+drop_expired (quarantine_t *quarantine, gs_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now < quarantine->expire_due)
+    return;
+  quarantine->expire_due = now + EXPIRE_INTERVAL;
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      suspect_t *suspect = value;
+
+      if (suspect->quarantined_at != 0 && suspect_end (suspect, now) == 0)
+        suspect_release (quarantine, now, suspect, "expired");
+      for (guint i = suspect->losses->len; i-- > 0;)
+        if (is_loss_expired (loss_at (suspect, i), now))
+          {
+            g_array_remove_index (suspect->losses, i);
+            quarantine->loss_count--;
+          }
+      if (suspect->losses->len == 0 && suspect->quarantined_at == 0
+          && now > suspect->released_at + SEND_PERIOD)
+        g_hash_table_iter_remove (&iter);
+    }
+  g_hash_table_iter_init (&iter, quarantine->processes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now > *(gs_time_t *)value + QUARANTINE_TTL)
+      g_hash_table_iter_remove (&iter);
+}
+
+unsigned
+quarantine_update (quarantine_t *quarantine, gs_time_t now)
+{
+  unsigned added = 0;
+  unsigned losses;
+
+  drop_expired (quarantine, now);
+  if (!quarantine->update_due || !quarantine->decides)
+    return 0;
+  quarantine->update_due = false;
+  for (suspect_t *worst = find_worst (quarantine, &losses); worst != NULL;
+       worst = find_worst (quarantine, &losses))
+    {
+      suspect_quarantine (quarantine, worst, now);
+      clear_explained (quarantine, now, worst);
+      gs_log (GS_LOG_WARN, "quarantine", "part=%llx losses=%u source=own",
+              (unsigned long long)worst->key, losses);
+      added++;
+    }
+  return added;
+}
+
+static gs_time_t
+time_of_age (gs_time_t now, uint64_t age_ms)
+{
+  return now
+         - (gs_time_t)MIN (age_ms, (uint64_t)(QUARANTINE_TTL / GS_MSEC))
+               * GS_MSEC;
+}
+
+/* The earliest time counts, so that a quarantine ends although nodes tell each
+   other of it again and again.  */
+static void
+import_key (quarantine_t *quarantine, gs_time_t now,
+            const quarantine_key_row_t *row)
+{
+  gs_time_t at = time_of_age (now, row->age_ms);
+  suspect_t *suspect = suspect_find (quarantine, row->key);
+
+  if (row->released != 0)
+    {
+      if (suspect == NULL || suspect->quarantined_at == 0)
+        return;
+      suspect->released_at = now;
+      suspect_release (quarantine, now, suspect, "answered_at_peer");
+      return;
+    }
+  if (now >= at + QUARANTINE_TTL
+      || (suspect != NULL && suspect->released_at != 0
+          && now <= suspect->released_at + SEND_PERIOD))
+    return;
+  suspect = suspect_ensure (quarantine, row->key);
+  if (suspect->quarantined_at != 0)
+    {
+      suspect->quarantined_at = MIN (suspect->quarantined_at, at);
+      return;
+    }
+  suspect_quarantine (quarantine, suspect, at);
+  clear_explained (quarantine, now, suspect);
+  if (quarantine->decides)
+    gs_log (GS_LOG_WARN, "quarantine", "part=%llx age_ms=%llu source=peer",
+            (unsigned long long)row->key, (unsigned long long)row->age_ms);
+}
+
+void
+quarantine_import (quarantine_t *quarantine, gs_time_t now,
+                   const quarantine_rows_t *rows)
+{
+  for (guint i = 0; i < rows->losses->len; i++)
+    {
+      const quarantine_loss_row_t *row
+          = &g_array_index (rows->losses, quarantine_loss_row_t, i);
+      loss_t loss = { .prompt = row->prompt,
+                      .process = row->process,
+                      .sent_at = time_of_age (now, row->sent_age_ms),
+                      .lost_at = time_of_age (now, row->lost_age_ms),
+                      .position = row->position,
+                      .cleared = row->cleared != 0 };
+
+      loss_put (quarantine, now, row->key, &loss);
+    }
+  for (guint i = 0; i < rows->keys->len; i++)
+    import_key (quarantine, now,
+                &g_array_index (rows->keys, quarantine_key_row_t, i));
+}
+
+static uint64_t
+age_ms (gs_time_t now, gs_time_t then)
+{
+  return (uint64_t)(MAX (now - then, 0) / GS_MSEC);
+}
+
+static int
+compare_loss_ages (gconstpointer a, gconstpointer b)
+{
+  const quarantine_loss_row_t *left = a;
+  const quarantine_loss_row_t *right = b;
+
+  return left->lost_age_ms < right->lost_age_ms
+             ? -1
+             : left->lost_age_ms > right->lost_age_ms;
+}
+
+static void
+export_losses (const suspect_t *suspect, gs_time_t now, GArray *out)
+{
+  for (guint i = 0; i < suspect->losses->len; i++)
+    {
+      const loss_t *loss = loss_at (suspect, i);
+      quarantine_loss_row_t row = { .key = suspect->key,
+                                    .prompt = loss->prompt,
+                                    .process = loss->process,
+                                    .sent_age_ms = age_ms (now, loss->sent_at),
+                                    .lost_age_ms = age_ms (now, loss->lost_at),
+                                    .position = loss->position,
+                                    .cleared = loss->cleared };
+
+      if (now <= loss->changed_at + SEND_PERIOD)
+        g_array_append_val (out, row);
+    }
+}
+
+void
+quarantine_export (quarantine_t *quarantine, gs_time_t now,
+                   quarantine_rows_t *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  out->made_at = now;
+  drop_expired (quarantine, now);
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const suspect_t *suspect = value;
+      bool released = suspect->released_at != 0
+                      && now <= suspect->released_at + SEND_PERIOD;
+      quarantine_key_row_t row
+          = { .key = suspect->key,
+              .age_ms = age_ms (now, released ? suspect->released_at
+                                              : suspect->quarantined_at),
+              .released = released };
+
+      export_losses (suspect, now, out->losses);
+      if ((released || suspect_end (suspect, now) != 0)
+          && out->keys->len < QUARANTINE_KEYS_MAX)
+        g_array_append_val (out->keys, row);
+    }
+  if (out->losses->len > QUARANTINE_LOSSES_SENT_MAX)
+    {
+      g_array_sort (out->losses, compare_loss_ages);
+      g_array_set_size (out->losses, QUARANTINE_LOSSES_SENT_MAX);
+    }
+}
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -230,7 +230,11 @@
       = relay->head.id[0] != '\0'
         && strcmp (relay->head.id, relay->request.id) != 0;
   if (!relay->response_mismatched)
-    record_statement (relay);
+    {
+      record_statement (relay);
+      if (relay->head.status != 421)
+        relay_quarantine_alive (relay, gs_clock_now ());
+    }
   return !relay->response_mismatched;
 }
 
@@ -344,6 +348,14 @@
                     wrong_replica ? "replica_gone" : "replica_full");
 }
 
+/* @return whether a stream has ended inside an event, which its replica has
+   then broken off however the connection has ended  */
+static bool
+has_partial_event (const relay_t *relay)
+{
+  return is_stream (relay) && relay->events.partial->len > 0;
+}
+
 /* Handles an attempt without a response to forward.  Unless its replica could
    not be reached, it may have run.  */
 static void
@@ -362,6 +374,9 @@
 
   if (not_sent)
     relay->possible_runs--;
+  if (!relay->response_mismatched
+      && (result->status == GS_EUNKNOWN || has_partial_event (relay)))
+    relay_quarantine_lost (relay, now);
   relay_log_attempt (relay, not_sent ? "not_sent" : "unknown",
                      result->status == GS_OK ? reason : result->reason);
   end_attempt (relay, now, not_sent ? PLACER_UNREACHABLE : PLACER_FAILED);
@@ -383,6 +398,8 @@
 
   record_response (relay);
   end_attempt (relay, now, status >= 500 ? PLACER_FAILED : PLACER_SUCCEEDED);
+  if (is_success (&relay->head) && relay->head.framed)
+    relay_quarantine_answered (relay, now);
   relay_log_end (relay, now, "answered", status, "replica_answered");
   if (is_stream (relay))
     {
@@ -410,7 +427,7 @@
     handle_not_run (relay, now);
   else if (head->encoded || (is_success (head) && !head->is_signed)
            || (relay->head_sent && !is_stream (relay))
-           || (is_stream (relay) && relay->events.partial->len > 0))
+           || has_partial_event (relay))
     handle_lost_attempt (relay, now, result);
   else if (is_retryable_failure (relay) && reserve_resend (relay, now))
     {
@@ -468,6 +485,7 @@
   relay->service->demand.in_flight++;
   relay->service->demand.uncached_tokens += relay->choice.uncached_tokens;
   g_strlcpy (relay->replica_id, replica->id, sizeof relay->replica_id);
+  relay->process = placer_process_hash (replica);
   relay->sent_at = now;
   relay->attempts++;
   relay->possible_runs++;
@@ -509,15 +527,33 @@
   fail_request (relay, now, reason);
 }
 
+/* Ends a request that is likely to make a replica crash.
+   @return false, without ending it, if nothing is known against it  */
+static bool
+reject_if_quarantined (relay_t *relay, gs_time_t now)
+{
+  gs_time_t end = relay_quarantine_end (relay, now);
+
+  if (end == 0)
+    return false;
+  if (relay->possible_runs == 0)
+    reply_with_error (relay, 503, "quarantined", end - now);
+  else
+    fail_request (relay, now, "quarantined");
+  return true;
+}
+
 /* Sends a request to a replica, queues it, or rejects it.  Only a request that
    no attempt may have run is queued.  */
 static void
 dispatch_request (relay_t *relay, gs_time_t now)
 {
   placer_query_t query = make_query (relay);
-  gs_status_t status
-      = placer_pick (relay->traffic->placer, now, &query, &relay->choice);
+  gs_status_t status;
 
+  if (reject_if_quarantined (relay, now))
+    return;
+  status = placer_pick (relay->traffic->placer, now, &query, &relay->choice);
   if (status == GS_OK)
     send_request (relay, now, &query);
   else if (relay->possible_runs > 0)
@@ -538,6 +574,8 @@
       placer_query_t query = make_query (relay);
 
       next = link->next;
+      if (reject_if_quarantined (relay, now))
+        continue;
       if (may_place
           && placer_pick (traffic->placer, now, &query, &relay->choice)
                  == GS_OK)
@@ -640,6 +678,8 @@
   resend_budget_request_record (&relay->service->budget, now);
   if (is_past_leave_period (traffic, now))
     reply_with_error (relay, 503, "node_leaving", LEAVING_RETRY_DELAY);
+  else if (reject_if_quarantined (relay, now))
+    ;
   else if (!relay_account_admit (relay, now, &retry_after))
     reply_with_error (relay, 429, "account_limit", retry_after);
   else
--- a/src/gateway/relay_log.c
+++ b/src/gateway/relay_log.c
@@ -85,9 +85,9 @@
   g_strlcpy (out->text, "-", sizeof out->text);
   for (unsigned i = 0; i + 1 < request->block_count && i < PARTS_LOGGED_MAX;
        i++)
-    used += (size_t)g_snprintf (
-        out->text + used, sizeof out->text - used, "%s%llx", i > 0 ? "," : "",
-        (unsigned long long)request->blocks[i].id);
+    used += (size_t)g_snprintf (out->text + used, sizeof out->text - used,
+                                "%s%llx", i > 0 ? "," : "",
+                                (unsigned long long)request->blocks[i].id);
   return out->text;
 }
 
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -43,6 +43,7 @@
   uint32_t avoid_row;     /* placer row of the last attempt */
   placer_choice_t choice;
   char replica_id[GS_NAME_BYTES];
+  uint64_t process; /* of the replica */
   gs_time_t sent_at;
   gs_time_t first_response_at;
 };
@@ -85,6 +86,18 @@
 /** @return time from now after which a rejected caller should retry. */
 gs_time_t relay_retry_after (relay_t *relay, gs_time_t now);
 
+/** Record how the current attempt speaks for or against the parts of the
+    request's prompt. */
+void relay_quarantine_lost (const relay_t *relay, gs_time_t now);
+void relay_quarantine_answered (const relay_t *relay, gs_time_t now);
+
+/** Record that the replica of the current attempt has begun to answer. */
+void relay_quarantine_alive (const relay_t *relay, gs_time_t now);
+
+/** @return when the quarantine of the request ends; 0 if it may be sent to
+    replicas */
+gs_time_t relay_quarantine_end (const relay_t *relay, gs_time_t now);
+
 /** Log the chosen replica, the data that the choice depended on, and the age
     of that data. */
 void relay_log_placement (const relay_t *relay, gs_time_t now);
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -39,6 +39,7 @@
   report->demand = g_array_new (FALSE, TRUE, sizeof (traffic_demand_t));
   report->quota = g_array_new (FALSE, TRUE, sizeof (quota_row_t));
   report->statements = g_array_new (FALSE, TRUE, sizeof (statement_t));
+  quarantine_rows_init (&report->quarantine);
   return report;
 }
 
@@ -52,6 +53,7 @@
   g_array_unref (report->demand);
   g_array_unref (report->quota);
   g_array_unref (report->statements);
+  quarantine_rows_clear (&report->quarantine);
   g_free (report);
 }
 
@@ -70,6 +72,7 @@
   g_array_unref (peers->peers);
   g_array_unref (peers->nodes);
   g_array_unref (peers->statements);
+  quarantine_rows_clear (&peers->quarantine);
   g_free (peers);
 }
 
@@ -141,6 +144,7 @@
   report->read_tokens_per_msec = placer_read_speed (traffic->placer);
   placer_loads_export (traffic->placer, TRAFFIC_LOADS_MAX, report->loads);
   placer_statements_export (traffic->placer, now, report->statements);
+  quarantine_export (traffic->quarantine, now, &report->quarantine);
   export_demand (traffic, now, report->demand);
   usage_count_export (traffic->usage, gs_clock_monotonic_wall (),
                       report->usage);
@@ -161,6 +165,7 @@
                       (double)(now - traffic->last_tick_at - TICK_INTERVAL)
                           / GS_SEC);
   traffic->last_tick_at = now;
+  quarantine_update (traffic->quarantine, now);
   relay_queues_serve (traffic, now);
   if (now >= traffic->report_due)
     {
@@ -224,6 +229,7 @@
   traffic->members = 1;
   gs_rng_seed (&traffic->rng, options->seed);
   placer_create (&traffic->placer, options->seed);
+  quarantine_create (&traffic->quarantine, true);
   quota_create (&traffic->quota, options->deployment->quota_window,
                 gs_clock_now (), options->deployment->first_start);
   traffic->services
@@ -262,6 +268,7 @@
   g_hash_table_unref (traffic->services);
   usage_count_destroy (traffic->usage);
   quota_destroy (traffic->quota);
+  quarantine_destroy (traffic->quarantine);
   placer_destroy (traffic->placer);
   gs_replica_list_unref (traffic->replicas);
   gs_route_table_unref (traffic->table);
@@ -386,6 +393,8 @@
       traffic->placer, now,
       (const statement_t *)(void *)peers->statements->data,
       peers->statements->len);
+  quarantine_import (traffic->quarantine, peers->quarantine.made_at,
+                     &peers->quarantine);
   g_array_unref (loads);
   traffic_peers_free (message->peers);
   g_free (message);
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -15,6 +15,7 @@
 #include "garnetstack/replica.h"
 #include "garnetstack/route_table.h"
 #include "gateway/placer.h"
+#include "gateway/quarantine.h"
 #include "gateway/quota.h"
 
 /** Maximum number of replica loads in a report; further ones are left out. */
@@ -57,6 +58,7 @@
   GArray *demand;              /**< of traffic_demand_t */
   GArray *quota;               /**< of quota_row_t */
   GArray *statements;          /**< of statement_t */
+  quarantine_rows_t quarantine;
 } traffic_report_t;
 
 /** @return an empty report, freed with traffic_report_free() */
@@ -83,6 +85,7 @@
   GArray *nodes;   /**< of uint64_t: hashes of the nodes that accept requests,
                         this one first */
   GArray *statements; /**< of statement_t: the latest of each replica */
+  quarantine_rows_t quarantine;
 } traffic_peers_t;
 
 void traffic_peers_free (traffic_peers_t *peers);
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -37,6 +37,7 @@
   gs_replica_list_t *replicas;
   placer_t *placer;
   quota_t *quota;
+  quarantine_t *quarantine;
   GHashTable *services; /* service name -> traffic_service_t */
   usage_count_t *usage;
   GHashTable *relays; /* set of relay_t */
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -22,6 +22,15 @@
                              .callers = { "10.0.0.2", 80 },
                              .peers = { "10.0.0.2", 81 } };
 
+  quarantine_loss_row_t loss = { .key = UINT64_MAX,
+                                 .prompt = 2,
+                                 .process = 3,
+                                 .sent_age_ms = 90,
+                                 .lost_age_ms = 40,
+                                 .position = 1,
+                                 .cleared = 1 };
+  quarantine_key_row_t key = { .key = 4, .age_ms = 5, .released = 1 };
+
   g_strlcpy (digest->self.name, "self", sizeof digest->self.name);
   digest->self.incarnation = UINT64_MAX;
   g_strlcpy (digest->self.callers.host, "10.0.0.1", GS_ADDRESS_BYTES);
@@ -35,6 +44,8 @@
   g_array_append_val (digest->report->quota, quota);
   g_array_append_val (digest->members, member);
   g_array_append_val (digest->statements, statement);
+  g_array_append_val (digest->quarantine.losses, loss);
+  g_array_append_val (digest->quarantine.keys, key);
 }
 
 static void
@@ -74,6 +85,16 @@
   CU_ASSERT_EQUAL_FATAL (decoded.statements->len, 1);
   CU_ASSERT_EQUAL (
       g_array_index (decoded.statements, statement_row_t, 0).age_ms, 250);
+  CU_ASSERT_EQUAL_FATAL (decoded.quarantine.losses->len, 1);
+  CU_ASSERT_EQUAL (memcmp (decoded.quarantine.losses->data,
+                           sent.quarantine.losses->data,
+                           sizeof (quarantine_loss_row_t)),
+                   0);
+  CU_ASSERT_EQUAL_FATAL (decoded.quarantine.keys->len, 1);
+  CU_ASSERT_EQUAL (memcmp (decoded.quarantine.keys->data,
+                           sent.quarantine.keys->data,
+                           sizeof (quarantine_key_row_t)),
+                   0);
   CU_ASSERT_STRING_EQUAL (
       g_array_index (decoded.members, digest_member_t, 0).peers.host,
       "10.0.0.2");
--- a/tests/test_peer_message.c
+++ b/tests/test_peer_message.c
@@ -41,6 +41,8 @@
                                 .limit_micros = 1900000,
                                 .age_ms = 250 };
 
+  quarantine_key_row_t key = { .key = UINT64_MAX, .age_ms = 5 };
+
   fill_report (report, 3);
   g_strlcpy (message->self.name, "self", sizeof message->self.name);
   g_strlcpy (message->self.data_centre, "zone-a",
@@ -53,6 +55,7 @@
   message->has_statuses = true;
   g_array_append_val (message->statuses, status);
   g_array_append_val (message->statements, statement);
+  g_array_append_val (message->quarantine.keys, key);
   aggregate_add_report (&message->aggregate, report, true);
   traffic_report_free (report);
 }
@@ -100,6 +103,10 @@
       CU_ASSERT_EQUAL (memcmp (decoded.statements->data, sent.statements->data,
                                sizeof (statement_row_t)),
                        0);
+      CU_ASSERT_EQUAL_FATAL (decoded.quarantine.keys->len, 1);
+      CU_ASSERT_EQUAL (
+          g_array_index (decoded.quarantine.keys, quarantine_key_row_t, 0).key,
+          UINT64_MAX);
       CU_ASSERT_EQUAL (decoded.aggregate.nodes, 1);
       CU_ASSERT_EQUAL (decoded.aggregate.usage->len, with_usage);
       CU_ASSERT_EQUAL (decoded.aggregate.demand->len, 1);
@@ -114,33 +121,48 @@
     }
 }
 
-/* Messages of the version before end after the aggregate.  */
+/* Messages of earlier versions end after the aggregate, or after statements
+   and usage window.  */
 static void
-a_message_without_statements_is_accepted (void)
+messages_of_earlier_versions_are_accepted (void)
 {
-  peer_message_t sent;
-  peer_message_t decoded;
-  GByteArray *bytes;
+  static const struct
+  {
+    guint8 elements;
+    guint bytes_less;
+  } versions[] = { { 16, 4 }, { 18, 2 } };
 
-  peer_message_init (&sent);
-  peer_message_init (&decoded);
-  fill_message (&sent);
-  g_array_set_size (sent.statements, 0);
-  sent.usage_window = 0;
-  bytes = encode (&sent, true);
-  /* An array of 18 elements, the last two of them an empty array and 0.  */
-  CU_ASSERT_EQUAL_FATAL (bytes->data[0], 0xdc);
-  CU_ASSERT_EQUAL_FATAL (bytes->data[2], 18);
-  CU_ASSERT_EQUAL_FATAL (bytes->data[bytes->len - 2], 0x90);
-  bytes->data[2] = 16;
-  CU_ASSERT_EQUAL (peer_message_decode (&decoded, (const char *)bytes->data,
-                                        bytes->len - 2),
-                   GS_OK);
-  CU_ASSERT_EQUAL (decoded.statements->len, 0);
-  CU_ASSERT_EQUAL (decoded.aggregate.usage->len, 1);
-  g_byte_array_unref (bytes);
-  peer_message_clear (&decoded);
-  peer_message_clear (&sent);
+  for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      peer_message_t sent;
+      peer_message_t decoded;
+      GByteArray *bytes;
+
+      peer_message_init (&sent);
+      peer_message_init (&decoded);
+      fill_message (&sent);
+      g_array_set_size (sent.statements, 0);
+      g_array_set_size (sent.quarantine.keys, 0);
+      sent.usage_window = 0;
+      bytes = encode (&sent, true);
+      /* An array of 20 elements, the last four of them an empty array, 0, and
+         two empty arrays.  */
+      CU_ASSERT_EQUAL_FATAL (bytes->data[0], 0xdc);
+      CU_ASSERT_EQUAL_FATAL (bytes->data[2], 20);
+      CU_ASSERT_EQUAL_FATAL (
+          memcmp (bytes->data + bytes->len - 4, "\x90\0\x90\x90", 4), 0);
+      bytes->data[2] = versions[i].elements;
+      CU_ASSERT_EQUAL (
+          peer_message_decode (&decoded, (const char *)bytes->data,
+                               bytes->len - versions[i].bytes_less),
+          GS_OK);
+      CU_ASSERT_EQUAL (decoded.statements->len, 0);
+      CU_ASSERT_EQUAL (decoded.quarantine.losses->len, 0);
+      CU_ASSERT_EQUAL (decoded.aggregate.usage->len, 1);
+      g_byte_array_unref (bytes);
+      peer_message_clear (&decoded);
+      peer_message_clear (&sent);
+    }
 }
 
 static void
@@ -246,8 +268,8 @@
 }
 
 static const check_case_t cases[] = {
-  { "a message without statements is accepted",
-    a_message_without_statements_is_accepted },
+  { "messages of earlier versions are accepted",
+    messages_of_earlier_versions_are_accepted },
   { "decoded message equals the encoded one",
     decoded_message_equals_the_encoded_one },
   { "damaged messages are rejected or bounded",
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -412,7 +412,39 @@
     }
 }
 
+static void
+a_lost_request_is_known_to_all_nodes (void)
+{
+  static const unsigned loss_sizes[] = { 2, 5, 10, 30, 118, 372 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (loss_sizes); i++)
+    {
+      unsigned count = loss_sizes[i];
+      peers_world_t *world = make_world (count, 0);
+      quarantine_loss_row_t loss
+          = { .key = 7, .process = 8, .sent_age_ms = 200, .lost_age_ms = 100 };
+      quarantine_rows_t *rows;
+
+      peers_world_run (world, SETTLE_TIME);
+      rows = &peers_world_report (world, count - 1)->quarantine;
+      rows->made_at = peers_world_now (world);
+      g_array_append_val (rows->losses, loss);
+      peers_world_run (world, STATEMENT_TIMEOUT);
+      for (unsigned node = 0; node < count; node++)
+        {
+          traffic_peers_t *view = peers_view_create (
+              peers_world_peers (world, node), peers_world_now (world));
+
+          CU_ASSERT_EQUAL (view->quarantine.losses->len, 1);
+          traffic_peers_free (view);
+        }
+      peers_world_destroy (world);
+    }
+}
+
 static const check_case_t cases[] = {
+  { "a lost request is known to all nodes",
+    a_lost_request_is_known_to_all_nodes },
   { "a statement of a replica reaches all nodes",
     a_statement_of_a_replica_reaches_all_nodes },
   { "each node sees the load of all others once",
--- a/tests/test_process_gateway_crash.c
+++ b/tests/test_process_gateway_crash.c
@@ -94,10 +94,9 @@
   sound = send_mixed ("X-Prompt-Prefix: 5c1e:800," CRASH_PART ",%x:10\r\n",
                       start + 2 * LEARN_TIMEOUT, start + 4 * LEARN_TIMEOUT);
   last = crash_time (PART_CRASHES_MAX);
-  sent_after
-      = last == 0
-            ? 0
-            : gw_arrivals_with (&world, CRASH_PART, last + LEARN_TIMEOUT);
+  sent_after = last == 0 ? 0
+                         : gw_arrivals_with (&world, CRASH_PART,
+                                             last + LEARN_TIMEOUT);
   printf ("\n  %u requests that crash replicas sent on; %u of %u sound ones"
           " answered ",
           sent_after, sound.answered, sound.sent);
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,503 @@
+#include "check.h"
+#include "garnetstack/rng.h"
+#include "gateway/quarantine.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Guards against requests that crash one replica after the other because nodes
+   do not learn what the lost requests have in common, and against sound
+   requests that are refused because they were lost beside others.  */
+
+#define SHARED_PART 1
+#define BAD_PART 2
+#define START (1000 * GS_SEC)
+
+static quarantine_subject_t
+subject_of (uint64_t prompt, const uint64_t *parts, unsigned count)
+{
+  return (quarantine_subject_t){ .prompt = prompt,
+                                 .parts = parts,
+                                 .part_count = count };
+}
+
+static bool
+is_quarantined (const quarantine_t *table, gs_time_t now, uint64_t part)
+{
+  quarantine_subject_t subject = subject_of (0, &part, 1);
+
+  return quarantine_end (table, now, &subject) != 0;
+}
+
+/* Records a loss of a request that was sent 50 ms before.  */
+static void
+lose (quarantine_t *table, gs_time_t now, uint64_t prompt, uint64_t part,
+      uint64_t process)
+{
+  uint64_t parts[] = { SHARED_PART, part };
+  quarantine_subject_t subject = subject_of (prompt, parts, 2);
+
+  quarantine_loss_record (table, now, &subject, process, now - 50 * GS_MSEC);
+  quarantine_update (table, now);
+}
+
+static void
+answer (quarantine_t *table, gs_time_t now, uint64_t part)
+{
+  quarantine_subject_t subject = subject_of (0, &part, 1);
+
+  quarantine_success_record (table, now, &subject);
+}
+
+static quarantine_t *
+table_new (void)
+{
+  quarantine_t *table;
+
+  quarantine_create (&table, true);
+  return table;
+}
+
+static void
+a_part_lost_with_several_processes_is_quarantined (void)
+{
+  quarantine_t *table = table_new ();
+
+  answer (table, START, SHARED_PART);
+  for (uint64_t i = 1; i <= 4; i++)
+    {
+      CU_ASSERT_FALSE (
+          is_quarantined (table, START + (gs_time_t)i * GS_SEC, BAD_PART));
+      lose (table, START + (gs_time_t)i * GS_SEC, i, BAD_PART, i);
+    }
+  CU_ASSERT_TRUE (is_quarantined (table, START + 5 * GS_SEC, BAD_PART));
+  CU_ASSERT_FALSE (is_quarantined (table, START + 5 * GS_SEC, SHARED_PART));
+  CU_ASSERT_FALSE (
+      is_quarantined (table, START + 5 * GS_SEC + QUARANTINE_TTL, BAD_PART));
+  quarantine_destroy (table);
+}
+
+static void
+a_part_that_is_answered_in_between_is_not_quarantined (void)
+{
+  quarantine_t *table = table_new ();
+
+  for (uint64_t i = 1; i <= 20; i++)
+    {
+      gs_time_t now = START + (gs_time_t)i * GS_SEC;
+
+      lose (table, now, i, BAD_PART, i);
+      if (i % 2 == 0)
+        answer (table, now + GS_MSEC, BAD_PART);
+    }
+  CU_ASSERT_FALSE (is_quarantined (table, START + 21 * GS_SEC, BAD_PART));
+  quarantine_destroy (table);
+}
+
+/* Replicas that lose answers but keep running have not crashed.  */
+static void
+losses_of_processes_that_answer_later_do_not_count (void)
+{
+  quarantine_t *table = table_new ();
+
+  for (uint64_t i = 1; i <= 20; i++)
+    {
+      gs_time_t now = START + (gs_time_t)i * GS_SEC;
+
+      lose (table, now, i, BAD_PART, i);
+      quarantine_process_answer_record (table, now + 200 * GS_MSEC, i,
+                                        now + 100 * GS_MSEC);
+    }
+  CU_ASSERT_FALSE (is_quarantined (table, START + 21 * GS_SEC, BAD_PART));
+  quarantine_destroy (table);
+}
+
+/* What another connection still delivers was sent before the crash.  */
+static void
+answers_to_earlier_requests_do_not_clear_a_loss (void)
+{
+  quarantine_t *table = table_new ();
+
+  for (uint64_t i = 1; i <= 4; i++)
+    {
+      gs_time_t now = START + (gs_time_t)i * GS_SEC;
+
+      lose (table, now, i, BAD_PART, i);
+      quarantine_process_answer_record (table, now + GS_MSEC, i,
+                                        now - 100 * GS_MSEC);
+    }
+  CU_ASSERT_TRUE (is_quarantined (table, START + 5 * GS_SEC, BAD_PART));
+  quarantine_destroy (table);
+}
+
+static void
+losses_at_the_same_time_count_once (void)
+{
+  quarantine_t *table = table_new ();
+
+  for (uint64_t i = 1; i <= 40; i++)
+    lose (table, START + (gs_time_t)i * GS_MSEC, i, BAD_PART, i);
+  CU_ASSERT_FALSE (is_quarantined (table, START + GS_SEC, BAD_PART));
+  quarantine_destroy (table);
+}
+
+static void
+repeats_of_one_request_say_nothing_of_others (void)
+{
+  quarantine_t *table = table_new ();
+
+  for (uint64_t i = 1; i <= 20; i++)
+    lose (table, START + (gs_time_t)i * GS_SEC, 7, BAD_PART, i);
+  CU_ASSERT_FALSE (is_quarantined (table, START + 21 * GS_SEC, BAD_PART));
+  quarantine_destroy (table);
+}
+
+static void
+losses_that_a_quarantined_part_explains_do_not_count_for_others (void)
+{
+  quarantine_t *table = table_new ();
+
+  answer (table, START, SHARED_PART);
+  for (uint64_t i = 1; i <= 12; i++)
+    lose (table, START + (gs_time_t)i * GS_SEC, i, BAD_PART, i);
+  CU_ASSERT_TRUE (is_quarantined (table, START + 13 * GS_SEC, BAD_PART));
+  CU_ASSERT_FALSE (is_quarantined (table, START + 13 * GS_SEC, SHARED_PART));
+  quarantine_destroy (table);
+}
+
+static void
+an_answer_ends_a_quarantine_at_all_nodes (void)
+{
+  quarantine_t *tables[] = { table_new (), table_new () };
+  quarantine_rows_t rows;
+
+  for (uint64_t i = 1; i <= 4; i++)
+    lose (tables[0], START + (gs_time_t)i * GS_SEC, i, BAD_PART, i);
+  for (unsigned turn = 0; turn < 4; turn++)
+    {
+      gs_time_t now = START + (5 + turn) * GS_SEC;
+
+      if (turn == 1)
+        answer (tables[1], now, BAD_PART);
+      for (unsigned from = 0; from < 2; from++)
+        {
+          quarantine_rows_init (&rows);
+          quarantine_export (tables[from], now, &rows);
+          quarantine_import (tables[1 - from], now, &rows);
+          quarantine_rows_clear (&rows);
+          quarantine_update (tables[1 - from], now);
+        }
+      for (unsigned i = 0; i < 2; i++)
+        CU_ASSERT_EQUAL (is_quarantined (tables[i], now, BAD_PART), turn == 0);
+    }
+  quarantine_destroy (tables[0]);
+  quarantine_destroy (tables[1]);
+}
+
+/* Messages take time on the way, which their ages lack.  */
+static void
+a_quarantine_ends_although_nodes_go_on_telling_it (void)
+{
+  quarantine_t *tables[] = { table_new (), table_new () };
+  quarantine_rows_t rows;
+  gs_time_t now = START + 4 * GS_SEC;
+
+  for (uint64_t i = 1; i <= 4; i++)
+    lose (tables[0], START + (gs_time_t)i * GS_SEC, i, BAD_PART, i);
+  for (; now < START + QUARANTINE_TTL + 5 * GS_SEC; now += 300 * GS_MSEC)
+    for (unsigned from = 0; from < 2; from++)
+      {
+        quarantine_rows_init (&rows);
+        quarantine_export (tables[from], now, &rows);
+        quarantine_import (tables[1 - from], now + 20 * GS_MSEC, &rows);
+        quarantine_rows_clear (&rows);
+      }
+  CU_ASSERT_FALSE (is_quarantined (tables[0], now, BAD_PART));
+  CU_ASSERT_FALSE (is_quarantined (tables[1], now, BAD_PART));
+  quarantine_destroy (tables[0]);
+  quarantine_destroy (tables[1]);
+}
+
+static void
+many_losses_keep_tables_and_messages_bounded (void)
+{
+  quarantine_t *table = table_new ();
+  quarantine_rows_t rows;
+
+  for (uint64_t i = 1; i <= 20000; i++)
+    {
+      lose (table, START + (gs_time_t)i * GS_MSEC, i, 100 + i, i);
+      answer (table, START + (gs_time_t)i * GS_MSEC, SHARED_PART);
+    }
+  quarantine_rows_init (&rows);
+  quarantine_export (table, START + 20 * GS_SEC, &rows);
+  CU_ASSERT (rows.losses->len <= QUARANTINE_LOSSES_SENT_MAX);
+  CU_ASSERT_EQUAL (rows.keys->len, 0);
+  quarantine_rows_clear (&rows);
+  quarantine_destroy (table);
+}
+
+/* A fleet in virtual time: requests of several sessions, of which each has a
+   part of its own besides one that all share, and now and then a request with
+   a part that makes its replica crash.  */
+
+#define STEP (5 * GS_MSEC)
+#define NODES_MAX 118
+#define REPLICAS_MAX 160
+#define SESSIONS 400
+#define RUN_TIME GS_SEC
+#define CRASH_TIME (100 * GS_MSEC)
+#define DOWN_TIME (3 * GS_SEC)
+#define CONTACT_TIME (3 * GS_SEC)
+#define SENT_AFTER_MAX 3
+#define CRASHES_TO_LEARN 5
+
+typedef struct
+{
+  unsigned nodes;
+  unsigned replicas;
+  double requests_per_sec;
+  double crashing_per_sec;
+  double other_crashes_per_sec; /* that no request causes */
+  gs_time_t exchange_interval;  /* until all nodes know what one knows */
+} play_t;
+
+typedef struct
+{
+  unsigned node;
+  unsigned replica;
+  uint64_t prompt;
+  uint64_t part;
+  gs_time_t sent_at;
+  gs_time_t ends_at;
+} running_t;
+
+typedef struct
+{
+  const play_t *play;
+  gs_rng_t rng;
+  quarantine_t *tables[NODES_MAX];
+  GArray *running; /* of running_t */
+  uint64_t processes[REPLICAS_MAX];
+  gs_time_t down_until[REPLICAS_MAX];
+  uint64_t next_process;
+  uint64_t next_prompt;
+  unsigned crashes;
+  gs_time_t learned_at; /* CONTACT_TIME after the crash to learn from */
+  unsigned sent_after;
+  unsigned sound;
+  unsigned sound_refused;
+} fleet_t;
+
+static void
+fleet_crash (fleet_t *fleet, gs_time_t now, unsigned replica)
+{
+  for (guint i = fleet->running->len; i-- > 0;)
+    {
+      running_t run = g_array_index (fleet->running, running_t, i);
+      uint64_t parts[] = { SHARED_PART, run.part };
+      quarantine_subject_t subject = subject_of (run.prompt, parts, 2);
+
+      if (run.replica != replica)
+        continue;
+      quarantine_loss_record (fleet->tables[run.node], now, &subject,
+                              fleet->processes[replica], run.sent_at);
+      quarantine_update (fleet->tables[run.node], now);
+      g_array_remove_index_fast (fleet->running, i);
+    }
+  fleet->processes[replica] = ++fleet->next_process;
+  fleet->down_until[replica] = now + DOWN_TIME;
+}
+
+static void
+fleet_send (fleet_t *fleet, gs_time_t now, bool crashing)
+{
+  running_t run
+      = { .node = (unsigned)gs_rng_below (&fleet->rng, fleet->play->nodes),
+          .prompt = ++fleet->next_prompt,
+          .part
+          = crashing ? BAD_PART : 10 + gs_rng_below (&fleet->rng, SESSIONS),
+          .sent_at = now,
+          .ends_at = now + (crashing ? CRASH_TIME : RUN_TIME) };
+  uint64_t parts[] = { SHARED_PART, run.part };
+  quarantine_subject_t subject = subject_of (run.prompt, parts, 2);
+
+  fleet->sound += !crashing;
+  if (quarantine_end (fleet->tables[run.node], now, &subject) != 0)
+    {
+      fleet->sound_refused += !crashing;
+      return;
+    }
+  run.replica = (unsigned)gs_rng_below (&fleet->rng, fleet->play->replicas);
+  if (now < fleet->down_until[run.replica])
+    return;
+  fleet->sent_after
+      += crashing && fleet->learned_at != 0 && now > fleet->learned_at;
+  g_array_append_val (fleet->running, run);
+}
+
+static void
+fleet_end_runs (fleet_t *fleet, gs_time_t now)
+{
+  for (guint i = 0; i < fleet->running->len; i++)
+    {
+      running_t run = g_array_index (fleet->running, running_t, i);
+      uint64_t parts[] = { SHARED_PART, run.part };
+      quarantine_subject_t subject = subject_of (run.prompt, parts, 2);
+
+      if (now < run.ends_at)
+        continue;
+      if (run.part == BAD_PART)
+        {
+          fleet_crash (fleet, now, run.replica);
+          if (++fleet->crashes == CRASHES_TO_LEARN)
+            fleet->learned_at = now + CONTACT_TIME;
+        }
+      else
+        {
+          quarantine_process_answer_record (fleet->tables[run.node], now,
+                                            fleet->processes[run.replica],
+                                            run.sent_at);
+          quarantine_success_record (fleet->tables[run.node], now, &subject);
+          g_array_remove_index_fast (fleet->running, i);
+        }
+      i = (guint)-1; /* the array has changed */
+    }
+}
+
+static void
+fleet_exchange (fleet_t *fleet, gs_time_t now)
+{
+  unsigned nodes = fleet->play->nodes;
+  quarantine_rows_t *rows = g_new0 (quarantine_rows_t, nodes);
+
+  for (unsigned i = 0; i < nodes; i++)
+    {
+      quarantine_rows_init (&rows[i]);
+      quarantine_export (fleet->tables[i], now, &rows[i]);
+    }
+  for (unsigned to = 0; to < nodes; to++)
+    {
+      for (unsigned from = 0; from < nodes; from++)
+        if (from != to)
+          quarantine_import (fleet->tables[to], now, &rows[from]);
+      quarantine_update (fleet->tables[to], now);
+    }
+  for (unsigned i = 0; i < nodes; i++)
+    quarantine_rows_clear (&rows[i]);
+  g_free (rows);
+}
+
+/* @return whether an event of a rate happens in this step  */
+static bool
+happens (fleet_t *fleet, double per_sec)
+{
+  return gs_rng_unit (&fleet->rng) < per_sec * (double)STEP / GS_SEC;
+}
+
+static void
+fleet_play (fleet_t *fleet, const play_t *play, uint64_t seed,
+            gs_time_t length)
+{
+  gs_time_t exchange_at = START;
+
+  *fleet = (fleet_t){ .play = play };
+  gs_rng_seed (&fleet->rng, seed);
+  fleet->running = g_array_new (FALSE, FALSE, sizeof (running_t));
+  for (unsigned i = 0; i < play->nodes; i++)
+    quarantine_create (&fleet->tables[i], true);
+  for (unsigned i = 0; i < play->replicas; i++)
+    fleet->processes[i] = ++fleet->next_process;
+  for (gs_time_t now = START; now < START + length; now += STEP)
+    {
+      double requests = play->requests_per_sec * (double)STEP / GS_SEC;
+
+      fleet_end_runs (fleet, now);
+      if (happens (fleet, play->other_crashes_per_sec))
+        fleet_crash (fleet, now,
+                     (unsigned)gs_rng_below (&fleet->rng, play->replicas));
+      for (; requests > 0; requests -= 1)
+        if (gs_rng_unit (&fleet->rng) < requests)
+          fleet_send (fleet, now, false);
+      if (now > START + 2 * GS_SEC && happens (fleet, play->crashing_per_sec))
+        fleet_send (fleet, now, true);
+      if (now >= exchange_at)
+        {
+          exchange_at = now + play->exchange_interval;
+          fleet_exchange (fleet, now);
+        }
+    }
+  for (unsigned i = 0; i < play->nodes; i++)
+    quarantine_destroy (fleet->tables[i]);
+  g_array_unref (fleet->running);
+}
+
+#define PLAYS 12
+
+static void
+fleets_learn_in_time_and_refuse_no_sound_request (void)
+{
+  static const play_t plays[] = {
+    { 5, 18, 160, 2, 0, 300 * GS_MSEC },
+    { 5, 18, 160, 0.3, 1, 300 * GS_MSEC },
+    { 5, 18, 160, 8, 1, 300 * GS_MSEC },
+    { 5, 9, 57, 2, 0.5, 300 * GS_MSEC },
+    { 30, 89, 650, 2, 2, 600 * GS_MSEC },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (plays); i++)
+    {
+      unsigned late = 0;
+      unsigned sound = 0;
+      unsigned refused = 0;
+      unsigned crashes = 0;
+
+      for (uint64_t seed = 1; seed <= PLAYS; seed++)
+        {
+          fleet_t fleet;
+
+          fleet_play (&fleet, &plays[i], seed, 30 * GS_SEC);
+          CU_ASSERT (fleet.sent_after <= SENT_AFTER_MAX);
+          late = MAX (late, fleet.sent_after);
+          sound += fleet.sound;
+          refused += fleet.sound_refused;
+          crashes = MAX (crashes, fleet.crashes);
+        }
+      printf ("\n  %u nodes, %.1f requests that crash replicas and %.1f other"
+              " crashes a second: at most %u crashes, %u sent later than"
+              " allowed to learn; %u of %u sound requests refused ",
+              plays[i].nodes, plays[i].crashing_per_sec,
+              plays[i].other_crashes_per_sec, crashes, late, refused, sound);
+      CU_ASSERT (refused * 1000 <= sound);
+    }
+}
+
+static const check_case_t cases[] = {
+  { "a part lost with several processes is quarantined",
+    a_part_lost_with_several_processes_is_quarantined },
+  { "a part that is answered in between is not quarantined",
+    a_part_that_is_answered_in_between_is_not_quarantined },
+  { "losses of processes that answer later do not count",
+    losses_of_processes_that_answer_later_do_not_count },
+  { "answers to earlier requests do not clear a loss",
+    answers_to_earlier_requests_do_not_clear_a_loss },
+  { "losses at the same time count once", losses_at_the_same_time_count_once },
+  { "repeats of one request say nothing of others",
+    repeats_of_one_request_say_nothing_of_others },
+  { "losses that a quarantined part explains do not count for others",
+    losses_that_a_quarantined_part_explains_do_not_count_for_others },
+  { "an answer ends a quarantine at all nodes",
+    an_answer_ends_a_quarantine_at_all_nodes },
+  { "a quarantine ends although nodes go on telling it",
+    a_quarantine_ends_although_nodes_go_on_telling_it },
+  { "many losses keep tables and messages bounded",
+    many_losses_keep_tables_and_messages_bounded },
+  { "fleets learn in time and refuse no sound request",
+    fleets_learn_in_time_and_refuse_no_sound_request },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("quarantine", cases);
+}
