gateway: the quarantine outlasts a kill of all nodes

After all nodes had been killed at once, the part crashed four more replicas before it was in quarantine again; three requests are allowed.

The holder of the lease writes the parts in quarantine to the store when they change, one call; each process reads them once at its start.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -12,6 +12,7 @@
 #include "gateway/membership.h"
 #include "gateway/peers.h"
 #include "gateway/peers_http.h"
+#include "gateway/quarantine_store.h"
 #include "gateway/roster.h"
 #include "gateway/traffic.h"
 #include "platform/platform.h"
@@ -80,6 +81,7 @@
   feed_t *config_feed;
   feed_t *replica_feed;
   membership_t *membership;
+  quarantine_store_t *quarantine_store;
   peers_t *peers;
   roster_t *roster;
   duties_t *duties;
@@ -532,6 +534,8 @@
   publish_replicas (gateway);
   notify_leaving_replicas (gateway, now);
   duties_tick (gateway->duties, now, choose_wish (gateway, now));
+  quarantine_store_tick (gateway->quarantine_store, now,
+                         duties_is_holder (gateway->duties));
   if (now >= gateway->view_due)
     {
       gateway->view_due = now + PEER_VIEW_INTERVAL;
@@ -637,6 +641,8 @@
                 seed + 2);
   membership_create (&gateway->membership, &gateway->store, gateway->peers,
                      &gateway->self, seed + 3);
+  quarantine_store_create (&gateway->quarantine_store, &gateway->store,
+                           peers_quarantine (gateway->peers));
   create_copy (gateway, &gateway->copies[COPY_CONFIG], gateway->config_feed,
                PEERS_CONFIG_PATH);
   create_copy (gateway, &gateway->copies[COPY_REPLICAS], gateway->replica_feed,
@@ -738,6 +744,7 @@
       feed_copy_http_destroy (gateway->copies[i].http);
       feed_encoder_destroy (gateway->copies[i].encoder);
     }
+  quarantine_store_destroy (gateway->quarantine_store);
   membership_destroy (gateway->membership);
   peers_destroy (gateway->peers);
   feed_destroy (gateway->replica_feed);
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -185,6 +185,12 @@
   return peers->statements;
 }
 
+quarantine_t *
+peers_quarantine (const peers_t *peers)
+{
+  return peers->quarantine;
+}
+
 void
 peers_quarantine_export (const peers_t *peers, gs_time_t now,
                          quarantine_rows_t *out)
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -184,6 +184,10 @@
     @param out initialized */
 void peers_fleet_sum (const peers_t *peers, gs_time_t now, aggregate_t *out);
 
+/** @return what this node and others know of requests that crash replicas;
+    owned by @p peers */
+quarantine_t *peers_quarantine (const peers_t *peers);
+
 /** @return the value of a node's entry in the store; freed by the caller with
     json_decref() */
 json_t *peers_member_encode (const digest_member_t *member);
--- a/tests/test_process_gateway_crash.c
+++ b/tests/test_process_gateway_crash.c
@@ -1,6 +1,7 @@
 #include "check.h"
 #include "gateway_steps.h"
 
+#include <signal.h>
 #include <string.h>
 
 /* Guards against requests that nodes send on to one replica after the other
@@ -105,7 +106,37 @@
   end_world ();
 }
 
+/* Time in which what one node knows is in the store.  */
+#define STORED_TIMEOUT (2 * GS_SEC)
+
+static void
+all_nodes_still_know_a_part_after_all_were_killed (void)
+{
+  gs_time_t start;
+
+  start_two_gateways ();
+  gw_crash_part_set (&world, CRASH_PART);
+  start = gs_clock_now ();
+  send_mixed ("X-Prompt-Prefix: 5c1e:800," CRASH_PART ",%x:10\r\n", start,
+              start + 2 * LEARN_TIMEOUT);
+  g_usleep ((gulong)STORED_TIMEOUT);
+  for (unsigned i = 0; i < GATEWAYS; i++)
+    gw_signal (&world, i, SIGKILL);
+  for (unsigned i = 0; i < GATEWAYS; i++)
+    gw_start (&world, i, true);
+  g_usleep ((gulong)STORED_TIMEOUT);
+  start = gs_clock_now ();
+  send_mixed ("X-Prompt-Prefix: 5c1e:800," CRASH_PART ",%x:10\r\n", start,
+              start + LEARN_TIMEOUT);
+  printf ("\n  %u requests sent on ",
+          gw_arrivals_with (&world, CRASH_PART, start));
+  CU_ASSERT_EQUAL (gw_arrivals_with (&world, CRASH_PART, start), 0);
+  end_world ();
+}
+
 static const check_case_t cases[] = {
+  { "all nodes still know a part after all were killed",
+    all_nodes_still_know_a_part_after_all_were_killed },
   { "requests with a part that crashes replicas are not sent on",
     requests_with_a_part_that_crashes_replicas_are_not_sent_on },
 };
