--- a/include/garnetstack/header_codec.h
+++ b/include/garnetstack/header_codec.h
@@ -14,7 +14,7 @@
 #include <glib.h>
 
 /** Prompt blocks that are read from a request; further ones are ignored. */
-#define GS_PROMPT_BLOCKS_MAX 8
+#define GS_PROMPT_BLOCKS_MAX 32
 
 /** A block of a prompt, which a replica may have in its prefix cache.
     Requests that contain the same block give the same id for it. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -33,6 +33,23 @@
   return out;
 }
 
+/* The last block read counts as the request's own, so one that others share
+   must not be the last for lack of room.  */
+static void
+blocks_of_long_prompts_are_all_read (void)
+{
+  GString *headers = g_string_new ("X-Attempt-Id: abc\r\nX-Prompt-Prefix: ");
+  gs_request_headers_t request;
+
+  for (unsigned i = 1; i <= 24; i++)
+    g_string_append_printf (headers, "%s%x:100", i > 1 ? "," : "", i);
+  g_string_append (headers, "\r\n");
+  request = read_request (headers->str);
+  CU_ASSERT_EQUAL_FATAL (request.block_count, 24);
+  CU_ASSERT_EQUAL (request.blocks[23].id, 24);
+  g_string_free (headers, TRUE);
+}
+
 static void
 prompt_blocks_are_read_in_order (void)
 {
@@ -459,6 +476,8 @@
     what_a_replica_says_in_a_rejection_is_read },
   { "a limit in an answer is read and forwarded",
     a_limit_in_an_answer_is_read_and_forwarded },
+  { "blocks of long prompts are all read",
+    blocks_of_long_prompts_are_all_read },
   { "prompt blocks are read in order", prompt_blocks_are_read_in_order },
   { "malformed request headers are ignored",
     malformed_request_headers_are_ignored },
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -411,14 +411,15 @@
   for (gs_time_t now = START; now < START + length; now += STEP)
     {
       double requests = play->requests_per_sec * (double)STEP / GS_SEC;
+      unsigned whole = (unsigned)requests;
 
       fleet_end_runs (fleet, now);
       if (happens (fleet, play->other_crashes_per_sec))
         fleet_crash (fleet, now,
                      (unsigned)gs_rng_below (&fleet->rng, play->replicas));
-      for (; requests > 0; requests -= 1)
-        if (gs_rng_unit (&fleet->rng) < requests)
-          fleet_send (fleet, now, false);
+      whole += gs_rng_unit (&fleet->rng) < requests - whole;
+      for (unsigned i = 0; i < whole; i++)
+        fleet_send (fleet, now, false);
       if (now > START + 2 * GS_SEC && happens (fleet, play->crashing_per_sec))
         fleet_send (fleet, now, true);
       if (now >= exchange_at)
