--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -671,6 +671,7 @@
       reply_with_error (relay, status, reason, 0);
       return;
     }
+  relay_fingerprint_set (relay);
   relay_deadlines_set (relay);
   relay->service_config = relay_service_choose (relay);
   relay->service
--- a/src/gateway/relay_log.c
+++ b/src/gateway/relay_log.c
@@ -107,7 +107,7 @@
       "id=%s route=%s account=%s outcome=%s status=%u reason=%s"
       " sends=%u runs=%u replica=%s first_ms=%lld total_ms=%lld"
       " left_ms=%lld tokens=%u limit=%llu room=%.0f events=%llu"
-      " waiting=%u candidates=%u full=%u parts=%s",
+      " waiting=%u candidates=%u full=%u fingerprint=%llx parts=%s",
       gs_log_quote (&id, relay->request.id),
       relay->route != NULL ? relay->route->name : "-",
       relay->account != NULL ? relay->account->name : "-", outcome, status,
@@ -120,6 +120,7 @@
       account_quota_left (relay, now), (unsigned long long)relay->events.count,
       relay->service != NULL ? g_queue_get_length (&relay->service->queue) : 0,
       relay->choice.candidates, relay->choice.full,
+      (unsigned long long)relay->fingerprint,
       format_shared_parts (&parts, &relay->request));
   if (strcmp (outcome, "answered") == 0)
     gs_log_routine ("request", "%s", line);
@@ -169,11 +170,12 @@
   gs_meter_add ("attempts_lost_total", labels, 1);
   gs_log (GS_LOG_INFO, "attempt",
           "id=%s replica=%s send=%u outcome=%s status=%u reason=\"%s\""
-          " took_ms=%lld began=%d last_event=%llu parts=%s",
+          " took_ms=%lld began=%d last_event=%llu fingerprint=%llx parts=%s",
           gs_log_quote (&id, relay->request.id), relay->replica_id,
           relay->attempts, outcome, relay->head.status, reason,
           elapsed_msec (relay->sent_at, gs_clock_now ()),
           relay->attempt_responded, (unsigned long long)relay->events.last_id,
+          (unsigned long long)relay->fingerprint,
           format_shared_parts (&parts, &relay->request));
 }
 
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -42,6 +42,7 @@
   bool head_sent;         /* the head of the response was sent to the caller */
   uint32_t avoid_row;     /* placer row of the last attempt */
   placer_choice_t choice;
+  uint64_t fingerprint; /* the same for all repeats of a request */
   char replica_id[GS_NAME_BYTES];
   uint64_t process; /* of the replica */
   gs_time_t sent_at;
@@ -86,6 +87,9 @@
 /** @return time from now after which a rejected caller should retry. */
 gs_time_t relay_retry_after (relay_t *relay, gs_time_t now);
 
+/** Set the fingerprint of a request whose account is known. */
+void relay_fingerprint_set (relay_t *relay);
+
 /** Record how the current attempt speaks for or against the parts of the
     request's prompt. */
 void relay_quarantine_lost (const relay_t *relay, gs_time_t now);
--- a/src/gateway/relay_quarantine.c
+++ b/src/gateway/relay_quarantine.c
@@ -1,5 +1,6 @@
 #include "gateway/relay_private.h"
 
+#include <string.h>
 #include <xxhash.h>
 
 /* What is looked at in a request; the parts are in a row.  */
@@ -26,6 +27,32 @@
   return &out->subject;
 }
 
+static void
+hash_text (XXH3_state_t *state, const char *text)
+{
+  /* The end of the text counts, so that parts do not run into each other.  */
+  XXH3_64bits_update (state, text, strlen (text) + 1);
+}
+
+/* Repeats have the same method, host, path, caller and body; each has an
+   attempt id of its own.  */
+void
+relay_fingerprint_set (relay_t *relay)
+{
+  XXH3_state_t *state = XXH3_createState ();
+  size_t length;
+  const char *body = gs_exchange_body (relay->exchange, &length);
+
+  XXH3_64bits_reset (state);
+  hash_text (state, gs_exchange_method (relay->exchange));
+  hash_text (state, relay->request.host);
+  hash_text (state, gs_exchange_target (relay->exchange));
+  hash_text (state, relay->account != NULL ? relay->account->name : "");
+  XXH3_64bits_update (state, body, length);
+  relay->fingerprint = XXH3_64bits_digest (state);
+  XXH3_freeState (state);
+}
+
 void
 relay_quarantine_lost (const relay_t *relay, gs_time_t now)
 {
