--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -109,6 +109,7 @@
   world_replica_t replicas[WORLD_REPLICAS_MAX];
   unsigned replica_count;
   const char *crash_part; /* see gw_crash_part_set() */
+  const char *crash_body; /* see gw_crash_body_set() */
   GArray *crashes;        /* of gs_time_t: when replicas crashed */
   world_gateway_t gateways[WORLD_GATEWAYS_MAX];
   char *directory;
@@ -170,6 +171,10 @@
     none */
 void gw_crash_part_set (gateway_world_t *world, const char *part);
 
+/** Let each replica crash that begins to run a request with a body.
+    @param body a string literal; NULL for none */
+void gw_crash_body_set (gateway_world_t *world, const char *body);
+
 /** Start replicas that crashed WORLD_RESTART_TIME ago, each under a new id. */
 void gw_replicas_restart (gateway_world_t *world);
 
@@ -182,6 +187,11 @@
 unsigned gw_arrivals_with (gateway_world_t *world, const char *text,
                            gs_time_t from);
 
+/** @return number of requests with a body that reached replicas at or after
+    @p from */
+unsigned gw_arrivals_of_body (gateway_world_t *world, const char *body,
+                              gs_time_t from);
+
 /** Drop all watch events, so that watches from an earlier revision get 410. */
 void gw_store_compact (gateway_world_t *world);
 
--- a/tests/test_process_gateway_crash.c
+++ b/tests/test_process_gateway_crash.c
@@ -24,11 +24,19 @@
   unsigned answered;
 } counts_t;
 
+/* A request that makes replicas crash.  */
+typedef struct
+{
+  const char *path;
+  const char *headers; /* with a number that is new in each */
+  const char *body;
+} crashing_t;
+
 /* Sends requests to all gateways in turn.
    @param crashing_headers of one request in CRASHING_INTERVAL
    @param from when the sound requests begin to count  */
 static counts_t
-send_mixed (const char *crashing_headers, gs_time_t from, gs_time_t until)
+send_mixed (const crashing_t *request, gs_time_t from, gs_time_t until)
 {
   counts_t counts = { 0, 0 };
 
@@ -37,13 +45,14 @@
       bool crashing = i % CRASHING_INTERVAL == 0;
       char *id = g_strdup_printf ("%s-%u", crashing ? "crashing" : "sound", i);
       char *headers
-          = crashing ? g_strdup_printf (crashing_headers, i)
+          = crashing ? g_strdup_printf (request->headers, i)
                      : g_strdup_printf ("X-Prompt-Prefix: 5c1e:800,ab%u:400,"
                                         "%x:10\r\n",
                                         i % 3, i + 1000);
       gs_time_t sent_at = gs_clock_now ();
-      char *answer = gw_request (&world, i % GATEWAYS, "POST", "/a/never/good",
-                                 id, headers, "x");
+      char *answer = gw_request (&world, i % GATEWAYS, "POST",
+                                 crashing ? request->path : "/a/never/good",
+                                 id, headers, crashing ? request->body : "x");
 
       if (!crashing && sent_at >= from)
         {
@@ -81,6 +90,10 @@
 
 #define CRASH_PART "dead1:400"
 
+static const crashing_t with_crash_part
+    = { "/a/never/good", "X-Prompt-Prefix: 5c1e:800," CRASH_PART ",%x:10\r\n",
+        "x" };
+
 static void
 requests_with_a_part_that_crashes_replicas_are_not_sent_on (void)
 {
@@ -92,8 +105,8 @@
   start_two_gateways ();
   gw_crash_part_set (&world, CRASH_PART);
   start = gs_clock_now ();
-  sound = send_mixed ("X-Prompt-Prefix: 5c1e:800," CRASH_PART ",%x:10\r\n",
-                      start + 2 * LEARN_TIMEOUT, start + 4 * LEARN_TIMEOUT);
+  sound = send_mixed (&with_crash_part, start + 2 * LEARN_TIMEOUT,
+                      start + 4 * LEARN_TIMEOUT);
   last = crash_time (PART_CRASHES_MAX);
   sent_after = last == 0 ? 0
                          : gw_arrivals_with (&world, CRASH_PART,
@@ -117,8 +130,7 @@
   start_two_gateways ();
   gw_crash_part_set (&world, CRASH_PART);
   start = gs_clock_now ();
-  send_mixed ("X-Prompt-Prefix: 5c1e:800," CRASH_PART ",%x:10\r\n", start,
-              start + 2 * LEARN_TIMEOUT);
+  send_mixed (&with_crash_part, start, start + 2 * LEARN_TIMEOUT);
   g_usleep ((gulong)STORED_TIMEOUT);
   for (unsigned i = 0; i < GATEWAYS; i++)
     gw_signal (&world, i, SIGKILL);
@@ -126,15 +138,47 @@
     gw_start (&world, i, true);
   g_usleep ((gulong)STORED_TIMEOUT);
   start = gs_clock_now ();
-  send_mixed ("X-Prompt-Prefix: 5c1e:800," CRASH_PART ",%x:10\r\n", start,
-              start + LEARN_TIMEOUT);
+  send_mixed (&with_crash_part, start, start + LEARN_TIMEOUT);
   printf ("\n  %u requests sent on ",
           gw_arrivals_with (&world, CRASH_PART, start));
   CU_ASSERT_EQUAL (gw_arrivals_with (&world, CRASH_PART, start), 0);
   end_world ();
 }
 
+#define CRASH_BODY "status of order 17"
+#define REQUEST_CRASHES_MAX 3
+
+/* Its route allows that a node sends it twice.  */
+static const crashing_t crash_request
+    = { "/a/free/good", "X-Number: %u\r\n", CRASH_BODY };
+
+static void
+a_request_that_crashes_replicas_is_not_sent_on_when_it_is_repeated (void)
+{
+  gs_time_t start;
+  gs_time_t last;
+  counts_t sound;
+  unsigned sent_after;
+
+  start_two_gateways ();
+  gw_crash_body_set (&world, CRASH_BODY);
+  start = gs_clock_now ();
+  sound = send_mixed (&crash_request, start + 2 * LEARN_TIMEOUT,
+                      start + 4 * LEARN_TIMEOUT);
+  last = crash_time (REQUEST_CRASHES_MAX);
+  sent_after = last == 0 ? 0
+                         : gw_arrivals_of_body (&world, CRASH_BODY,
+                                                last + LEARN_TIMEOUT);
+  printf ("\n  %u repeats sent on; %u of %u sound requests answered ",
+          sent_after, sound.answered, sound.sent);
+  CU_ASSERT (sent_after <= SENT_AFTER_MAX);
+  CU_ASSERT (sound.answered > sound.sent * 9 / 10);
+  end_world ();
+}
+
 static const check_case_t cases[] = {
+  { "a request that crashes replicas is not sent on when it is repeated",
+    a_request_that_crashes_replicas_is_not_sent_on_when_it_is_repeated },
   { "all nodes still know a part after all were killed",
     all_nodes_still_know_a_part_after_all_were_killed },
   { "requests with a part that crashes replicas are not sent on",
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -118,6 +118,31 @@
   return count;
 }
 
+void
+gw_crash_body_set (gateway_world_t *world, const char *body)
+{
+  pthread_mutex_lock (&world->lock);
+  world->crash_body = body;
+  pthread_mutex_unlock (&world->lock);
+}
+
+unsigned
+gw_arrivals_of_body (gateway_world_t *world, const char *body, gs_time_t from)
+{
+  unsigned count = 0;
+
+  pthread_mutex_lock (&world->lock);
+  for (guint i = 0; i < world->arrivals->len; i++)
+    {
+      const arrival_t *arrival = world->arrivals->pdata[i];
+
+      count += arrival->arrived_at >= from
+               && strcmp (arrival->body->str, body) == 0;
+    }
+  pthread_mutex_unlock (&world->lock);
+  return count;
+}
+
 /* @return whether the replica crashes on a request  */
 static bool
 crashes_on (world_replica_t *replica, const raw_message_t *request)
@@ -128,11 +153,13 @@
 
   pthread_mutex_lock (&replica->world->lock);
   crash_part = replica->world->crash_part;
+  found = replica->world->crash_body != NULL
+          && strcmp (replica->world->crash_body, request->body->str) == 0;
   pthread_mutex_unlock (&replica->world->lock);
   if (crash_part != NULL && parts != NULL && strrchr (parts, ',') != NULL)
     {
       *strrchr (parts, ',') = '\0';
-      found = strstr (parts, crash_part) != NULL;
+      found |= strstr (parts, crash_part) != NULL;
     }
   g_free (parts);
   return found;
@@ -280,14 +307,15 @@
 
 #define CRASH_DELAY_USEC 50000
 
-/* Begins a response and crashes.  */
+/* Crashes, after the begin of a response if @p responds.  */
 static void
-crash_in_response (raw_conn_t *conn, arrival_t *arrival)
+crash_in_response (raw_conn_t *conn, arrival_t *arrival, bool responds)
 {
-  raw_printf (conn,
-              "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_FORMAT
-              "Content-Length: 100\r\n\r\nbegin",
-              arrival->id, arrival->id);
+  if (responds)
+    raw_printf (conn,
+                "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_FORMAT
+                "Content-Length: 100\r\n\r\nbegin",
+                arrival->id, arrival->id);
   g_usleep (CRASH_DELAY_USEC);
   replica_crash (arrival->replica_state);
 }
@@ -427,7 +455,7 @@
   arrival = arrival_record (replica, request, &earlier);
   if (crashes_on (replica, request))
     {
-      crash_in_response (conn, arrival);
+      crash_in_response (conn, arrival, replica->world->crash_body == NULL);
       return false;
     }
   return respond (conn, arrival, earlier);
