gateway: keep a request that crashes replicas from replicas when it is repeated

Cause: as with parts of prompts, losses counted against replicas only. A node resends such a request to a second replica, as its route allows, and its caller repeats it at any node, which knows nothing of it.

Evidence: in the reproduction all lost attempts have one fingerprint, at both nodes, and none with it was ever answered; each was sent as often as its route allows, to replicas with free slots, so neither the bound on resends nor load are the cause.

Losses now also speak against the fingerprint of their request: method, host, path, caller and body. Three of them, by as many processes and in different moments, keep the request from replicas. They need not follow one another as those of a part: replicas of a small pool end faster than nodes could tell, and different requests do not share a fingerprint. A request explains no other losses, since those beside it are repeated as well.

--- a/src/gateway/quarantine.c
+++ b/src/gateway/quarantine.c
@@ -2,10 +2,15 @@
 
 #include "garnetstack/log.h"
 
-/* Losses that put a part into quarantine.  A part that was answered shortly
-   before the first of them is more likely in many requests than harmful.  */
-#define LOSSES_MIN 4
+/* Losses that put a part or a request into quarantine.  One that was answered
+   shortly before the first of them is more likely sent often than harmful.  */
+#define PART_LOSSES_MIN 4
+#define REQUEST_LOSSES_MIN 3
 #define LOSSES_MIN_IF_ANSWERED 5
+/* Losses of a request that count are at least this far apart.  Connections
+   that are reset together, and processes that are killed together, end within
+   less.  */
+#define REQUEST_LOSS_INTERVAL (2 * GS_MSEC)
 #define ANSWERED_LATELY (30 * GS_SEC)
 /* Different prompts among these losses: a request of which each repeat is lost
    says nothing of the other requests with one of its parts.  */
@@ -26,7 +31,7 @@
 static const row_layout_t loss_layout
     = { sizeof (quarantine_loss_row_t),
         QUARANTINE_LOSSES_SENT_MAX,
-        8,
+        9,
         { ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, key),
           ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, prompt),
           ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, process),
@@ -34,13 +39,15 @@
           ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, sent_age_ms),
           ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, lost_age_ms),
           ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, position),
-          ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, cleared) } };
+          ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, cleared),
+          ROW_COLUMN (ROW_NUMBER, quarantine_loss_row_t, is_request) } };
 static const row_layout_t key_layout
     = { sizeof (quarantine_key_row_t),
         QUARANTINE_KEYS_MAX,
-        3,
+        4,
         { ROW_COLUMN (ROW_NUMBER, quarantine_key_row_t, key),
           ROW_COLUMN (ROW_NUMBER, quarantine_key_row_t, age_ms),
+          ROW_COLUMN (ROW_NUMBER, quarantine_key_row_t, is_request),
           ROW_COLUMN (ROW_NUMBER, quarantine_key_row_t, released) } };
 
 void
@@ -87,10 +94,11 @@
   bool cleared;
 } loss_t;
 
-/* A part with losses, or in quarantine.  */
+/* A part or a request with losses, or in quarantine.  */
 typedef struct
 {
   uint64_t key;
+  bool is_request;
   GArray *losses;           /* of loss_t, by lost_at */
   gs_time_t answered_at;    /* last answer before the first loss; 0 for none */
   gs_time_t quarantined_at; /* 0 if not in quarantine */
@@ -187,6 +195,13 @@
   g_free (quarantine);
 }
 
+/* @return name of the key in log lines  */
+static const char *
+kind_of (const suspect_t *suspect)
+{
+  return suspect->is_request ? "fingerprint" : "part";
+}
+
 static suspect_t *
 suspect_find (const quarantine_t *quarantine, uint64_t key)
 {
@@ -194,7 +209,7 @@
 }
 
 static suspect_t *
-suspect_ensure (quarantine_t *quarantine, uint64_t key)
+suspect_ensure (quarantine_t *quarantine, uint64_t key, bool is_request)
 {
   suspect_t *suspect = suspect_find (quarantine, key);
 
@@ -202,6 +217,7 @@
     return suspect;
   suspect = g_new0 (suspect_t, 1);
   suspect->key = key;
+  suspect->is_request = is_request;
   suspect->losses = g_array_new (FALSE, FALSE, sizeof (loss_t));
   suspect->answered_at = time_get (quarantine->answered, key);
   g_hash_table_insert (quarantine->suspects, &suspect->key, suspect);
@@ -265,7 +281,9 @@
   g_hash_table_remove (quarantine->suspects, &oldest->key);
 }
 
-/* @return whether a part in quarantine was lost with a process  */
+/* Beside a request that makes replicas crash, others are repeated as well, so
+   that a request explains nothing.
+   @return whether a part in quarantine was lost with a process  */
 static bool
 is_explained (const quarantine_t *quarantine, uint64_t key, uint64_t process)
 {
@@ -279,7 +297,8 @@
     {
       const suspect_t *suspect = value;
 
-      if (suspect->quarantined_at == 0 || suspect->key == key)
+      if (suspect->quarantined_at == 0 || suspect->is_request
+          || suspect->key == key)
         continue;
       for (guint i = 0; i < suspect->losses->len; i++)
         if (loss_at (suspect, i)->process == process
@@ -298,6 +317,8 @@
   GHashTableIter iter;
   gpointer value;
 
+  if (cause->is_request)
+    return;
   g_hash_table_iter_init (&iter, quarantine->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -316,7 +337,7 @@
 /* A loss that was cleared before this node heard of it is of no use.  */
 static void
 loss_put (quarantine_t *quarantine, gs_time_t now, uint64_t key,
-          const loss_t *loss)
+          bool is_request, const loss_t *loss)
 {
   suspect_t *suspect = suspect_find (quarantine, key);
   loss_t *known = suspect != NULL
@@ -331,7 +352,7 @@
     return;
   if (quarantine->loss_count >= LOSSES_MAX)
     drop_oldest (quarantine);
-  suspect = suspect_ensure (quarantine, key);
+  suspect = suspect_ensure (quarantine, key, is_request);
   added.changed_at = now;
   added.cleared
       = suspect->answered_at >= loss->lost_at
@@ -365,8 +386,9 @@
   for (unsigned i = 0; i < subject->part_count; i++)
     {
       loss.position = i;
-      loss_put (quarantine, now, subject->parts[i], &loss);
+      loss_put (quarantine, now, subject->parts[i], false, &loss);
     }
+  loss_put (quarantine, now, subject->request, true, &loss);
 }
 
 static void
@@ -387,7 +409,7 @@
     return;
   if (quarantine->decides)
     gs_log (GS_LOG_INFO, "quarantine_ended",
-            "part=%llx reason=%s lasted_ms=%lld",
+            "%s=%llx reason=%s lasted_ms=%lld", kind_of (suspect),
             (unsigned long long)suspect->key, reason,
             (long long)((now - suspect->quarantined_at) / GS_MSEC));
   suspect->quarantined_at = 0;
@@ -395,6 +417,21 @@
   suspect_clear (suspect, now);
 }
 
+static void
+key_answered (quarantine_t *quarantine, gs_time_t now, uint64_t key)
+{
+  suspect_t *suspect = suspect_find (quarantine, key);
+
+  time_set (quarantine->answered, key, now);
+  if (suspect == NULL)
+    return;
+  suspect->answered_at = now;
+  if (suspect->quarantined_at != 0)
+    suspect->released_at = now;
+  suspect_release (quarantine, now, suspect, "answered");
+  suspect_clear (suspect, now);
+}
+
 void
 quarantine_success_record (quarantine_t *quarantine, gs_time_t now,
                            const quarantine_subject_t *subject)
@@ -402,19 +439,9 @@
   if (g_hash_table_size (quarantine->answered) >= ANSWERED_MAX)
     g_hash_table_remove_all (quarantine->answered);
   time_set (quarantine->answered, subject->service, now);
+  key_answered (quarantine, now, subject->request);
   for (unsigned i = 0; i < subject->part_count; i++)
-    {
-      suspect_t *suspect = suspect_find (quarantine, subject->parts[i]);
-
-      time_set (quarantine->answered, subject->parts[i], now);
-      if (suspect == NULL)
-        continue;
-      suspect->answered_at = now;
-      if (suspect->quarantined_at != 0)
-        suspect->released_at = now;
-      suspect_release (quarantine, now, suspect, "answered");
-      suspect_clear (suspect, now);
-    }
+    key_answered (quarantine, now, subject->parts[i]);
 }
 
 void
@@ -450,25 +477,41 @@
              : 0;
 }
 
+static gs_time_t
+key_end (const quarantine_t *quarantine, gs_time_t now, uint64_t key)
+{
+  const suspect_t *suspect = suspect_find (quarantine, key);
+
+  return suspect != NULL ? suspect_end (suspect, now) : 0;
+}
+
 gs_time_t
 quarantine_end (const quarantine_t *quarantine, gs_time_t now,
                 const quarantine_subject_t *subject)
 {
-  gs_time_t end = 0;
+  gs_time_t end;
 
+  if (quarantine->quarantined_count == 0)
+    return 0;
+  end = key_end (quarantine, now, subject->request);
   for (unsigned i = 0; i < subject->part_count; i++)
-    {
-      const suspect_t *suspect = suspect_find (quarantine, subject->parts[i]);
-
-      if (suspect != NULL)
-        end = MAX (end, suspect_end (suspect, now));
-    }
+    end = MAX (end, key_end (quarantine, now, subject->parts[i]));
   return end;
 }
 
-/* @return length of the longest series of losses that speak against a part,
-   each of another process and of a request that was sent after the loss
-   before; 0 if all have the same prompt  */
+/* @return whether a loss counts beside the one that was counted before  */
+static bool
+is_separate (const suspect_t *suspect, const loss_t *loss,
+             const loss_t *before)
+{
+  return suspect->is_request
+             ? loss->lost_at >= before->lost_at + REQUEST_LOSS_INTERVAL
+             : loss->sent_at >= before->lost_at;
+}
+
+/* @return number of losses that speak against a key, each of another process
+   and separate from the one before; 0 for a part if all have the same
+   prompt  */
 static unsigned
 count_losses (const suspect_t *suspect)
 {
@@ -482,16 +525,16 @@
       const loss_t *loss = loss_at (suspect, i);
       bool counts
           = !loss->cleared
-            && (count == 0 || loss->sent_at >= counted[count - 1]->lost_at);
+            && (count == 0 || is_separate (suspect, loss, counted[count - 1]));
 
-      differs
-          |= !loss->cleared && loss->prompt != loss_at (suspect, 0)->prompt;
       for (unsigned k = 0; k < count; k++)
         counts &= counted[k]->process != loss->process;
       if (counts)
         counted[count++] = loss;
     }
-  return differs ? count : 0;
+  for (unsigned k = 1; k < count; k++)
+    differs |= counted[k]->prompt != counted[0]->prompt;
+  return differs || suspect->is_request ? count : 0;
 }
 
 static const loss_t *
@@ -518,7 +561,8 @@
       && suspect->answered_at + ANSWERED_LATELY >= first->lost_at)
     return losses >= LOSSES_MIN_IF_ANSWERED
            && time_get (quarantine->answered, first->service) > first->lost_at;
-  return losses >= LOSSES_MIN;
+  return losses
+         >= (suspect->is_request ? REQUEST_LOSSES_MIN : PART_LOSSES_MIN);
 }
 
 static uint64_t
@@ -618,8 +662,8 @@
     {
       suspect_quarantine (quarantine, worst, now);
       clear_explained (quarantine, now, worst);
-      gs_log (GS_LOG_WARN, "quarantine", "part=%llx losses=%u source=own",
-              (unsigned long long)worst->key, losses);
+      gs_log (GS_LOG_WARN, "quarantine", "%s=%llx losses=%u source=own",
+              kind_of (worst), (unsigned long long)worst->key, losses);
       added++;
     }
   return added;
@@ -654,7 +698,7 @@
       || (suspect != NULL && suspect->released_at != 0
           && now <= suspect->released_at + SEND_PERIOD))
     return;
-  suspect = suspect_ensure (quarantine, row->key);
+  suspect = suspect_ensure (quarantine, row->key, row->is_request != 0);
   if (suspect->quarantined_at != 0)
     {
       suspect->quarantined_at = MIN (suspect->quarantined_at, at);
@@ -663,8 +707,9 @@
   suspect_quarantine (quarantine, suspect, at);
   clear_explained (quarantine, now, suspect);
   if (quarantine->decides)
-    gs_log (GS_LOG_WARN, "quarantine", "part=%llx age_ms=%llu source=peer",
-            (unsigned long long)row->key, (unsigned long long)row->age_ms);
+    gs_log (GS_LOG_WARN, "quarantine", "%s=%llx age_ms=%llu source=peer",
+            kind_of (suspect), (unsigned long long)row->key,
+            (unsigned long long)row->age_ms);
 }
 
 void
@@ -683,7 +728,7 @@
                       .position = row->position,
                       .cleared = row->cleared != 0 };
 
-      loss_put (quarantine, now, row->key, &loss);
+      loss_put (quarantine, now, row->key, row->is_request != 0, &loss);
     }
   for (guint i = 0; i < rows->keys->len; i++)
     import_key (quarantine, now,
@@ -720,7 +765,8 @@
                                     .sent_age_ms = age_ms (now, loss->sent_at),
                                     .lost_age_ms = age_ms (now, loss->lost_at),
                                     .position = loss->position,
-                                    .cleared = loss->cleared };
+                                    .cleared = loss->cleared,
+                                    .is_request = suspect->is_request };
 
       if (now <= loss->changed_at + SEND_PERIOD)
         g_array_append_val (out, row);
@@ -746,6 +792,7 @@
           = { .key = suspect->key,
               .age_ms = age_ms (now, released ? suspect->released_at
                                               : suspect->quarantined_at),
+              .is_request = suspect->is_request,
               .released = released };
 
       export_losses (suspect, now, out->losses);
--- a/src/gateway/quarantine.h
+++ b/src/gateway/quarantine.h
@@ -1,17 +1,19 @@
 /**
  * @file quarantine.h
- * Finds out which parts of prompts make replicas crash, and keeps requests
- * that contain them from replicas.
+ * Finds out which parts of prompts and which single requests make replicas
+ * crash, and keeps them from replicas.
  *
  * A loss is an attempt whose connection its replica broke off.  It speaks
- * against each shared part of the request's prompt until
- *  - a request with that part is answered,
+ * against the request itself and against each shared part of its prompt until
+ *  - the request, or one with that part, is answered,
  *  - the same process answers a request that was sent later, so that it has
  *    not crashed, or
  *  - a part that is in quarantine explains it.
  * A part is put into quarantine when it is left with several losses, each of
  * another process and another one of a request that was sent after the loss
  * before, so that one failure of many replicas or connections counts once.
+ * Of a request, which is seldom sent several times at once, losses count that
+ * do not happen in the same moment.
  *
  * Nodes tell each other losses and quarantines; what is known of a loss only
  * grows, so a message that arrives late or twice changes nothing.  Plain
@@ -25,7 +27,8 @@
 
 #include <glib.h>
 
-/** How long a part stays in quarantine, and how long a loss is remembered. */
+/** How long a part or a request stays in quarantine, and how long a loss is
+ * remembered. */
 #define QUARANTINE_TTL (600 * GS_SEC)
 /** Losses and quarantines in a message; the latest ones are sent. */
 #define QUARANTINE_LOSSES_SENT_MAX 512
@@ -35,6 +38,7 @@
 typedef struct
 {
   uint32_t service;      /**< hash of the name of its service */
+  uint64_t request;      /**< hash that all repeats of the request have */
   uint64_t prompt;       /**< hash of the whole prompt */
   const uint64_t *parts; /**< parts of the prompt that other requests may
                               share, in its order */
@@ -44,22 +48,24 @@
 /** A loss in a message: ages in place of times, as clocks differ. */
 typedef struct
 {
-  uint64_t key;    /**< the part that it speaks against */
+  uint64_t key;    /**< the part or request that it speaks against */
   uint64_t prompt; /**< hash of the whole prompt */
   uint64_t process;
   uint32_t service;
   uint64_t sent_age_ms; /**< of the request */
   uint64_t lost_age_ms;
-  uint64_t position; /**< of the part in its prompt */
-  uint64_t cleared;  /**< 1 if it does not speak against the part any more */
+  uint64_t position;   /**< of the part in its prompt */
+  uint64_t cleared;    /**< 1 if it does not speak against the key any more */
+  uint64_t is_request; /**< 1 if the key is a request */
 } quarantine_loss_row_t;
 
-/** A part in quarantine, in a message. */
+/** A part or a request in quarantine, in a message. */
 typedef struct
 {
   uint64_t key;
-  uint64_t age_ms;   /**< since it was put into quarantine, or released */
-  uint64_t released; /**< 1 if a request with it was answered since */
+  uint64_t age_ms;     /**< since it was put into quarantine, or released */
+  uint64_t is_request; /**< 1 if the key is a request */
+  uint64_t released;   /**< 1 if a request with it was answered since */
 } quarantine_key_row_t;
 
 /** What nodes tell each other. */
@@ -94,7 +100,7 @@
                              uint64_t process, gs_time_t sent_at);
 
 /** Record that a request was answered with success.  This also ends the
-    quarantine of its parts. */
+    quarantine of the request and its parts. */
 void quarantine_success_record (quarantine_t *quarantine, gs_time_t now,
                                 const quarantine_subject_t *subject);
 
@@ -103,14 +109,14 @@
 void quarantine_process_answer_record (quarantine_t *quarantine, gs_time_t now,
                                        uint64_t process, gs_time_t sent_at);
 
-/** @return when the quarantine of a part of the request ends; 0 if none is in
-    quarantine */
+/** @return when the quarantine of the request or a part of it ends; 0 if none
+    is in quarantine */
 gs_time_t quarantine_end (const quarantine_t *quarantine, gs_time_t now,
                           const quarantine_subject_t *subject);
 
-/** Put the parts into quarantine that have lost enough, unless the table only
+/** Put the keys into quarantine that have lost enough, unless the table only
     passes on what others know, and drop what has expired.
-    @return number of parts that were put into quarantine */
+    @return number of keys that were put into quarantine */
 unsigned quarantine_update (quarantine_t *quarantine, gs_time_t now);
 
 /** Add what another table has exported.
--- a/src/gateway/quarantine_store.c
+++ b/src/gateway/quarantine_store.c
@@ -4,7 +4,7 @@
 
 #include <stdlib.h>
 
-#define OBJECT_NAME "parts"
+#define OBJECT_NAME "keys"
 /* As for the other objects of the nodes: the store normally answers within
    milliseconds, and takes up to fifty times as long when degraded.  */
 #define STORE_TIMEOUT (800 * GS_MSEC)
@@ -74,7 +74,7 @@
   copy->revision = object->revision;
   g_hash_table_remove_all (copy->kept);
   quarantine_rows_init (&rows);
-  json_array_foreach (json_object_get (object->value, "parts"), i, entry)
+  json_array_foreach (json_object_get (object->value, "keys"), i, entry)
   {
     const char *text = json_string_value (json_object_get (entry, "id"));
     const json_t *at = json_object_get (entry, "since_ms");
@@ -87,6 +87,7 @@
                 (unsigned long long)object->revision, i);
         continue;
       }
+    row.is_request = json_is_true (json_object_get (entry, "is_request"));
     row.key = strtoull (text, NULL, 16);
     row.age_ms
         = (uint64_t)MAX (wall / GS_MSEC - (int64_t)json_integer_value (at), 0);
@@ -145,7 +146,7 @@
 static json_t *
 make_changed_value (quarantine_store_t *copy, gs_time_t now)
 {
-  json_t *parts = json_array ();
+  json_t *list = json_array ();
   int64_t wall = gs_clock_wall ();
   bool changed = false;
   quarantine_rows_t rows;
@@ -163,8 +164,9 @@
         continue;
       g_snprintf (id, sizeof id, "%llx", (unsigned long long)row->key);
       json_array_append_new (
-          parts,
-          json_pack ("{s:s, s:I}", "id", id, "since_ms",
+          list,
+          json_pack ("{s:s, s:b, s:I}", "id", id, "is_request",
+                     row->is_request != 0, "since_ms",
                      (json_int_t)(wall / GS_MSEC - (int64_t)row->age_ms)));
       keys_add (copy->writing, row->key);
       changed |= !g_hash_table_contains (copy->kept, &row->key);
@@ -173,8 +175,8 @@
       |= g_hash_table_size (copy->writing) != g_hash_table_size (copy->kept);
   quarantine_rows_clear (&rows);
   if (changed)
-    return json_pack ("{s:o}", "parts", parts);
-  json_decref (parts);
+    return json_pack ("{s:o}", "keys", list);
+  json_decref (list);
   return NULL;
 }
 
--- a/src/gateway/quarantine_store.h
+++ b/src/gateway/quarantine_store.h
@@ -1,8 +1,9 @@
 /**
  * @file quarantine_store.h
- * Keeps the parts in quarantine in the store, so that they are still known
- * after all nodes have been killed.  Each process reads them once; the holder
- * of the lease writes them when they change.  Runs on the control thread.
+ * Keeps the parts and requests in quarantine in the store, so that they are
+ * still known after all nodes have been killed.  Each process reads them once;
+ * the holder of the lease writes them when they change.  Runs on the control
+ * thread.
  */
 #ifndef GS_GATEWAY_QUARANTINE_STORE_H
 #define GS_GATEWAY_QUARANTINE_STORE_H
@@ -18,7 +19,7 @@
 /**
  * @param out receives the copy, freed with quarantine_store_destroy()
  * @param store borrowed
- * @param quarantine borrowed; gets the parts that the store has
+ * @param quarantine borrowed; gets the keys that the store has
  */
 void quarantine_store_create (quarantine_store_t **out,
                               const gs_object_store_t *store,
--- a/src/gateway/relay_quarantine.c
+++ b/src/gateway/relay_quarantine.c
@@ -21,6 +21,7 @@
     out->parts[i] = request->blocks[i].id;
   out->subject = (quarantine_subject_t){
     .service = (uint32_t)placer_replica_hash (relay->service->name),
+    .request = relay->fingerprint,
     .prompt = XXH3_64bits (out->parts, count * sizeof *out->parts),
     .parts = out->parts,
     .part_count = count > 0 ? count - 1 : 0,
--- a/tests/test_process_gateway_crash.c
+++ b/tests/test_process_gateway_crash.c
@@ -15,7 +15,7 @@
 
 #define REQUEST_INTERVAL_USEC 15000
 /* One request in so many makes replicas crash.  */
-#define CRASHING_INTERVAL 12
+#define CRASHING_INTERVAL 11
 #define GATEWAYS 2
 
 typedef struct
