--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -289,6 +289,22 @@
     }
 }
 
+unsigned
+gw_peak_memory_mb (const gateway_world_t *world, unsigned index)
+{
+  char *path = g_strdup_printf ("/proc/%d/status", world->gateways[index].pid);
+  char *text = NULL;
+  const char *line;
+  unsigned kilobytes = 0;
+
+  if (g_file_get_contents (path, &text, NULL, NULL)
+      && (line = strstr (text, "VmHWM:")) != NULL)
+    kilobytes = (unsigned)strtoul (line + strlen ("VmHWM:"), NULL, 10);
+  g_free (text);
+  g_free (path);
+  return kilobytes / 1024;
+}
+
 bool
 gw_wait_exit (gateway_world_t *world, unsigned index, gs_time_t deadline)
 {
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -45,7 +45,8 @@
   struct world_replica *replica_state;
   gs_time_t arrived_at;
   bool refused;        /* the replica rejected it, see gw_replica_refuse() */
-  gs_time_t closed_at; /* when the node closed before a response; 0 if not */
+  gs_time_t closed_at; /* when the node closed before a response, or within one
+                          without end; 0 if not */
 } arrival_t;
 
 typedef struct gateway_world gateway_world_t;
@@ -221,6 +222,9 @@
 /** @return true if the gateway exited before the deadline. */
 bool gw_wait_exit (gateway_world_t *world, unsigned index, gs_time_t deadline);
 
+/** @return the most memory that a gateway has had resident, in MiB */
+unsigned gw_peak_memory_mb (const gateway_world_t *world, unsigned index);
+
 /** @return true if the gateway's readiness check succeeds. */
 bool gw_is_ready (gateway_world_t *world, unsigned index);
 
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define EVENT_COUNT 6
 #define EVENT_INTERVAL_USEC 60000
@@ -334,6 +335,66 @@
   g_strfreev (parts);
 }
 
+/* Responses without end: a begin, and bytes that are repeated until the node
+   closes the connection.  */
+static const struct
+{
+  const char *name;
+  const char *begin;
+  const char *repeated;
+} endless_responses[] = {
+  { "endless-bytes", "", "no answer " },
+  { "endless-line", "HTTP/1.1 200 OK\r\nX-Long: ", "0123456789" },
+  { "endless-lines", "HTTP/1.1 200 OK\r\n", "X-More: 0123456789\r\n" },
+  { "endless-heads", "", "HTTP/1.1 103 Early Hints\r\nX-More: 1\r\n\r\n" },
+  { "endless-body", "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT "\r\n",
+    "0123456789" },
+  { "endless-chunks",
+    "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT
+    "Transfer-Encoding: chunked\r\n\r\n",
+    "a\r\n0123456789\r\n" },
+  { "endless-failure", "HTTP/1.1 500 X\r\n" SEAL_HEADERS_TEXT "\r\n",
+    "0123456789" },
+  { "endless-event",
+    "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT
+    "Content-Type: text/event-stream\r\n\r\ndata: ",
+    "0123456789" },
+  { "endless-trailer",
+    "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT
+    "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+    "X-More: 0123456789\r\n" },
+};
+
+#define ENDLESS_BLOCK_BYTES 65536
+
+/* Sends without end, at most for SILENCE_TIMEOUT.
+   @return false if @p behaviour names no response without end  */
+static bool
+send_endless_if_named (raw_conn_t *conn, arrival_t *arrival,
+                       const char *behaviour)
+{
+  gs_time_t deadline = gs_clock_now () + SILENCE_TIMEOUT;
+  GString *block = g_string_new (NULL);
+  size_t i = 0;
+
+  while (i < G_N_ELEMENTS (endless_responses)
+         && strcmp (endless_responses[i].name, behaviour) != 0)
+    i++;
+  if (i < G_N_ELEMENTS (endless_responses))
+    {
+      send_fixed (conn, endless_responses[i].begin, arrival->id);
+      while (block->len < ENDLESS_BLOCK_BYTES)
+        g_string_append (block, endless_responses[i].repeated);
+      while (send (conn->fd, block->str, block->len, MSG_NOSIGNAL) >= 0
+             && gs_clock_now () < deadline)
+        ;
+      if (gs_clock_now () < deadline)
+        arrival->closed_at = gs_clock_now ();
+    }
+  g_string_free (block, TRUE);
+  return i < G_N_ELEMENTS (endless_responses);
+}
+
 /* @return false if @p behaviour names no fixed response  */
 static bool
 send_fixed_if_named (raw_conn_t *conn, const arrival_t *arrival,
@@ -388,6 +449,8 @@
   if (send_refusal (conn, arrival)
       || send_fixed_if_named (conn, arrival, behaviour, &keep_open))
     ;
+  else if (send_endless_if_named (conn, arrival, behaviour))
+    keep_open = false;
   else if (strcmp (behaviour, "extra") == 0)
     {
       send_plain (conn, arrival, 200);
