gateway: answers without end cost a bounded amount

Cause: headers, those of status 1xx and trailers too, were kept without a bound; each body could take 16 MiB, however many there were; the end of an event was looked for from its begin with each piece that came.

Heads and trailers of a response may now have 64 KiB together, in all calls of the loop. Buffered responses share an eighth of the node's memory, and each may grow up to what is free, so that those without end leave room for others. The search for the end of an event goes on where it stopped.

--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -49,31 +49,37 @@
     }
 }
 
-/* @return length of the event at the start of a text, its terminating empty
-   line included; 0 if the event is not complete yet  */
+/* Looks for the end of an event, from where the last call for it stopped.
+   @param text begins with the event
+   @return its length, its terminating empty line included; 0 if the event is
+   not complete yet  */
 static size_t
-complete_event_length (const char *text, size_t length)
+find_event_end (events_splitter_t *events, const char *text, size_t length)
 {
-  bool line_empty = true;
+  size_t i = events->scanned;
 
-  for (size_t i = 0; i < length;)
+  while (i < length)
     {
       size_t ending_length = line_ending_length (text + i, length - i);
 
       /* The LF of a CR LF may still arrive.  */
       if (text[i] == '\r' && i + 1 == length)
-        return 0;
+        break;
       if (ending_length == 0)
         {
-          line_empty = false;
+          events->line_begun = true;
           i++;
           continue;
         }
       i += ending_length;
-      if (line_empty)
-        return i;
-      line_empty = true;
+      if (!events->line_begun)
+        {
+          events->scanned = 0;
+          return i;
+        }
+      events->line_begun = false;
     }
+  events->scanned = i;
   return 0;
 }
 
@@ -99,8 +105,8 @@
   size_t event_length;
 
   g_string_append_len (events->partial, data, (gssize)length);
-  while ((event_length = complete_event_length (events->partial->str + used,
-                                                events->partial->len - used))
+  while ((event_length = find_event_end (events, events->partial->str + used,
+                                         events->partial->len - used))
          > 0)
     {
       record_event (events, events->partial->str + used, event_length);
@@ -114,4 +120,6 @@
 events_partial_discard (events_splitter_t *events)
 {
   g_string_truncate (events->partial, 0);
+  events->scanned = 0;
+  events->line_begun = false;
 }
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -15,6 +15,8 @@
   GString *partial; /**< received part of an incomplete event */
   uint64_t last_id; /**< last id of a complete event, 0 for none */
   uint64_t count;   /**< number of complete events */
+  size_t scanned;   /**< bytes of the partial event that were looked through */
+  bool line_begun;  /**< the line at that point is not empty */
 } events_splitter_t;
 
 void events_init (events_splitter_t *events);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -14,7 +14,7 @@
 /* Replicas and nodes are in one region.  A connection that takes longer to
    open has lost packets or an unreachable peer.  */
 #define CONNECT_TIMEOUT (500 * GS_MSEC)
-/* Largest response that is buffered; streams are not.  */
+/* Largest response, or event of a stream, that is buffered.  */
 #define RESPONSE_BYTES_MAX ((size_t)16 << 20)
 /* Connections are reused only if the replica's keep-alive time is at least
    this long, because libcurl counts idle time in whole seconds.  */
@@ -40,6 +40,7 @@
   traffic_t *traffic = relay->traffic;
 
   relay_queue_remove (relay);
+  response_memory_return (&traffic->response_memory, relay->buffered);
   if (relay->charged > 0 && relay->possible_runs == 0)
     quota_cancel (traffic->quota, gs_clock_now (), relay->account_hash,
                   relay->charged);
@@ -270,6 +271,27 @@
                      response_headers (relay));
 }
 
+/* Accounts for a buffer that has grown or shrunk.
+   @return false if the response is too large  */
+static bool
+set_buffered (relay_t *relay, size_t length)
+{
+  response_memory_t *memory = &relay->traffic->response_memory;
+
+  if (length > RESPONSE_BYTES_MAX
+      || (length > relay->buffered
+          && !response_memory_take (memory, relay->buffered,
+                                    length - relay->buffered)))
+    {
+      relay->response_too_large = true;
+      return false;
+    }
+  if (length < relay->buffered)
+    response_memory_return (memory, relay->buffered - length);
+  relay->buffered = length;
+  return true;
+}
+
 static bool
 on_body_data (void *context, const char *data, size_t length)
 {
@@ -278,7 +300,7 @@
 
   if (!is_stream (relay))
     {
-      if (relay->body->len + length > RESPONSE_BYTES_MAX)
+      if (!set_buffered (relay, relay->body->len + length))
         return false;
       g_string_append_len (relay->body, data, (gssize)length);
       return true;
@@ -292,7 +314,7 @@
       gs_exchange_write (relay->exchange, complete->str, complete->len);
     }
   g_string_free (complete, TRUE);
-  return true;
+  return set_buffered (relay, relay->events.partial->len);
 }
 
 /* @return true if the request may be resent; takes the resend from the
@@ -367,6 +389,7 @@
   /* libcurl ends a transfer up to a millisecond before its deadline, so the
      reason comes from its status and not from the clock.  */
   const char *reason = relay->response_mismatched      ? "foreign_answer"
+                       : relay->response_too_large     ? "answer_too_large"
                        : result->status == GS_OK       ? "answer_not_valid"
                        : not_sent                      ? "replica_unreachable"
                        : result->status == GS_ETIMEOUT ? "deadline"
@@ -378,7 +401,9 @@
       && (result->status == GS_EUNKNOWN || has_partial_event (relay)))
     relay_quarantine_lost (relay, now);
   relay_log_attempt (relay, not_sent ? "not_sent" : "unknown",
-                     result->status == GS_OK ? reason : result->reason);
+                     result->status == GS_OK || relay->response_too_large
+                         ? reason
+                         : result->reason);
   end_attempt (relay, now, not_sent ? PLACER_UNREACHABLE : PLACER_FAILED);
   relay->ticket.row = row;
   resend_or_fail (relay, now, !not_sent, reason);
@@ -494,6 +519,8 @@
   gs_response_head_clear (&relay->head);
   gs_response_head_init (&relay->head);
   g_string_truncate (relay->body, 0);
+  relay->response_too_large = false;
+  set_buffered (relay, 0);
   relay_log_placement (relay, now);
   request.method = gs_exchange_method (relay->exchange);
   request.url = url;
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -32,7 +32,9 @@
   placer_ticket_t ticket;
   gs_response_head_t head;
   bool response_mismatched; /* the response answers another attempt */
-  bool attempt_responded;   /* the first event or the whole response is here */
+  bool response_too_large;
+  size_t buffered;        /* bytes taken from the memory for responses */
+  bool attempt_responded; /* the first event or the whole response is here */
   GString *body;
   events_splitter_t events;
   /* State across attempts. */
--- /dev/null
+++ b/src/gateway/response_memory.c
@@ -0,0 +1,19 @@
+#include "gateway/response_memory.h"
+
+bool
+response_memory_take (response_memory_t *memory, size_t own, size_t length)
+{
+  size_t free_bytes
+      = memory->limit > memory->used ? memory->limit - memory->used : 0;
+
+  if (own + length > RESPONSE_BYTES_ASSURED && own + length > free_bytes)
+    return false;
+  memory->used += length;
+  return true;
+}
+
+void
+response_memory_return (response_memory_t *memory, size_t length)
+{
+  memory->used -= length;
+}
--- /dev/null
+++ b/src/gateway/response_memory.h
@@ -0,0 +1,31 @@
+/**
+ * @file response_memory.h
+ * Shares the memory for buffered responses between them.  A response may grow
+ * up to what is free, so that a few that do not end leave as much again to the
+ * others; a small one is always buffered.  Plain counters; no I/O.
+ */
+#ifndef GS_GATEWAY_RESPONSE_MEMORY_H
+#define GS_GATEWAY_RESPONSE_MEMORY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/** Bytes of a response that are buffered however little is free. */
+#define RESPONSE_BYTES_ASSURED ((size_t)64 << 10)
+
+typedef struct
+{
+  size_t limit; /**< in bytes */
+  size_t used;
+} response_memory_t;
+
+/** Take memory for a response that grows.
+    @param own bytes that the response has already
+    @param length bytes that are added
+    @return false, without taking any, if the response is too large */
+bool response_memory_take (response_memory_t *memory, size_t own,
+                           size_t length);
+
+void response_memory_return (response_memory_t *memory, size_t length);
+
+#endif
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -15,6 +15,9 @@
 /* The bodies of open requests may use the memory of the node divided by this.
    Buffered responses, tables and the log share the rest.  */
 #define BODIES_MEMORY_DIVISOR 4
+/* The same for responses that are buffered until they are whole; a buffer may
+   be twice as large as what is in it.  */
+#define RESPONSES_MEMORY_DIVISOR 8
 /* File descriptors reserved for files, peers and replicas.  The smallest node
    of the known deployments has 4096.  */
 #define DESCRIPTORS_RESERVED 1000
@@ -230,6 +233,9 @@
   gs_rng_seed (&traffic->rng, options->seed);
   placer_create (&traffic->placer, options->seed);
   quarantine_create (&traffic->quarantine, true);
+  traffic->response_memory.limit
+      = ((size_t)options->deployment->memory_mb << 20)
+        / RESPONSES_MEMORY_DIVISOR;
   quota_create (&traffic->quota, options->deployment->quota_window,
                 gs_clock_now (), options->deployment->first_start);
   traffic->services
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -10,6 +10,7 @@
 #include "garnetstack/thread.h"
 #include "gateway/events.h"
 #include "gateway/resend_budget.h"
+#include "gateway/response_memory.h"
 #include "gateway/traffic.h"
 #include "gateway/usage_count.h"
 
@@ -38,6 +39,7 @@
   placer_t *placer;
   quota_t *quota;
   quarantine_t *quarantine;
+  response_memory_t response_memory;
   GHashTable *services; /* service name -> traffic_service_t */
   usage_count_t *usage;
   GHashTable *relays; /* set of relay_t */
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -19,6 +19,9 @@
 #define READY_EVENTS_MAX 64
 #define WAIT_TIMEOUT_MAX_MSEC 1000
 #define BODY_BYTES_MAX_DEFAULT ((size_t)4 << 20)
+/* Heads of all responses to a request, with those of status 1xx, and trailers.
+   Servers commonly limit a head to a fraction of this.  */
+#define HEAD_BYTES_MAX ((size_t)64 << 10)
 #define VERSION_BYTES 32
 /* TCP keepalive: the first probe is sent after one idle second, and two
    unanswered probes close the connection.  */
@@ -68,6 +71,7 @@
   GString *request_body;
   GString *body;
   size_t body_bytes_max;
+  size_t head_bytes;
   char version[VERSION_BYTES];
   bool no_resend;
   bool send_started; /* libcurl has begun to send the request at least once */
@@ -291,13 +295,15 @@
 static void
 finish_call (gs_http_call_t *call, CURLcode code)
 {
-  gs_http_result_t result
-      = { .status = transfer_status (call, code),
-          .body = call->body->str,
-          .body_length = call->body->len,
-          .version = call->version,
-          .content_type = "",
-          .reason = code == CURLE_OK ? "" : curl_easy_strerror (code) };
+  gs_http_result_t result = { .status = transfer_status (call, code),
+                              .body = call->body->str,
+                              .body_length = call->body->len,
+                              .version = call->version,
+                              .content_type = "",
+                              .reason = code == CURLE_OK ? ""
+                                        : call->head_bytes > HEAD_BYTES_MAX
+                                            ? "Head is too large"
+                                            : curl_easy_strerror (code) };
   char *content_type = NULL;
 
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
@@ -521,6 +527,9 @@
   size_t length = size * count;
 
   g_hash_table_remove (call->loop->awaiting, call);
+  call->head_bytes += length;
+  if (call->head_bytes > HEAD_BYTES_MAX)
+    return 0;
   if (call->on_line != NULL && !call->on_line (call->context, data, length))
     return 0;
   if (length > sizeof header_name - 1
