gateway: trailers do not change what an answer says

Found by a test of answers without a length: a trailer with another attempt's id turned a whole answer into a failure, and one that says that the request was not run would have sent a request that may run once to a second replica. Headers are read up to the end of the head only.

Test: process_gateway, row "/a/never/trailer": 502 before.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -220,6 +220,9 @@
 {
   relay_t *relay = context;
 
+  /* Trailers follow the body; they do not change what the head says.  */
+  if (relay->head.complete)
+    return true;
   relay->traffic->options.header_codec->read_line (&relay->head, line, length);
   if (!relay->head.complete)
     return true;
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -45,6 +45,8 @@
   { "/a/never/short", 502, 1, "" },
   { "/a/never/unframed", 200, 1, "whole" },
   { "/a/never/unframed-reset", 502, 1, "" },
+  /* What a replica says after its answer does not change the answer.  */
+  { "/a/never/trailer", 200, 1, "" },
   { "/a/never/extra", 200, 1, "=" },
 };
 
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -234,23 +234,30 @@
 /* Sends the events from @p from to @p to, and the begin of the next one if
    @p truncated.  */
 static void
-send_events (raw_conn_t *conn, unsigned from, unsigned to, bool truncated)
+send_events (raw_conn_t *conn, unsigned from, unsigned to, bool truncated,
+             bool chunked)
 {
   for (unsigned i = from; i <= to; i++)
     {
       char *event = g_strdup_printf ("id: %u\ndata: event %u\n\n", i, i);
 
       g_usleep (EVENT_INTERVAL_USEC);
-      raw_printf (conn, "%zx\r\n%s\r\n", strlen (event), event);
+      if (chunked)
+        raw_printf (conn, "%zx\r\n%s\r\n", strlen (event), event);
+      else
+        raw_send (conn, event, strlen (event));
       g_free (event);
     }
-  if (truncated)
+  if (truncated && chunked)
     raw_printf (conn, "%x\r\nid: %u\nda\r\n", 9, to + 1);
+  else if (truncated)
+    raw_printf (conn, "id: %u\nda", to + 1);
 }
 
+/* @param chunked false for a stream that ends with its connection  */
 static void
 send_stream (raw_conn_t *conn, const arrival_t *arrival, unsigned last,
-             bool truncated)
+             bool truncated, bool chunked)
 {
   raw_message_t request = { NULL, arrival->head, NULL };
   char *last_event_id = raw_message_header (&request, "Last-Event-Id");
@@ -260,11 +267,11 @@
 
   raw_printf (conn,
               "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_FORMAT
-              "%sContent-Type: text/event-stream\r\n"
-              "Transfer-Encoding: chunked\r\n\r\n",
-              arrival->id, arrival->id, more_headers (arrival));
-  send_events (conn, from, last, truncated);
-  if (!truncated)
+              "%sContent-Type: text/event-stream\r\n%s\r\n",
+              arrival->id, arrival->id, more_headers (arrival),
+              chunked ? "Transfer-Encoding: chunked\r\n" : "");
+  send_events (conn, from, last, truncated, chunked);
+  if (!truncated && chunked)
     raw_printf (conn, "0\r\n\r\n");
   g_free (last_event_id);
 }
@@ -293,6 +300,11 @@
     false },
   { "unframed-reset", "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT "\r\nwho", true,
     true },
+  { "trailer",
+    "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT
+    "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+    "X-Not-Executed: 1\r\nX-Attempt-Id: another\r\n\r\n",
+    false, false },
   { "short",
     "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT "Content-Length: 9\r\n\r\nwho",
     true, false },
@@ -472,11 +484,25 @@
     }
   else if (strcmp (behaviour, "torn") == 0)
     {
-      send_stream (conn, arrival, EVENT_COUNT / 2, true);
+      send_stream (conn, arrival, EVENT_COUNT / 2, true, true);
+      keep_open = false;
+    }
+  else if (g_str_has_prefix (behaviour, "unframed-stream"))
+    {
+      bool torn = strcmp (behaviour, "unframed-stream-torn") == 0;
+      bool cut = strcmp (behaviour, "unframed-stream-cut") == 0;
+
+      send_stream (conn, arrival, torn || cut ? EVENT_COUNT / 2 : EVENT_COUNT,
+                   torn, false);
+      if (cut)
+        {
+          g_usleep (EVENT_INTERVAL_USEC);
+          raw_reset_on_close (conn);
+        }
       keep_open = false;
     }
   else if (strstr (arrival->first_line, "/stream/") != NULL)
-    send_stream (conn, arrival, EVENT_COUNT, false);
+    send_stream (conn, arrival, EVENT_COUNT, false, true);
   else
     send_plain (conn, arrival, 200);
   g_free (behaviour);
