--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -42,6 +42,7 @@
   char *first_line;
   GString *body;
   unsigned replica;
+  bool on_kept_connection; /* not the first request on its connection */
   struct world_replica *replica_state;
   gs_time_t arrived_at;
   bool refused;        /* the replica rejected it, see gw_replica_refuse() */
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -482,6 +482,46 @@
   end_world ();
 }
 
+#define KEPT_CONNECTION_ROUNDS 40
+
+/* Where replicas say how long they keep connections, calls that may run once
+   use kept ones as well.  The replica runs such a call and closes, or resets,
+   the connection without an answer, now and then while another call is under
+   way on a second one.  */
+static void
+a_request_lost_on_a_kept_connection_is_not_refused (void)
+{
+  static const char *const targets[] = { "/a/never/die", "/a/never/reset" };
+  unsigned reused = 0;
+
+  start_gateway (1);
+  gw_replica_headers_set (&world, 0, "Keep-Alive: timeout=15\r\n");
+  for (unsigned i = 0; i < KEPT_CONNECTION_ROUNDS; i++)
+    {
+      char *id = g_strdup_printf ("kept-%u", i);
+      char *warm = g_strdup_printf ("warm-%u", i);
+      char *answer
+          = gw_request (&world, 0, "POST", "/a/never/good", warm, "", "x");
+
+      CU_ASSERT_EQUAL (status_of (answer), 200);
+      g_free (answer);
+      answer = gw_request (&world, 0, "POST", targets[i % 2], id, "", "x");
+      reused += gw_arrival_find (&world, id) != NULL
+                && gw_arrival_find (&world, id)->on_kept_connection;
+      if (status_of (answer) != 502 || gw_arrivals_count (&world, id) != 1)
+        printf ("\n  %s: %u arrivals, %s", id, gw_arrivals_count (&world, id),
+                answer);
+      CU_ASSERT_EQUAL (status_of (answer), 502);
+      CU_ASSERT_EQUAL (gw_arrivals_count (&world, id), 1);
+      g_free (answer);
+      g_free (warm);
+      g_free (id);
+    }
+  printf ("\n  %u of %u on kept connections ", reused, KEPT_CONNECTION_ROUNDS);
+  CU_ASSERT (reused > KEPT_CONNECTION_ROUNDS / 2);
+  end_world ();
+}
+
 static void
 a_late_second_response_reaches_no_caller (void)
 {
@@ -591,6 +631,8 @@
     a_resumed_stream_has_no_missing_or_repeated_events },
   { "a request is sent once on a closed connection",
     a_request_is_sent_once_on_a_closed_connection },
+  { "a request lost on a kept connection is not refused",
+    a_request_lost_on_a_kept_connection_is_not_refused },
   { "a late second response reaches no caller",
     a_late_second_response_reaches_no_caller },
   { "a request is cancelled when the caller disconnects",
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -9,7 +9,7 @@
 
 static arrival_t *
 arrival_record (world_replica_t *replica, const raw_message_t *request,
-                unsigned *earlier)
+                bool on_kept_connection, unsigned *earlier)
 {
   gateway_world_t *world = replica->world;
   arrival_t *arrival = g_new0 (arrival_t, 1);
@@ -22,6 +22,7 @@
   arrival->body
       = g_string_new_len (request->body->str, (gssize)request->body->len);
   arrival->replica = replica->index;
+  arrival->on_kept_connection = on_kept_connection;
   arrival->replica_state = replica;
   arrival->arrived_at = gs_clock_now ();
   pthread_mutex_lock (&world->lock);
@@ -310,6 +311,7 @@
     true, false },
   { "noise", "no answer at all\r\n\r\n", true, false },
   { "die", "", true, false },
+  { "reset", "", true, true },
   { "full", "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
     false, false },
   { "moved",
@@ -516,7 +518,7 @@
                raw_message_t *request)
 {
   unsigned earlier;
-  arrival_t *arrival = arrival_record (replica, request, &earlier);
+  arrival_t *arrival = arrival_record (replica, request, false, &earlier);
   bool complete;
 
   send_plain (conn, arrival, 200);
@@ -532,7 +534,7 @@
 /* @return false to close the connection  */
 static bool
 serve_request (world_replica_t *replica, raw_conn_t *conn,
-               raw_message_t *request)
+               raw_message_t *request, bool on_kept_connection)
 {
   arrival_t *arrival;
   unsigned earlier;
@@ -541,7 +543,7 @@
     return respond_early (replica, conn, request);
   if (!raw_read_body (conn, request))
     return false;
-  arrival = arrival_record (replica, request, &earlier);
+  arrival = arrival_record (replica, request, on_kept_connection, &earlier);
   if (crashes_on (replica, request))
     {
       crash_in_response (conn, arrival, replica->world->crash_body == NULL);
@@ -555,10 +557,11 @@
 {
   raw_message_t request;
   bool keep_open = true;
+  unsigned served = 0;
 
   while (keep_open && raw_read_head (conn, &request))
     {
-      keep_open = serve_request (context, conn, &request);
+      keep_open = serve_request (context, conn, &request, served++ > 0);
       raw_message_clear (&request);
     }
 }
