gateway: pass on no refusal that its replica does not state

What callers would see (REFUSED): a call that may run once is answered 503, 429, 408 or 421, which promises that it has not run, and has run.

Cause: an answer of a replica with one of these statuses went on as it came, also without the header by which a replica states that it did not run the request; no other answer states that. A server that ends, or something before it, answers so.

Such an answer now counts like a lost one: 502 where the request may run once, else another replica within the budget.

Also looked at, by reading, and ruled out: refusals after a first attempt (possible_runs), sends on kept connections that are closed or reset (test), attempts without a byte sent, refusals by the HTTP server, leaving nodes.

Test: process_gateway, five rows: 503, 503, 429, 408 and 421 before, 502 after.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -381,6 +381,17 @@
   return is_stream (relay) && relay->events.partial->len > 0;
 }
 
+/* These statuses tell a caller that its request has not run.  If the replica
+   does not state that, it may have run the request.
+   @return whether forwarding the response would promise too much  */
+static bool
+is_unstated_refusal (const gs_response_head_t *head)
+{
+  return !head->not_run
+         && (head->status == 408 || head->status == 421 || head->status == 429
+             || head->status == 503);
+}
+
 /* Handles an attempt without a response to forward.  Unless its replica could
    not be reached, it may have run.  */
 static void
@@ -391,12 +402,15 @@
   bool not_sent = result->status == GS_EUNREACHABLE;
   /* libcurl ends a transfer up to a millisecond before its deadline, so the
      reason comes from its status and not from the clock.  */
-  const char *reason = relay->response_mismatched      ? "foreign_answer"
-                       : relay->response_too_large     ? "answer_too_large"
-                       : result->status == GS_OK       ? "answer_not_valid"
-                       : not_sent                      ? "replica_unreachable"
-                       : result->status == GS_ETIMEOUT ? "deadline"
-                                                       : "replica_lost";
+  const char *reason
+      = relay->response_mismatched ? "foreign_answer"
+        : result->status == GS_OK && is_unstated_refusal (&relay->head)
+            ? "refusal_not_stated"
+        : relay->response_too_large     ? "answer_too_large"
+        : result->status == GS_OK       ? "answer_not_valid"
+        : not_sent                      ? "replica_unreachable"
+        : result->status == GS_ETIMEOUT ? "deadline"
+                                        : "replica_lost";
 
   if (not_sent)
     relay->possible_runs--;
@@ -455,7 +469,7 @@
     handle_not_run (relay, now);
   else if (head->encoded || (is_success (head) && !head->is_signed)
            || (relay->head_sent && !is_stream (relay))
-           || has_partial_event (relay))
+           || is_unstated_refusal (head) || has_partial_event (relay))
     handle_lost_attempt (relay, now, result);
   else if (is_retryable_failure (relay) && reserve_resend (relay, now))
     {
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -35,6 +35,14 @@
   { "/a/never/full-once", 200, 2, "=" },
   { "/a/never/full", 503, 4, "" }, /* retried, then rejected */
   { "/a/never/moved-once", 200, 2, "=" },
+  /* These statuses tell callers that nothing ran.  A replica that does not say
+     so itself may have run the request.  */
+  { "/a/never/busy", 502, 1, "" },
+  { "/a/never/busy-sealed", 502, 1, "" },
+  { "/a/never/too-many", 502, 1, "" },
+  { "/a/never/timed-out", 502, 1, "" },
+  { "/a/never/misdirected", 502, 1, "" },
+  { "/a/free/busy-once", 200, 2, "=" },
   /* A response that has no seal, has an unexpected encoding, is incomplete or
      belongs to another request is not forwarded.  A response without framing
      is complete if the connection is not reset.  */
