gateway: a quarantine ends when its processes turn out to run

Replicas that lose several answers in a row and answer others have not crashed; a request or part was refused for ten minutes although that became known a moment later. Also a part that was answered lately no longer explains the losses of one that was not.

--- a/src/gateway/quarantine.c
+++ b/src/gateway/quarantine.c
@@ -282,10 +282,20 @@
 }
 
 /* Beside a request that makes replicas crash, others are repeated as well, so
-   that a request explains nothing.
-   @return whether a part in quarantine was lost with a process  */
+   that a request explains nothing.  A part that was answered does not explain
+   the losses of one that was not answered since.  */
 static bool
-is_explained (const quarantine_t *quarantine, uint64_t key, uint64_t process)
+may_explain (const suspect_t *cause, const suspect_t *suspect)
+{
+  return cause->quarantined_at != 0 && !cause->is_request && cause != suspect
+         && cause->answered_at <= suspect->answered_at;
+}
+
+/* @return whether a part in quarantine was lost with a process and may explain
+   a loss  */
+static bool
+is_explained (const quarantine_t *quarantine, const suspect_t *suspect,
+              uint64_t process)
 {
   GHashTableIter iter;
   gpointer value;
@@ -295,14 +305,13 @@
   g_hash_table_iter_init (&iter, quarantine->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const suspect_t *suspect = value;
+      const suspect_t *cause = value;
 
-      if (suspect->quarantined_at == 0 || suspect->is_request
-          || suspect->key == key)
+      if (!may_explain (cause, suspect))
         continue;
-      for (guint i = 0; i < suspect->losses->len; i++)
-        if (loss_at (suspect, i)->process == process
-            && !loss_at (suspect, i)->cleared)
+      for (guint i = 0; i < cause->losses->len; i++)
+        if (loss_at (cause, i)->process == process
+            && !loss_at (cause, i)->cleared)
           return true;
     }
   return false;
@@ -317,14 +326,12 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (cause->is_request)
-    return;
   g_hash_table_iter_init (&iter, quarantine->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       suspect_t *suspect = value;
 
-      if (suspect == cause || suspect->quarantined_at != 0)
+      if (suspect->quarantined_at != 0 || !may_explain (cause, suspect))
         continue;
       for (guint i = 0; i < suspect->losses->len; i++)
         for (guint k = 0; k < cause->losses->len; k++)
@@ -334,6 +341,80 @@
     }
 }
 
+/* @return whether a loss counts beside the one that was counted before  */
+static bool
+is_separate (const suspect_t *suspect, const loss_t *loss,
+             const loss_t *before)
+{
+  return suspect->is_request
+             ? loss->lost_at >= before->lost_at + REQUEST_LOSS_INTERVAL
+             : loss->sent_at >= before->lost_at;
+}
+
+/* @return number of losses that speak against a key, each of another process
+   and separate from the one before; 0 for a part if all have the same
+   prompt  */
+static unsigned
+count_losses (const suspect_t *suspect)
+{
+  const loss_t *counted[LOSSES_MIN_IF_ANSWERED];
+  unsigned count = 0;
+  bool differs = false;
+
+  for (guint i = 0; i < suspect->losses->len && count < G_N_ELEMENTS (counted);
+       i++)
+    {
+      const loss_t *loss = loss_at (suspect, i);
+      bool counts
+          = !loss->cleared
+            && (count == 0 || is_separate (suspect, loss, counted[count - 1]));
+
+      for (unsigned k = 0; k < count; k++)
+        counts &= counted[k]->process != loss->process;
+      if (counts)
+        counted[count++] = loss;
+    }
+  for (unsigned k = 1; k < count; k++)
+    differs |= counted[k]->prompt != counted[0]->prompt;
+  return differs || suspect->is_request ? count : 0;
+}
+
+/* Ends a quarantine, if there is one.
+   @param reason of the end, for the log  */
+static void
+suspect_release (quarantine_t *quarantine, gs_time_t now, suspect_t *suspect,
+                 const char *reason)
+{
+  if (suspect->quarantined_at == 0)
+    return;
+  if (quarantine->decides)
+    gs_log (GS_LOG_INFO, "quarantine_ended",
+            "%s=%llx reason=%s lasted_ms=%lld", kind_of (suspect),
+            (unsigned long long)suspect->key, reason,
+            (long long)((now - suspect->quarantined_at) / GS_MSEC));
+  suspect->quarantined_at = 0;
+  quarantine->quarantined_count--;
+  suspect_clear (suspect, now);
+}
+
+static unsigned
+losses_min (const suspect_t *suspect)
+{
+  return suspect->is_request ? REQUEST_LOSSES_MIN : PART_LOSSES_MIN;
+}
+
+/* Ends a quarantine if too few losses are left that speak for it: processes
+   that had seemed to crash have answered since.  */
+static void
+review_quarantine (quarantine_t *quarantine, gs_time_t now, suspect_t *suspect)
+{
+  if (suspect->quarantined_at == 0
+      || count_losses (suspect) >= losses_min (suspect))
+    return;
+  suspect->released_at = now;
+  suspect_release (quarantine, now, suspect, "processes_run");
+}
+
 /* A loss that was cleared before this node heard of it is of no use.  */
 static void
 loss_put (quarantine_t *quarantine, gs_time_t now, uint64_t key,
@@ -357,7 +438,7 @@
   added.cleared
       = suspect->answered_at >= loss->lost_at
         || time_get (quarantine->alive, loss->process) > loss->lost_at
-        || is_explained (quarantine, key, loss->process);
+        || is_explained (quarantine, suspect, loss->process);
   place = suspect->losses->len;
   while (place > 0 && loss_at (suspect, place - 1)->lost_at > added.lost_at)
     place--;
@@ -399,24 +480,6 @@
   quarantine->quarantined_count++;
 }
 
-/* Ends a quarantine, if there is one.
-   @param reason of the end, for the log  */
-static void
-suspect_release (quarantine_t *quarantine, gs_time_t now, suspect_t *suspect,
-                 const char *reason)
-{
-  if (suspect->quarantined_at == 0)
-    return;
-  if (quarantine->decides)
-    gs_log (GS_LOG_INFO, "quarantine_ended",
-            "%s=%llx reason=%s lasted_ms=%lld", kind_of (suspect),
-            (unsigned long long)suspect->key, reason,
-            (long long)((now - suspect->quarantined_at) / GS_MSEC));
-  suspect->quarantined_at = 0;
-  quarantine->quarantined_count--;
-  suspect_clear (suspect, now);
-}
-
 static void
 key_answered (quarantine_t *quarantine, gs_time_t now, uint64_t key)
 {
@@ -460,10 +523,17 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       suspect_t *suspect = value;
+      bool cleared = false;
 
       for (guint i = 0; i < suspect->losses->len; i++)
-        if (loss_at (suspect, i)->process == process)
-          loss_clear (loss_at (suspect, i), now);
+        if (loss_at (suspect, i)->process == process
+            && !loss_at (suspect, i)->cleared)
+          {
+            loss_clear (loss_at (suspect, i), now);
+            cleared = true;
+          }
+      if (cleared)
+        review_quarantine (quarantine, now, suspect);
     }
   g_hash_table_remove (quarantine->processes, &process);
 }
@@ -499,44 +569,6 @@
   return end;
 }
 
-/* @return whether a loss counts beside the one that was counted before  */
-static bool
-is_separate (const suspect_t *suspect, const loss_t *loss,
-             const loss_t *before)
-{
-  return suspect->is_request
-             ? loss->lost_at >= before->lost_at + REQUEST_LOSS_INTERVAL
-             : loss->sent_at >= before->lost_at;
-}
-
-/* @return number of losses that speak against a key, each of another process
-   and separate from the one before; 0 for a part if all have the same
-   prompt  */
-static unsigned
-count_losses (const suspect_t *suspect)
-{
-  const loss_t *counted[LOSSES_MIN_IF_ANSWERED];
-  unsigned count = 0;
-  bool differs = false;
-
-  for (guint i = 0; i < suspect->losses->len && count < G_N_ELEMENTS (counted);
-       i++)
-    {
-      const loss_t *loss = loss_at (suspect, i);
-      bool counts
-          = !loss->cleared
-            && (count == 0 || is_separate (suspect, loss, counted[count - 1]));
-
-      for (unsigned k = 0; k < count; k++)
-        counts &= counted[k]->process != loss->process;
-      if (counts)
-        counted[count++] = loss;
-    }
-  for (unsigned k = 1; k < count; k++)
-    differs |= counted[k]->prompt != counted[0]->prompt;
-  return differs || suspect->is_request ? count : 0;
-}
-
 static const loss_t *
 first_loss (const suspect_t *suspect)
 {
@@ -561,8 +593,7 @@
       && suspect->answered_at + ANSWERED_LATELY >= first->lost_at)
     return losses >= LOSSES_MIN_IF_ANSWERED
            && time_get (quarantine->answered, first->service) > first->lost_at;
-  return losses
-         >= (suspect->is_request ? REQUEST_LOSSES_MIN : PART_LOSSES_MIN);
+  return losses >= losses_min (suspect);
 }
 
 static uint64_t
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -33,6 +33,15 @@
   return quarantine_end (table, now, &subject) != 0;
 }
 
+static bool
+is_request_quarantined (const quarantine_t *table, gs_time_t now,
+                        uint64_t prompt)
+{
+  quarantine_subject_t subject = subject_of (prompt, NULL, 0);
+
+  return quarantine_end (table, now, &subject) != 0;
+}
+
 /* Records a loss of a request that was sent 50 ms before.  */
 static void
 lose (quarantine_t *table, gs_time_t now, uint64_t prompt, uint64_t part,
@@ -208,6 +217,34 @@
   quarantine_destroy (tables[1]);
 }
 
+/* Replicas that lose several answers in a row, and answer others, have not
+   crashed.  */
+static void
+a_quarantine_ends_when_the_processes_turn_out_to_run (void)
+{
+  quarantine_t *tables[] = { table_new (), table_new () };
+  quarantine_subject_t subject = subject_of (7, NULL, 0);
+  gs_time_t now = START;
+  quarantine_rows_t rows;
+
+  for (uint64_t i = 1; i <= 3; i++, now += 60 * GS_MSEC)
+    quarantine_loss_record (tables[0], now, &subject, i, now - 50 * GS_MSEC);
+  quarantine_update (tables[0], now);
+  CU_ASSERT_TRUE (is_request_quarantined (tables[0], now, 7));
+  for (unsigned turn = 0; turn < 2; turn++)
+    {
+      quarantine_rows_init (&rows);
+      quarantine_export (tables[0], now, &rows);
+      quarantine_import (tables[1], now, &rows);
+      quarantine_rows_clear (&rows);
+      CU_ASSERT_EQUAL (is_request_quarantined (tables[1], now, 7), turn == 0);
+      quarantine_process_answer_record (tables[0], now, 2, now);
+      CU_ASSERT_FALSE (is_request_quarantined (tables[0], now, 7));
+    }
+  quarantine_destroy (tables[0]);
+  quarantine_destroy (tables[1]);
+}
+
 static void
 an_answer_ends_a_quarantine_at_all_nodes (void)
 {
@@ -280,15 +317,6 @@
   quarantine_destroy (table);
 }
 
-static bool
-is_request_quarantined (const quarantine_t *table, gs_time_t now,
-                        uint64_t prompt)
-{
-  quarantine_subject_t subject = subject_of (prompt, NULL, 0);
-
-  return quarantine_end (table, now, &subject) != 0;
-}
-
 static void
 a_request_lost_with_several_processes_is_quarantined (void)
 {
@@ -699,6 +727,8 @@
     a_part_answered_until_an_outage_is_not_quarantined },
   { "losses from before an answer are cleared when they are heard of",
     losses_from_before_an_answer_are_cleared_when_they_are_heard_of },
+  { "a quarantine ends when the processes turn out to run",
+    a_quarantine_ends_when_the_processes_turn_out_to_run },
   { "an answer ends a quarantine at all nodes",
     an_answer_ends_a_quarantine_at_all_nodes },
   { "a quarantine ends although nodes go on telling it",
