tests: replicas crash in the soak, and answer in more ways

Seeds from 300 on draw a crash of a replica, calls that it refuses without saying so, resets, and streams that end with their connection.

--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -177,6 +177,9 @@
     @param body a string literal; NULL for none */
 void gw_crash_body_set (gateway_world_t *world, const char *body);
 
+/** Let a replica crash, unless it has crashed. */
+void gw_replica_crash (gateway_world_t *world, unsigned index);
+
 /** Start replicas that crashed WORLD_RESTART_TIME ago, each under a new id. */
 void gw_replicas_restart (gateway_world_t *world);
 
--- a/tests/raw_http.c
+++ b/tests/raw_http.c
@@ -317,11 +317,20 @@
   pthread_mutex_unlock (&server->lock);
 }
 
+/* Connecting to no address resets a connection, whatever its thread does.  */
 void
 raw_server_crash (raw_server_t *server)
 {
+  static const struct sockaddr none = { .sa_family = AF_UNSPEC };
+  GHashTableIter iter;
+  gpointer fd;
+
   shutdown (server->fd, SHUT_RDWR);
-  connections_shut_down (server);
+  pthread_mutex_lock (&server->lock);
+  g_hash_table_iter_init (&iter, server->fds);
+  while (g_hash_table_iter_next (&iter, &fd, NULL))
+    connect (GPOINTER_TO_INT (fd), &none, sizeof none);
+  pthread_mutex_unlock (&server->lock);
 }
 
 void
--- a/tests/raw_http.h
+++ b/tests/raw_http.h
@@ -72,8 +72,8 @@
                         void *context);
 uint16_t raw_server_port (const raw_server_t *server);
 
-/** End as a process that crashes: close the listener and all connections.  May
-    be called by a handler. */
+/** End as a process that crashes: close the listener and reset all
+    connections.  May be called by a handler. */
 void raw_server_crash (raw_server_t *server);
 
 /** Listen again on the same port after raw_server_crash(); the test program
--- a/tests/test_process_soak.c
+++ b/tests/test_process_soak.c
@@ -27,7 +27,8 @@
 /* Seeds 1 and 2 have no special reason; each of the others once failed, all
    for the same one: a reload signal that was sent while a node was paused was
    delivered to the thread that writes the log, and ended the process.  */
-static const uint64_t seeds[] = { 1, 2, 5, 9, 10, 15, 16, 17, 101, 102, 103 };
+static const uint64_t seeds[]
+    = { 1, 2, 5, 9, 10, 15, 16, 17, 101, 102, 103, 301, 302 };
 /* Seeds from this one on draw all kinds of faults; those below draw the kinds
    that there were when they were chosen.  */
 #define SEED_ALL_KINDS_MIN 100
@@ -55,8 +56,18 @@
   { "stream/once/good", true, true, true },
   { "stream/once/torn", true, true, true },
   { "stream/resume/torn-once", false, true, true },
+  { "never/busy", true, false, true },
+  { "never/reset", true, false, true },
+  { "never/too-many", true, false, true },
+  { "stream/once/unframed-stream-cut", true, true, true },
+  { "stream/resume/unframed-stream-torn-once", false, true, true },
 };
 
+/* Seeds below this one draw the kinds of requests and faults that there were
+   when they were chosen.  */
+#define SEED_CRASHES_MIN 300
+#define REQUEST_KINDS_BEFORE 14
+
 typedef struct
 {
   char id[32];
@@ -104,8 +115,9 @@
       request_t *request = g_new0 (request_t, 1);
       char *target;
 
-      request->kind
-          = &request_kinds[gs_rng_below (&rng, G_N_ELEMENTS (request_kinds))];
+      request->kind = &request_kinds[gs_rng_below (
+          &rng, soak->seed >= SEED_CRASHES_MIN ? G_N_ELEMENTS (request_kinds)
+                                               : REQUEST_KINDS_BEFORE)];
       g_snprintf (request->id, sizeof request->id, "s%llu-%u-%u",
                   (unsigned long long)soak->seed, caller->number, i);
       target = g_strconcat ("/a/", request->kind->path, NULL);
@@ -139,6 +151,7 @@
   FAULT_LIMIT,  /* a replica names a limit on its requests */
   FAULT_REFUSE, /* a replica rejects requests and says for how long */
   FAULT_SET_BACK,
+  FAULT_CRASH, /* a replica ends and starts again */
   FAULT_KIND_COUNT
 } fault_kind_t;
 
@@ -156,14 +169,16 @@
 }
 
 static const char *const fault_names[FAULT_KIND_COUNT]
-    = { "pause",        "kill",    "term",    "hup",    "store",
-        "store_of_one", "compact", "proxy",   "config", "drain",
-        "limit",        "refuse",  "set_back" };
+    = { "pause",        "kill",    "term",     "hup",    "store",
+        "store_of_one", "compact", "proxy",    "config", "drain",
+        "limit",        "refuse",  "set_back", "crash" };
 
 static unsigned
 fault_kind_count (const soak_t *soak)
 {
-  return soak->seed >= SEED_ALL_KINDS_MIN ? FAULT_KIND_COUNT : FAULT_LIMIT;
+  return soak->seed >= SEED_CRASHES_MIN     ? FAULT_KIND_COUNT
+         : soak->seed >= SEED_ALL_KINDS_MIN ? FAULT_CRASH
+                                            : FAULT_LIMIT;
 }
 
 static void
@@ -232,6 +247,10 @@
     case FAULT_SET_BACK:
       gw_store_copy (world);
       break;
+    case FAULT_CRASH:
+      gw_replica_crash (world, fault->target);
+      fault->ends_at += 2 * WORLD_RESTART_TIME;
+      break;
     case FAULT_DRAIN:
     case FAULT_KIND_COUNT:
       gw_replica_publish (world, fault->target, "draining");
@@ -274,6 +293,9 @@
     case FAULT_REFUSE:
       gw_replica_refuse (world, fault->target, NULL);
       break;
+    case FAULT_CRASH:
+      gw_replicas_restart (world);
+      break;
     case FAULT_SET_BACK:
       gw_store_set_back (world);
       /* The operator and the replicas write again what was lost.  */
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -167,10 +167,10 @@
   return found;
 }
 
-static void
-replica_crash (world_replica_t *replica)
+void
+gw_replica_crash (gateway_world_t *world, unsigned index)
 {
-  gateway_world_t *world = replica->world;
+  world_replica_t *replica = &world->replicas[index];
   gs_time_t now = gs_clock_now ();
   bool runs;
 
@@ -345,7 +345,7 @@
                 "Content-Length: 100\r\n\r\nbegin",
                 arrival->id, arrival->id);
   g_usleep (CRASH_DELAY_USEC);
-  replica_crash (arrival->replica_state);
+  gw_replica_crash (arrival->replica_state->world, arrival->replica);
 }
 
 #define SECOND_RESPONSE                                                       \
