gateway: the end of a quarantine does not end a later one

Nodes tell each other for 4 s that a quarantine has ended; that also ended one that another node had begun since, and kept this node from adopting it. Found by reading, not seen in a run. Times are compared now.

Test: test_quarantine, "a request lost again is quarantined again at all nodes", failed before.

--- a/src/gateway/quarantine.c
+++ b/src/gateway/quarantine.c
@@ -12,9 +12,6 @@
    less.  */
 #define REQUEST_LOSS_INTERVAL (2 * GS_MSEC)
 #define ANSWERED_LATELY (30 * GS_SEC)
-/* Different prompts among these losses: a request of which each repeat is lost
-   says nothing of the other requests with one of its parts.  */
-#define PROMPTS_MIN 2
 /* How long a loss is sent to other nodes after it was recorded or cleared.  It
    passes through the largest fleets within a second.  */
 #define SEND_PERIOD (4 * GS_SEC)
@@ -102,7 +99,8 @@
   GArray *losses;           /* of loss_t, by lost_at */
   gs_time_t answered_at;    /* last answer before the first loss; 0 for none */
   gs_time_t quarantined_at; /* 0 if not in quarantine */
-  gs_time_t released_at;    /* 0 if no answer has ended a quarantine */
+  gs_time_t released_at;    /* when evidence has ended a quarantine; 0 if none
+                               has */
 } suspect_t;
 
 struct quarantine
@@ -351,7 +349,9 @@
              : loss->sent_at >= before->lost_at;
 }
 
-/* @return number of losses that speak against a key, each of another process
+/* A request of which each repeat is lost says nothing of the other requests
+   with one of its parts.
+   @return number of losses that speak against a key, each of another process
    and separate from the one before; 0 for a part if all have the same
    prompt  */
 static unsigned
@@ -719,15 +719,15 @@
 
   if (row->released != 0)
     {
-      if (suspect == NULL || suspect->quarantined_at == 0)
+      if (suspect == NULL || suspect->quarantined_at == 0
+          || at < suspect->quarantined_at)
         return;
       suspect->released_at = now;
       suspect_release (quarantine, now, suspect, "answered_at_peer");
       return;
     }
   if (now >= at + QUARANTINE_TTL
-      || (suspect != NULL && suspect->released_at != 0
-          && now <= suspect->released_at + SEND_PERIOD))
+      || (suspect != NULL && at <= suspect->released_at))
     return;
   suspect = suspect_ensure (quarantine, row->key, row->is_request != 0);
   if (suspect->quarantined_at != 0)
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -274,6 +274,37 @@
   quarantine_destroy (tables[1]);
 }
 
+/* What one node still tells of the end of a quarantine does not end a later
+   one of another node.  */
+static void
+a_request_lost_again_is_quarantined_again_at_all_nodes (void)
+{
+  quarantine_t *tables[] = { table_new (), table_new () };
+  quarantine_subject_t subject = subject_of (7, NULL, 0);
+  gs_time_t now = START;
+  quarantine_rows_t rows;
+
+  for (uint64_t i = 1; i <= 3; i++, now += 60 * GS_MSEC)
+    quarantine_loss_record (tables[0], now, &subject, i, now);
+  quarantine_update (tables[0], now);
+  quarantine_success_record (tables[0], now += GS_SEC, &subject);
+  for (uint64_t i = 11; i <= 13; i++, now += 60 * GS_MSEC)
+    quarantine_loss_record (tables[1], now, &subject, i, now);
+  quarantine_update (tables[1], now);
+  for (unsigned turn = 0; turn < 4; turn++, now += 300 * GS_MSEC)
+    for (unsigned from = 0; from < 2; from++)
+      {
+        quarantine_rows_init (&rows);
+        quarantine_export (tables[from], now, &rows);
+        quarantine_import (tables[1 - from], now, &rows);
+        quarantine_rows_clear (&rows);
+      }
+  CU_ASSERT_TRUE (is_request_quarantined (tables[0], now, 7));
+  CU_ASSERT_TRUE (is_request_quarantined (tables[1], now, 7));
+  quarantine_destroy (tables[0]);
+  quarantine_destroy (tables[1]);
+}
+
 /* Messages take time on the way, which their ages lack.  */
 static void
 a_quarantine_ends_although_nodes_go_on_telling_it (void)
@@ -731,6 +762,8 @@
     a_quarantine_ends_when_the_processes_turn_out_to_run },
   { "an answer ends a quarantine at all nodes",
     an_answer_ends_a_quarantine_at_all_nodes },
+  { "a request lost again is quarantined again at all nodes",
+    a_request_lost_again_is_quarantined_again_at_all_nodes },
   { "a quarantine ends although nodes go on telling it",
     a_quarantine_ends_although_nodes_go_on_telling_it },
   { "many losses keep tables and messages bounded",
