--- a/tests/raw_http.c
+++ b/tests/raw_http.c
@@ -329,7 +329,7 @@
   pthread_mutex_lock (&server->lock);
   g_hash_table_iter_init (&iter, server->fds);
   while (g_hash_table_iter_next (&iter, &fd, NULL))
-    connect (GPOINTER_TO_INT (fd), &none, sizeof none);
+    (void)connect (GPOINTER_TO_INT (fd), &none, sizeof none);
   pthread_mutex_unlock (&server->lock);
 }
 
