gateway: parts that crash replicas slowly are found in time

Six losses at different times, at least 100 ms apart, now put a part into quarantine as well, unless it was answered until shortly before.

--- a/src/gateway/quarantine.c
+++ b/src/gateway/quarantine.c
@@ -8,46 +8,52 @@
 #define REQUEST_LOSSES_MIN 3
 #define LOSSES_MIN_IF_ANSWERED 5
 #define ANSWERED_LATELY (30 * GS_SEC)
-/* Losses of a request that count are at least this far apart.  Connections
-   that are reset together, and processes that are killed together, end within
-   less.  */
-#define REQUEST_LOSS_INTERVAL (2 * GS_MSEC)
+/* The same for a part, of losses that only happened at different times: where
+   requests wait in replicas before they crash them, many are sent before the
+   first loss.  */
+#define PART_LOSSES_APART_MIN 6
+#define LOSSES_COUNTED_MAX 6
+/* Losses at different times are at least this far apart.  Connections that are
+   reset together, and processes that are killed together, end within less.  A
+   part is in more requests than one, so more of them are lost together.  */
+#define PART_LOSS_INTERVAL_MIN (100 * GS_MSEC)
+#define REQUEST_LOSS_INTERVAL_MIN (2 * GS_MSEC)
 /* Keys that were answered, as far as this node knows, half a megabyte; the
    record is emptied when it is full.  */
 #define ANSWERED_MAX 8192
 /* Interval at which expired losses are dropped.  */
 #define EXPIRE_INTERVAL GS_SEC
 
-/* @return whether a loss counts beside the one that was counted before  */
-static bool
-is_separate (const quarantine_suspect_t *suspect,
-             const quarantine_loss_t *loss, const quarantine_loss_t *before)
+/* Numbers of losses that speak against a key, each of another process.  */
+typedef struct
 {
-  return suspect->is_request
-             ? loss->lost_at >= before->lost_at + REQUEST_LOSS_INTERVAL
-             : loss->sent_at >= before->lost_at;
-}
+  unsigned apart;       /* each at another time */
+  unsigned in_sequence; /* each of a request that was sent after the loss
+                           before */
+} loss_counts_t;
 
 /* A request of which each repeat is lost says nothing of the other requests
    with one of its parts.
-   @return number of losses that speak against a key, each of another process
-   and separate from the one before; 0 for a part if all have the same
-   prompt  */
+   @return number of losses; 0 for a part if all have the same prompt  */
 static unsigned
-count_losses (const quarantine_suspect_t *suspect)
+count_separate (const quarantine_suspect_t *suspect, bool in_sequence)
 {
-  const quarantine_loss_t *counted[LOSSES_MIN_IF_ANSWERED];
+  const quarantine_loss_t *counted[LOSSES_COUNTED_MAX];
+  gs_time_t interval = suspect->is_request ? REQUEST_LOSS_INTERVAL_MIN
+                                           : PART_LOSS_INTERVAL_MIN;
   unsigned count = 0;
   bool differs = false;
 
-  for (guint i = 0; i < suspect->losses->len && count < G_N_ELEMENTS (counted);
+  for (guint i = 0; i < suspect->losses->len && count < LOSSES_COUNTED_MAX;
        i++)
     {
       const quarantine_loss_t *loss = quarantine_loss (suspect, i);
-      bool counts
-          = !loss->cleared
-            && (count == 0 || is_separate (suspect, loss, counted[count - 1]));
+      const quarantine_loss_t *last = count > 0 ? counted[count - 1] : NULL;
+      bool counts = !loss->cleared;
 
+      if (last != NULL)
+        counts &= in_sequence ? loss->sent_at >= last->lost_at
+                              : loss->lost_at >= last->lost_at + interval;
       for (unsigned k = 0; k < count; k++)
         counts &= counted[k]->process != loss->process;
       if (counts)
@@ -58,6 +64,21 @@
   return differs || suspect->is_request ? count : 0;
 }
 
+static loss_counts_t
+count_losses (const quarantine_suspect_t *suspect)
+{
+  return (loss_counts_t){ count_separate (suspect, false),
+                          count_separate (suspect, true) };
+}
+
+static bool
+is_enough (const quarantine_suspect_t *suspect, const loss_counts_t *losses)
+{
+  return suspect->is_request ? losses->apart >= REQUEST_LOSSES_MIN
+                             : losses->in_sequence >= PART_LOSSES_MIN
+                                   || losses->apart >= PART_LOSSES_APART_MIN;
+}
+
 void
 quarantine_suspect_release (quarantine_t *quarantine, gs_time_t now,
                             quarantine_suspect_t *suspect, const char *reason)
@@ -74,20 +95,15 @@
   quarantine_suspect_clear (suspect, now);
 }
 
-static unsigned
-losses_min (const quarantine_suspect_t *suspect)
-{
-  return suspect->is_request ? REQUEST_LOSSES_MIN : PART_LOSSES_MIN;
-}
-
 /* Ends a quarantine if too few losses are left that speak for it: processes
    that had seemed to crash have answered since.  */
 static void
 review_quarantine (quarantine_t *quarantine, gs_time_t now,
                    quarantine_suspect_t *suspect)
 {
-  if (suspect->quarantined_at == 0
-      || count_losses (suspect) >= losses_min (suspect))
+  loss_counts_t losses = count_losses (suspect);
+
+  if (suspect->quarantined_at == 0 || is_enough (suspect, &losses))
     return;
   suspect->released_at = now;
   quarantine_suspect_release (quarantine, now, suspect, "processes_run");
@@ -225,18 +241,19 @@
    many requests have in common is lost with each of them.  */
 static bool
 is_harmful (const quarantine_t *quarantine,
-            const quarantine_suspect_t *suspect, unsigned losses)
+            const quarantine_suspect_t *suspect, const loss_counts_t *losses)
 {
   const quarantine_loss_t *first = first_loss (suspect);
 
-  if (losses == 0)
+  if (losses->apart == 0)
     return false;
   if (suspect->answered_at != 0
       && suspect->answered_at + ANSWERED_LATELY >= first->lost_at)
-    return losses >= LOSSES_MIN_IF_ANSWERED
+    return (suspect->is_request ? losses->apart : losses->in_sequence)
+               >= LOSSES_MIN_IF_ANSWERED
            && quarantine_time_get (quarantine->answered, first->service)
                   > first->lost_at;
-  return losses >= losses_min (suspect);
+  return is_enough (suspect, losses);
 }
 
 static uint64_t
@@ -249,11 +266,13 @@
    it has more of them, it was not answered for longer, or it comes later in
    prompts and so is in fewer of them  */
 static bool
-is_worse (const quarantine_suspect_t *a, unsigned a_losses,
-          const quarantine_suspect_t *b, unsigned b_losses)
+is_worse (const quarantine_suspect_t *a, const loss_counts_t *a_losses,
+          const quarantine_suspect_t *b, const loss_counts_t *b_losses)
 {
-  if (a_losses != b_losses)
-    return a_losses > b_losses;
+  if (a_losses->apart != b_losses->apart)
+    return a_losses->apart > b_losses->apart;
+  if (a_losses->in_sequence != b_losses->in_sequence)
+    return a_losses->in_sequence > b_losses->in_sequence;
   if (a->answered_at != b->answered_at)
     return a->answered_at < b->answered_at;
   return last_position (a) > last_position (b);
@@ -262,7 +281,7 @@
 /* @return the most likely cause among the harmful parts; NULL if there are
    none  */
 static quarantine_suspect_t *
-find_worst (const quarantine_t *quarantine, unsigned *losses)
+find_worst (const quarantine_t *quarantine, loss_counts_t *losses)
 {
   quarantine_suspect_t *worst = NULL;
   GHashTableIter iter;
@@ -272,14 +291,16 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       quarantine_suspect_t *suspect = value;
-      unsigned count
-          = suspect->quarantined_at == 0 ? count_losses (suspect) : 0;
+      loss_counts_t counts;
 
-      if (!is_harmful (quarantine, suspect, count)
-          || (worst != NULL && !is_worse (suspect, count, worst, *losses)))
+      if (suspect->quarantined_at != 0)
+        continue;
+      counts = count_losses (suspect);
+      if (!is_harmful (quarantine, suspect, &counts)
+          || (worst != NULL && !is_worse (suspect, &counts, worst, losses)))
         continue;
       worst = suspect;
-      *losses = count;
+      *losses = counts;
     }
   return worst;
 }
@@ -326,7 +347,7 @@
 quarantine_update (quarantine_t *quarantine, gs_time_t now)
 {
   unsigned added = 0;
-  unsigned losses;
+  loss_counts_t losses;
 
   quarantine_expire (quarantine, now);
   if (!quarantine->update_due || !quarantine->decides)
@@ -337,9 +358,10 @@
     {
       quarantine_suspect_add (quarantine, worst, now);
       quarantine_explained_clear (quarantine, now, worst);
-      gs_log (GS_LOG_WARN, "quarantine", "%s=%llx losses=%u source=own",
+      gs_log (GS_LOG_WARN, "quarantine",
+              "%s=%llx losses=%u in_sequence=%u source=own",
               quarantine_kind_name (worst), (unsigned long long)worst->key,
-              losses);
+              losses.apart, losses.in_sequence);
       added++;
     }
   return added;
--- a/src/gateway/quarantine.h
+++ b/src/gateway/quarantine.h
@@ -12,8 +12,8 @@
  * A part is put into quarantine when it is left with several losses, each of
  * another process and another one of a request that was sent after the loss
  * before, so that one failure of many replicas or connections counts once.
- * Of a request, which is seldom sent several times at once, losses count that
- * do not happen in the same moment.
+ * More losses suffice that only happened at different times, and of a request,
+ * which is seldom sent several times at once, as few of these.
  *
  * Nodes tell each other losses and quarantines; what is known of a loss only
  * grows, so a message that arrives late or twice changes nothing.  Plain
--- a/src/gateway/quarantine_losses.c
+++ b/src/gateway/quarantine_losses.c
@@ -163,14 +163,16 @@
   g_hash_table_remove (quarantine->suspects, &oldest->key);
 }
 
-/* Beside a request that makes replicas crash, others are repeated as well, so
-   that a request explains nothing.  A part that was answered does not explain
-   the losses of one that was not answered since.  */
+/* Parts only explain losses of other parts.  Beside a request that makes
+   replicas crash, others are repeated as well, and one that does is not to be
+   cleared by a part that was lost with it.  A part that was answered does not
+   explain the losses of one that was not answered since.  */
 static bool
 may_explain (const quarantine_suspect_t *cause,
              const quarantine_suspect_t *suspect)
 {
-  return cause->quarantined_at != 0 && !cause->is_request && cause != suspect
+  return cause->quarantined_at != 0 && !cause->is_request
+         && !suspect->is_request && cause != suspect
          && cause->answered_at <= suspect->answered_at;
 }
 
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -416,7 +416,6 @@
 #define REPLICAS_MAX 160
 #define SESSIONS 400
 #define RUN_TIME GS_SEC
-#define CRASH_TIME (100 * GS_MSEC)
 #define DOWN_TIME (3 * GS_SEC)
 #define CONTACT_TIME (3 * GS_SEC)
 #define SENT_AFTER_MAX 3
@@ -431,6 +430,7 @@
   double requests_per_sec;
   double crashing_per_sec;
   double other_crashes_per_sec; /* that no request causes */
+  gs_time_t crash_time;         /* until a request has crashed its replica */
   gs_time_t exchange_interval;  /* until all nodes know what one knows */
   bool by_request;              /* the same request crashes replicas */
   unsigned sends;               /* of a request by its node */
@@ -499,7 +499,7 @@
   if (now < fleet->down_until[run.replica])
     return;
   run.sent_at = now;
-  run.ends_at = now + (run.crashing ? CRASH_TIME : RUN_TIME);
+  run.ends_at = now + (run.crashing ? fleet->play->crash_time : RUN_TIME);
   run.sends_left--;
   fleet->sent_after
       += run.crashing && fleet->learned_at != 0 && now > fleet->learned_at;
@@ -687,6 +687,10 @@
 }
 
 #define PLAYS 8
+/* Crash times: of a request that is run at once, and of one that waits in a
+   full replica.  */
+#define FAST (100 * GS_MSEC)
+#define SLOW (1500 * GS_MSEC)
 /* Of sound requests the platform's pages allow half to be refused.  */
 #define SOUND_REFUSED_DIVISOR 100
 
@@ -694,15 +698,18 @@
 fleets_learn_in_time_and_refuse_no_sound_request (void)
 {
   static const play_t plays[] = {
-    { 5, 18, 160, 2, 0, 300 * GS_MSEC, false, 1, 1 },
-    { 5, 18, 160, 0.3, 1, 300 * GS_MSEC, false, 2, 2 },
-    { 5, 18, 160, 8, 1, 300 * GS_MSEC, false, 2, 2 },
-    { 5, 9, 57, 2, 0.5, 300 * GS_MSEC, false, 2, 2 },
-    { 30, 89, 650, 2, 2, 600 * GS_MSEC, false, 2, 2 },
-    { 5, 4, 57, 0.3, 0, 300 * GS_MSEC, true, 2, 2 },
-    { 5, 4, 57, 2, 0.1, 300 * GS_MSEC, true, 2, 2 },
-    { 30, 5, 200, 2, 0.1, 600 * GS_MSEC, true, 2, 2 },
-    { 5, 18, 160, 2, 0.5, 300 * GS_MSEC, true, 2, 2 },
+    { 5, 18, 160, 2, 0, FAST, 300 * GS_MSEC, false, 1, 1 },
+    { 5, 18, 160, 0.3, 1, FAST, 300 * GS_MSEC, false, 2, 2 },
+    { 5, 18, 160, 8, 1, FAST, 300 * GS_MSEC, false, 2, 2 },
+    { 5, 18, 160, 4, 0, SLOW, 300 * GS_MSEC, false, 1, 1 },
+    { 5, 18, 160, 4, 0.5, SLOW, 300 * GS_MSEC, false, 2, 2 },
+    { 5, 9, 57, 2, 0.5, FAST, 300 * GS_MSEC, false, 2, 2 },
+    { 30, 89, 650, 2, 2, FAST, 600 * GS_MSEC, false, 2, 2 },
+    { 30, 89, 650, 8, 0.5, SLOW, 600 * GS_MSEC, false, 1, 1 },
+    { 5, 4, 57, 0.3, 0, FAST, 300 * GS_MSEC, true, 2, 2 },
+    { 5, 4, 57, 2, 0.1, FAST, 300 * GS_MSEC, true, 2, 2 },
+    { 30, 5, 200, 2, 0.1, FAST, 600 * GS_MSEC, true, 2, 2 },
+    { 5, 18, 160, 2, 0.5, FAST, 300 * GS_MSEC, true, 2, 2 },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (plays); i++)
@@ -723,11 +730,13 @@
           refused += fleet.sound_refused;
           crashes = MAX (crashes, fleet.crashes);
         }
-      printf ("\n  %u nodes, %u replicas, %s: %.1f crashing requests and %.1f"
+      printf ("\n  %u nodes, %u replicas, %s, %lld ms: %.1f crashing requests"
+              " and %.1f"
               " other crashes a second: at most %u crashes, %u sent later than"
               " allowed to learn; %u of %u sound requests refused ",
               plays[i].nodes, plays[i].replicas,
               plays[i].by_request ? "one request" : "one part",
+              (long long)(plays[i].crash_time / GS_MSEC),
               plays[i].crashing_per_sec, plays[i].other_crashes_per_sec,
               crashes, late, refused, sound);
       CU_ASSERT (refused * SOUND_REFUSED_DIVISOR <= sound);
