--- a/src/gateway/response_memory.c
+++ b/src/gateway/response_memory.c
@@ -3,10 +3,10 @@
 bool
 response_memory_take (response_memory_t *memory, size_t own, size_t length)
 {
-  size_t free_bytes
-      = memory->limit > memory->used ? memory->limit - memory->used : 0;
+  size_t used = memory->used + length;
+  size_t left = memory->limit > used ? memory->limit - used : 0;
 
-  if (own + length > RESPONSE_BYTES_ASSURED && own + length > free_bytes)
+  if (own + length > RESPONSE_BYTES_ASSURED && own + length > left)
     return false;
   memory->used += length;
   return true;
--- a/src/gateway/response_memory.h
+++ b/src/gateway/response_memory.h
@@ -1,8 +1,9 @@
 /**
  * @file response_memory.h
  * Shares the memory for buffered responses between them.  A response may grow
- * up to what is free, so that a few that do not end leave as much again to the
- * others; a small one is always buffered.  Plain counters; no I/O.
+ * while as much as it has is left free, so that a few that do not end leave
+ * room for the others; a small one is always buffered.  Plain counters; no
+ * I/O.
  */
 #ifndef GS_GATEWAY_RESPONSE_MEMORY_H
 #define GS_GATEWAY_RESPONSE_MEMORY_H
