--- a/src/gateway/quarantine.c
+++ b/src/gateway/quarantine.c
@@ -32,8 +32,8 @@
                            before */
 } loss_counts_t;
 
-/* A request of which each repeat is lost says nothing of the other requests
-   with one of its parts.
+/* A request of which each repeat is lost is no evidence against the other
+   requests with one of its parts.
    @return number of losses; 0 for a part if all have the same prompt  */
 static unsigned
 count_separate (const quarantine_suspect_t *suspect, bool in_sequence)
--- a/src/gateway/quarantine_losses.c
+++ b/src/gateway/quarantine_losses.c
@@ -225,7 +225,7 @@
     }
 }
 
-/* A loss that was cleared before this node heard of it is of no use.  */
+/* A loss that was already cleared when this node received it is not added.  */
 void
 quarantine_loss_put (quarantine_t *quarantine, gs_time_t now, uint64_t key,
                      bool is_request, const quarantine_loss_t *loss)
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -155,7 +155,7 @@
 }
 
 static void
-repeats_of_one_request_say_nothing_of_others (void)
+repeats_of_one_request_do_not_count_against_others (void)
 {
   quarantine_t *table = table_new ();
 
@@ -196,7 +196,7 @@
 }
 
 static void
-losses_from_before_an_answer_are_cleared_when_they_are_heard_of (void)
+losses_from_before_an_answer_are_cleared_when_they_are_received (void)
 {
   quarantine_t *tables[] = { table_new (), table_new () };
   quarantine_rows_t rows;
@@ -753,8 +753,8 @@
   { "answers to earlier requests do not clear a loss",
     answers_to_earlier_requests_do_not_clear_a_loss },
   { "losses at the same time count once", losses_at_the_same_time_count_once },
-  { "repeats of one request say nothing of others",
-    repeats_of_one_request_say_nothing_of_others },
+  { "repeats of one request do not count against others",
+    repeats_of_one_request_do_not_count_against_others },
   { "losses that a quarantined part explains do not count for others",
     losses_that_a_quarantined_part_explains_do_not_count_for_others },
   { "a request lost with several processes is quarantined",
@@ -765,8 +765,8 @@
     losses_of_a_request_in_one_moment_count_once },
   { "a part answered until an outage is not quarantined",
     a_part_answered_until_an_outage_is_not_quarantined },
-  { "losses from before an answer are cleared when they are heard of",
-    losses_from_before_an_answer_are_cleared_when_they_are_heard_of },
+  { "losses from before an answer are cleared when they are received",
+    losses_from_before_an_answer_are_cleared_when_they_are_received },
   { "a quarantine ends when the processes turn out to run",
     a_quarantine_ends_when_the_processes_turn_out_to_run },
   { "an answer ends a quarantine at all nodes",
