gateway: at most 256 keys are in quarantine

Cause: losses are bounded, but what is in quarantine was never dropped for room, so that many different requests which each crash three replicas filled memory for ten minutes, and beyond 256 other nodes were not told of them. Found by reading; not seen in a run.

Beyond 256 the oldest quarantine ends.

--- a/src/gateway/quarantine.c
+++ b/src/gateway/quarantine.c
@@ -95,6 +95,39 @@
   quarantine_suspect_clear (suspect, now);
 }
 
+/* Makes room for another key in quarantine.  */
+static void
+release_oldest (quarantine_t *quarantine, gs_time_t now)
+{
+  quarantine_suspect_t *oldest = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      quarantine_suspect_t *suspect = value;
+
+      if (suspect->quarantined_at != 0
+          && (oldest == NULL
+              || suspect->quarantined_at < oldest->quarantined_at))
+        oldest = suspect;
+    }
+  if (oldest != NULL)
+    quarantine_suspect_release (quarantine, now, oldest, "too_many");
+}
+
+void
+quarantine_suspect_add (quarantine_t *quarantine, gs_time_t now,
+                        quarantine_suspect_t *suspect, gs_time_t at)
+{
+  if (quarantine->quarantined_count >= QUARANTINE_KEYS_MAX)
+    release_oldest (quarantine, now);
+  suspect->quarantined_at = at;
+  suspect->released_at = 0;
+  quarantine->quarantined_count++;
+}
+
 /* Ends a quarantine if too few losses are left that speak for it: processes
    that had seemed to crash have answered since.  */
 static void
@@ -128,15 +161,6 @@
   quarantine_loss_put (quarantine, now, subject->request, true, &loss);
 }
 
-void
-quarantine_suspect_add (quarantine_t *quarantine,
-                        quarantine_suspect_t *suspect, gs_time_t at)
-{
-  suspect->quarantined_at = at;
-  suspect->released_at = 0;
-  quarantine->quarantined_count++;
-}
-
 static void
 key_answered (quarantine_t *quarantine, gs_time_t now, uint64_t key)
 {
@@ -356,7 +380,7 @@
   for (quarantine_suspect_t *worst = find_worst (quarantine, &losses);
        worst != NULL; worst = find_worst (quarantine, &losses))
     {
-      quarantine_suspect_add (quarantine, worst, now);
+      quarantine_suspect_add (quarantine, now, worst, now);
       quarantine_explained_clear (quarantine, now, worst);
       gs_log (GS_LOG_WARN, "quarantine",
               "%s=%llx losses=%u in_sequence=%u source=own",
--- a/src/gateway/quarantine_private.h
+++ b/src/gateway/quarantine_private.h
@@ -87,8 +87,9 @@
                           uint64_t key, bool is_request,
                           const quarantine_loss_t *loss);
 
-/* Puts a key into quarantine from a point in time on.  */
-void quarantine_suspect_add (quarantine_t *quarantine,
+/* Puts a key into quarantine from a point in time on.  Beyond
+   QUARANTINE_KEYS_MAX keys the oldest quarantine ends.  */
+void quarantine_suspect_add (quarantine_t *quarantine, gs_time_t now,
                              quarantine_suspect_t *suspect, gs_time_t at);
 
 /* Ends a quarantine, if there is one.
--- a/src/gateway/quarantine_rows.c
+++ b/src/gateway/quarantine_rows.c
@@ -94,7 +94,7 @@
       suspect->quarantined_at = MIN (suspect->quarantined_at, at);
       return;
     }
-  quarantine_suspect_add (quarantine, suspect, at);
+  quarantine_suspect_add (quarantine, now, suspect, at);
   quarantine_explained_clear (quarantine, now, suspect);
   if (quarantine->decides)
     gs_log (GS_LOG_WARN, "quarantine", "%s=%llx age_ms=%llu source=peer",
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -405,6 +405,30 @@
   quarantine_destroy (table);
 }
 
+/* Each of these requests crashes three replicas.  */
+static void
+many_quarantines_keep_tables_and_messages_bounded (void)
+{
+  quarantine_t *table = table_new ();
+  gs_time_t now = START;
+  unsigned kept = 0;
+
+  for (uint64_t prompt = 1; prompt <= 3 * QUARANTINE_KEYS_MAX; prompt++)
+    for (uint64_t i = 1; i <= 3; i++, now += 60 * GS_MSEC)
+      {
+        quarantine_subject_t subject = subject_of (prompt, NULL, 0);
+
+        quarantine_loss_record (table, now, &subject, 3 * prompt + i, now);
+        quarantine_update (table, now);
+      }
+  for (uint64_t prompt = 1; prompt <= 3 * QUARANTINE_KEYS_MAX; prompt++)
+    kept += is_request_quarantined (table, now, prompt);
+  CU_ASSERT_EQUAL (kept, QUARANTINE_KEYS_MAX);
+  CU_ASSERT_TRUE (
+      is_request_quarantined (table, now, 3 * QUARANTINE_KEYS_MAX));
+  quarantine_destroy (table);
+}
+
 /* A fleet in virtual time: requests of several sessions, of which each has a
    part of its own besides one that all share, and now and then one that makes
    its replica crash: each with the same part, or always the same request.
@@ -777,6 +801,8 @@
     a_quarantine_ends_although_nodes_go_on_telling_it },
   { "many losses keep tables and messages bounded",
     many_losses_keep_tables_and_messages_bounded },
+  { "many quarantines keep tables and messages bounded",
+    many_quarantines_keep_tables_and_messages_bounded },
   { "fleets learn in time and refuse no sound request",
     fleets_learn_in_time_and_refuse_no_sound_request },
 };
