gateway: a setting for how long a quarantine lasts

Test: process_gateway_crash, "a quarantine time out of range is rejected" (the option was unknown before, so that 0 was rejected too), test_quarantine, "a quarantine lasts as long as is set".

--- a/src/cmd/cmd_gateway.c
+++ b/src/cmd/cmd_gateway.c
@@ -3,6 +3,7 @@
 
 #include "garnetstack/log.h"
 #include "gateway/gateway.h"
+#include "gateway/quarantine.h"
 #include "platform/platform.h"
 
 #include <curl/curl.h>
@@ -13,6 +14,8 @@
 /* The process is killed at the end of the grace period.  This part of it is
    kept for the exit of the process, after the open requests have ended.  */
 #define EXIT_TIME_MIN (400 * GS_MSEC)
+/* Default, and the longest time that nodes tell each other of.  */
+#define QUARANTINE_SECONDS_MAX ((int)(QUARANTINE_TTL / GS_SEC))
 
 static void
 print_fault (void *context, const char *file, const char *section,
@@ -60,10 +63,12 @@
       return GS_EXIT_FAILURE;
     }
   gs_log (GS_LOG_INFO, "start",
-          "version=%s data_centre=%s callers=%s:%u seeds=%u seeds_left_out=%u",
+          "version=%s data_centre=%s callers=%s:%u seeds=%u seeds_left_out=%u"
+          " quarantine_s=%lld",
           GS_VERSION, settings->data_centre, settings->caller_endpoint.host,
           settings->caller_endpoint.port, settings->seed_count,
-          settings->seeds_invalid);
+          settings->seeds_invalid,
+          (long long)(settings->quarantine_time / GS_SEC));
   signalled_at = wait_for_stop_signal (&signals);
   gateway_leave (gateway,
                  signalled_at + settings->grace_period - EXIT_TIME_MIN);
@@ -72,7 +77,7 @@
 }
 
 static int
-run_gateway (const char *path, int metrics_port)
+run_gateway (const char *path, int metrics_port, int quarantine_seconds)
 {
   gs_deployment_t settings;
   int result = GS_EXIT_FAILURE;
@@ -80,6 +85,7 @@
   if (gs_platform_settings_read (&settings, path, print_fault, NULL) != GS_OK)
     return GS_EXIT_REJECTED;
   settings.metrics_port = (uint16_t)metrics_port;
+  settings.quarantine_time = quarantine_seconds * GS_SEC;
   curl_global_init (CURL_GLOBAL_DEFAULT);
   if (gs_log_open (GS_LOG_INFO, settings.node) == GS_OK)
     {
@@ -97,11 +103,17 @@
 {
   char *path = NULL;
   int metrics_port = 0;
+  int quarantine_seconds = QUARANTINE_SECONDS_MAX;
   const GOptionEntry entries[]
       = { { "config", 'c', 0, G_OPTION_ARG_FILENAME, &path,
             "settings file in the platform's format", "FILE" },
           { "metrics-port", 'm', 0, G_OPTION_ARG_INT, &metrics_port,
             "serve metrics on this port", "PORT" },
+          { "quarantine-seconds", 'q', 0, G_OPTION_ARG_INT,
+            &quarantine_seconds,
+            "how long requests that make replicas crash are refused; 0 to"
+            " send them on",
+            "N" },
           { 0 } };
   const gs_options_spec_t spec
       = { "gateway", "- run a node that forwards callers' requests", entries,
@@ -118,8 +130,17 @@
                            " port\n");
           result = GS_EXIT_USAGE;
         }
+      else if (quarantine_seconds < 0
+               || quarantine_seconds > QUARANTINE_SECONDS_MAX)
+        {
+          fprintf (stderr,
+                   "garnetstack gateway: --quarantine-seconds is not from 0"
+                   " to %d\n",
+                   QUARANTINE_SECONDS_MAX);
+          result = GS_EXIT_USAGE;
+        }
       else if (path != NULL)
-        result = run_gateway (path, metrics_port);
+        result = run_gateway (path, metrics_port, quarantine_seconds);
       else
         {
           fprintf (stderr, "garnetstack gateway: --config is missing\n");
--- a/src/gateway/quarantine.c
+++ b/src/gateway/quarantine.c
@@ -220,11 +220,12 @@
 }
 
 gs_time_t
-quarantine_suspect_end (const quarantine_suspect_t *suspect, gs_time_t now)
+quarantine_suspect_end (const quarantine_t *quarantine,
+                        const quarantine_suspect_t *suspect, gs_time_t now)
 {
   return suspect->quarantined_at != 0
-                 && now < suspect->quarantined_at + QUARANTINE_TTL
-             ? suspect->quarantined_at + QUARANTINE_TTL
+                 && now < suspect->quarantined_at + quarantine->ttl
+             ? suspect->quarantined_at + quarantine->ttl
              : 0;
 }
 
@@ -234,7 +235,8 @@
   const quarantine_suspect_t *suspect
       = quarantine_suspect_find (quarantine, key);
 
-  return suspect != NULL ? quarantine_suspect_end (suspect, now) : 0;
+  return suspect != NULL ? quarantine_suspect_end (quarantine, suspect, now)
+                         : 0;
 }
 
 gs_time_t
@@ -351,7 +353,7 @@
       quarantine_suspect_t *suspect = value;
 
       if (suspect->quarantined_at != 0
-          && quarantine_suspect_end (suspect, now) == 0)
+          && quarantine_suspect_end (quarantine, suspect, now) == 0)
         quarantine_suspect_release (quarantine, now, suspect, "expired");
       for (guint i = suspect->losses->len; i-- > 0;)
         if (is_loss_expired (quarantine_loss (suspect, i), now))
@@ -374,7 +376,7 @@
   loss_counts_t losses;
 
   quarantine_expire (quarantine, now);
-  if (!quarantine->update_due || !quarantine->decides)
+  if (!quarantine->update_due || !quarantine->decides || quarantine->ttl == 0)
     return 0;
   quarantine->update_due = false;
   for (quarantine_suspect_t *worst = find_worst (quarantine, &losses);
--- a/src/gateway/quarantine.h
+++ b/src/gateway/quarantine.h
@@ -93,6 +93,10 @@
 void quarantine_create (quarantine_t **out, bool decides);
 void quarantine_destroy (quarantine_t *quarantine);
 
+/** Set how long a quarantine lasts, at most QUARANTINE_TTL, which applies
+    unless set; 0 to put nothing into quarantine. */
+void quarantine_ttl_set (quarantine_t *quarantine, gs_time_t ttl);
+
 /** Record that a replica broke off the connection of an attempt.
     @param process stands for the process of the replica */
 void quarantine_loss_record (quarantine_t *quarantine, gs_time_t now,
--- a/src/gateway/quarantine_losses.c
+++ b/src/gateway/quarantine_losses.c
@@ -60,6 +60,7 @@
   quarantine_t *quarantine = g_new0 (quarantine_t, 1);
 
   quarantine->decides = decides;
+  quarantine->ttl = QUARANTINE_TTL;
   quarantine->suspects = g_hash_table_new_full (g_int64_hash, g_int64_equal,
                                                 NULL, suspect_free);
   quarantine->processes = times_new ();
@@ -80,6 +81,12 @@
   g_free (quarantine);
 }
 
+void
+quarantine_ttl_set (quarantine_t *quarantine, gs_time_t ttl)
+{
+  quarantine->ttl = MIN (ttl, QUARANTINE_TTL);
+}
+
 const char *
 quarantine_kind_name (const quarantine_suspect_t *suspect)
 {
--- a/src/gateway/quarantine_private.h
+++ b/src/gateway/quarantine_private.h
@@ -40,6 +40,7 @@
 struct quarantine
 {
   bool decides;
+  gs_time_t ttl;         /* of a quarantine */
   GHashTable *suspects;  /* key -> quarantine_suspect_t */
   GHashTable *processes; /* process -> gs_time_t of its last loss */
   GHashTable *alive;     /* process -> gs_time_t when the last request that it
@@ -99,7 +100,8 @@
                                  const char *reason);
 
 /* @return 0 if the key is not in quarantine  */
-gs_time_t quarantine_suspect_end (const quarantine_suspect_t *suspect,
+gs_time_t quarantine_suspect_end (const quarantine_t *quarantine,
+                                  const quarantine_suspect_t *suspect,
                                   gs_time_t now);
 
 /* Drops what has expired, once in a while.  */
--- a/src/gateway/quarantine_rows.c
+++ b/src/gateway/quarantine_rows.c
@@ -84,7 +84,7 @@
                                   "answered_at_peer");
       return;
     }
-  if (now >= at + QUARANTINE_TTL
+  if (now >= at + quarantine->ttl
       || (suspect != NULL && at <= suspect->released_at))
     return;
   suspect
@@ -188,7 +188,7 @@
               .released = released };
 
       export_losses (suspect, now, out->losses);
-      if ((released || quarantine_suspect_end (suspect, now) != 0)
+      if ((released || quarantine_suspect_end (quarantine, suspect, now) != 0)
           && out->keys->len < QUARANTINE_KEYS_MAX)
         g_array_append_val (out->keys, row);
     }
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -233,6 +233,8 @@
   gs_rng_seed (&traffic->rng, options->seed);
   placer_create (&traffic->placer, options->seed);
   quarantine_create (&traffic->quarantine, true);
+  quarantine_ttl_set (traffic->quarantine,
+                      options->deployment->quarantine_time);
   traffic->response_memory.limit
       = ((size_t)options->deployment->memory_mb << 20)
         / RESPONSES_MEMORY_DIVISOR;
--- a/tests/test_process_gateway_crash.c
+++ b/tests/test_process_gateway_crash.c
@@ -2,7 +2,9 @@
 #include "gateway_steps.h"
 
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 
 /* Guards against requests that nodes send on to one replica after the other
    although each replica that began to answer one like them has crashed.  */
@@ -176,7 +178,35 @@
   end_world ();
 }
 
+/* @return exit status of the program with a quarantine time, and a settings
+   file that cannot be read  */
+static int
+exit_status_with (const char *seconds)
+{
+  const char *argv[]
+      = { getenv ("GS_BINARY"),   "gateway", "--config", "/none",
+          "--quarantine-seconds", seconds,   NULL };
+  int status = -1;
+
+  g_spawn_sync (NULL, (char **)argv, NULL, G_SPAWN_STDERR_TO_DEV_NULL, NULL,
+                NULL, NULL, NULL, &status, NULL);
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
+
+static void
+a_quarantine_time_out_of_range_is_rejected (void)
+{
+  int accepted = exit_status_with ("0");
+
+  CU_ASSERT_EQUAL (exit_status_with ("600"), accepted);
+  CU_ASSERT_NOT_EQUAL (exit_status_with ("-1"), accepted);
+  CU_ASSERT_NOT_EQUAL (exit_status_with ("601"), accepted);
+  CU_ASSERT_NOT_EQUAL (exit_status_with ("ten"), accepted);
+}
+
 static const check_case_t cases[] = {
+  { "a quarantine time out of range is rejected",
+    a_quarantine_time_out_of_range_is_rejected },
   { "a request that crashes replicas is not sent on when it is repeated",
     a_request_that_crashes_replicas_is_not_sent_on_when_it_is_repeated },
   { "all nodes still know a part after all were killed",
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -405,6 +405,36 @@
   quarantine_destroy (table);
 }
 
+static void
+a_quarantine_lasts_as_long_as_is_set (void)
+{
+  static const gs_time_t times[] = { 0, 60 * GS_SEC };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (times); i++)
+    {
+      quarantine_t *tables[] = { table_new (), table_new () };
+      quarantine_rows_t rows;
+      gs_time_t now = START;
+
+      quarantine_ttl_set (tables[0], times[i]);
+      for (uint64_t k = 1; k <= 4; k++, now += GS_SEC)
+        for (unsigned t = 0; t < 2; t++)
+          lose (tables[t], now, k, BAD_PART, k);
+      CU_ASSERT_EQUAL (is_quarantined (tables[0], now, BAD_PART),
+                       times[i] != 0);
+      now += times[i];
+      quarantine_rows_init (&rows);
+      quarantine_export (tables[1], now, &rows);
+      quarantine_import (tables[0], now, &rows);
+      quarantine_rows_clear (&rows);
+      quarantine_update (tables[0], now);
+      CU_ASSERT_FALSE (is_quarantined (tables[0], now, BAD_PART));
+      CU_ASSERT_TRUE (is_quarantined (tables[1], now, BAD_PART));
+      quarantine_destroy (tables[0]);
+      quarantine_destroy (tables[1]);
+    }
+}
+
 /* Each of these requests crashes three replicas.  */
 static void
 many_quarantines_keep_tables_and_messages_bounded (void)
@@ -801,6 +831,8 @@
     a_quarantine_ends_although_nodes_go_on_telling_it },
   { "many losses keep tables and messages bounded",
     many_losses_keep_tables_and_messages_bounded },
+  { "a quarantine lasts as long as is set",
+    a_quarantine_lasts_as_long_as_is_set },
   { "many quarantines keep tables and messages bounded",
     many_quarantines_keep_tables_and_messages_bounded },
   { "fleets learn in time and refuse no sound request",
