gateway: log versions of replicas and streams that callers resume

Lines replica, placed and request carry the version, placed and request the attempt that began the resumed stream.

--- a/include/garnetstack/header_codec.h
+++ b/include/garnetstack/header_codec.h
@@ -38,6 +38,9 @@
   uint32_t output_tokens_hint; /**< the caller's estimate of the output */
   uint64_t resume_after;       /**< number of the last event that the caller
                                     received */
+  char resumes[GS_NAME_BYTES]; /**< id of the attempt that brought the first
+                                    event of the stream that the caller
+                                    resumes; "" if it resumes none */
   unsigned block_count;
   gs_prompt_block_t blocks[GS_PROMPT_BLOCKS_MAX]; /**< in the prompt's order */
 } gs_request_headers_t;
--- a/include/garnetstack/replica.h
+++ b/include/garnetstack/replica.h
@@ -23,6 +23,7 @@
   char address[GS_NAME_BYTES]; /**< IP:PORT; may be reused by another replica
                                     after this one has terminated */
   char data_centre[GS_NAME_BYTES];
+  char version[GS_NAME_BYTES]; /**< of its software; "" if unknown */
   gs_replica_state_t state;
   bool spot;               /**< the provider may reclaim it */
   unsigned slots;          /**< requests that it runs at once */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -527,6 +527,8 @@
   relay->service->demand.in_flight++;
   relay->service->demand.uncached_tokens += relay->choice.uncached_tokens;
   g_strlcpy (relay->replica_id, replica->id, sizeof relay->replica_id);
+  g_strlcpy (relay->replica_version, replica->version,
+             sizeof relay->replica_version);
   relay->process = placer_process_hash (replica);
   relay->sent_at = now;
   relay->attempts++;
--- a/src/gateway/relay_log.c
+++ b/src/gateway/relay_log.c
@@ -91,6 +91,24 @@
   return out->text;
 }
 
+/* @return software version of the last replica; "-" if there is none  */
+static const char *
+quote_version (gs_log_value_t *out, const relay_t *relay)
+{
+  return relay->replica_version[0] != '\0'
+             ? gs_log_quote (out, relay->replica_version)
+             : "-";
+}
+
+/* @return attempt that began the resumed stream; "-" for a new request  */
+static const char *
+quote_resumes (gs_log_value_t *out, const relay_t *relay)
+{
+  return relay->request.resumes[0] != '\0'
+             ? gs_log_quote (out, relay->request.resumes)
+             : "-";
+}
+
 /* Answered requests are logged as routine lines, which are dropped first when
    the log rate is too high.  All other outcomes are logged at info level.  */
 void
@@ -98,8 +116,10 @@
                unsigned status, const char *reason)
 {
   gs_log_value_t id;
+  gs_log_value_t version;
+  gs_log_value_t resumes;
   parts_text_t parts;
-  char line[704];
+  char line[896];
 
   update_metrics (relay, now, outcome, reason);
   g_snprintf (
@@ -107,7 +127,8 @@
       "id=%s route=%s account=%s outcome=%s status=%u reason=%s"
       " sends=%u runs=%u replica=%s first_ms=%lld total_ms=%lld"
       " left_ms=%lld tokens=%u limit=%llu room=%.0f events=%llu"
-      " waiting=%u candidates=%u full=%u fingerprint=%llx parts=%s",
+      " waiting=%u candidates=%u full=%u fingerprint=%llx version=%s"
+      " resumes=%s resume_after=%llu parts=%s",
       gs_log_quote (&id, relay->request.id),
       relay->route != NULL ? relay->route->name : "-",
       relay->account != NULL ? relay->account->name : "-", outcome, status,
@@ -120,7 +141,9 @@
       account_quota_left (relay, now), (unsigned long long)relay->events.count,
       relay->service != NULL ? g_queue_get_length (&relay->service->queue) : 0,
       relay->choice.candidates, relay->choice.full,
-      (unsigned long long)relay->fingerprint,
+      (unsigned long long)relay->fingerprint, quote_version (&version, relay),
+      quote_resumes (&resumes, relay),
+      (unsigned long long)relay->request.resume_after,
       format_shared_parts (&parts, &relay->request));
   if (strcmp (outcome, "answered") == 0)
     gs_log_routine ("request", "%s", line);
@@ -134,6 +157,8 @@
   const traffic_t *traffic = relay->traffic;
   const placer_choice_t *choice = &relay->choice;
   gs_log_value_t id;
+  gs_log_value_t version;
+  gs_log_value_t resumes;
 
   gs_meter_observe ("wait_seconds", "",
                     seconds_between (relay->arrived_at, now));
@@ -141,8 +166,8 @@
       "placed",
       "id=%s route=%s service=%s replica=%s send=%u in_flight=%u backlog=%u"
       " missing=%u candidates=%u full=%u wait_ms=%lld expected_ms=%lld"
-      " left_ms=%lld resume_after=%llu config=%llu replicas=%llu"
-      " peers_age_ms=%lld members=%u",
+      " left_ms=%lld resume_after=%llu version=%s resumes=%s config=%llu"
+      " replicas=%llu peers_age_ms=%lld members=%u",
       gs_log_quote (&id, relay->request.id), relay->route->name,
       relay->service->name, relay->replica_id, relay->attempts,
       choice->in_flight, choice->backlog_tokens, choice->uncached_tokens,
@@ -150,6 +175,7 @@
       elapsed_msec (relay->arrived_at, choice->first_event_expected_at),
       elapsed_msec (now, relay->deadline),
       (unsigned long long)relay->events.last_id,
+      quote_version (&version, relay), quote_resumes (&resumes, relay),
       (unsigned long long)gs_route_table_version (relay->table),
       traffic->replicas != NULL
           ? (unsigned long long)traffic->replicas->sequence
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -46,7 +46,8 @@
   placer_choice_t choice;
   uint64_t fingerprint; /* the same for all repeats of a request */
   char replica_id[GS_NAME_BYTES];
-  uint64_t process; /* of the replica */
+  char replica_version[GS_NAME_BYTES]; /* of its software */
+  uint64_t process;                    /* of the replica */
   gs_time_t sent_at;
   gs_time_t first_response_at;
 };
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -99,6 +99,7 @@
 roster_replica_put (roster_t *roster, gs_time_t now, const gs_replica_t *entry)
 {
   roster_entry_t *row = g_hash_table_lookup (roster->entries, entry->id);
+  gs_log_value_t version;
 
   if (row == NULL)
     {
@@ -115,9 +116,10 @@
   row->drop_at = GS_TIME_NEVER;
   roster->changed = true;
   gs_log (GS_LOG_INFO, "replica",
-          "id=%s service=%s address=%s data_centre=%s state=%s spot=%d"
-          " leaves_in_ms=%lld revision=%llu",
-          entry->id, entry->service, entry->address, entry->data_centre,
+          "id=%s service=%s version=%s address=%s data_centre=%s state=%s"
+          " spot=%d leaves_in_ms=%lld revision=%llu",
+          entry->id, entry->service, gs_log_quote (&version, entry->version),
+          entry->address, entry->data_centre,
           entry->state == GS_REPLICA_READY ? "ready" : "draining", entry->spot,
           entry->terminates_at == GS_TIME_NEVER
               ? -1LL
