--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -25,11 +25,23 @@
   gw_object_put (world, "servers", replica->id,
                  json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i}",
                             "service", "pool", "address", address, "zone", "a",
-                            "version", "v1", "slots", WORLD_SLOTS, "state",
-                            state, "cold_left_ms", 0, "sequence", 1));
+                            "version",
+                            replica->version != NULL ? replica->version : "v1",
+                            "slots", WORLD_SLOTS, "state", state,
+                            "cold_left_ms", 0, "sequence", 1));
   g_free (address);
 }
 
+void
+gw_replica_version_set (gateway_world_t *world, unsigned index,
+                        const char *version)
+{
+  pthread_mutex_lock (&world->lock);
+  world->replicas[index].version = version;
+  pthread_mutex_unlock (&world->lock);
+  gw_replica_publish (world, index, "ready");
+}
+
 void
 gw_replicas_restart (gateway_world_t *world)
 {
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -42,6 +42,7 @@
   char *first_line;
   GString *body;
   unsigned replica;
+  const char *version;     /* of the replica's software; NULL for "v1" */
   bool on_kept_connection; /* not the first request on its connection */
   struct world_replica *replica_state;
   gs_time_t arrived_at;
@@ -61,6 +62,7 @@
   uint16_t port;           /* of the replica, or of a proxy before it */
   const char *headers;     /* more lines of its answers, or NULL */
   const char *retry_after; /* rejects requests with this, or NULL */
+  const char *version;     /* of its software; NULL for "v1" */
   unsigned starts;         /* processes of this replica so far */
   gs_time_t crashed_at;    /* 0 while it runs */
 } world_replica_t;
@@ -155,6 +157,15 @@
 void gw_replica_publish (gateway_world_t *world, unsigned index,
                          const char *state);
 
+/** Publish a replica as ready with another version of its software.
+    @param version a string literal */
+void gw_replica_version_set (gateway_world_t *world, unsigned index,
+                             const char *version);
+
+/** @return version of the replica that an attempt arrived at last; NULL if it
+    arrived at none */
+const char *gw_arrival_version (gateway_world_t *world, const char *id);
+
 /** Set header lines that a replica adds to its answers.
     @param headers a string literal, each line with its line end; "" for
     none */
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -26,6 +26,7 @@
   arrival->replica_state = replica;
   arrival->arrived_at = gs_clock_now ();
   pthread_mutex_lock (&world->lock);
+  arrival->version = replica->version;
   for (guint i = 0; i < world->arrivals->len; i++)
     *earlier
         += strcmp (((arrival_t *)world->arrivals->pdata[i])->id, arrival->id)
@@ -84,6 +85,23 @@
   return peak;
 }
 
+const char *
+gw_arrival_version (gateway_world_t *world, const char *id)
+{
+  const char *version = NULL;
+
+  pthread_mutex_lock (&world->lock);
+  for (guint i = 0; i < world->arrivals->len; i++)
+    {
+      const arrival_t *arrival = world->arrivals->pdata[i];
+
+      if (strcmp (arrival->id, id) == 0)
+        version = arrival->version != NULL ? arrival->version : "v1";
+    }
+  pthread_mutex_unlock (&world->lock);
+  return version;
+}
+
 void
 gw_crash_part_set (gateway_world_t *world, const char *part)
 {
