gateway: a stream goes on only at the version that began it

Cause: nodes did not know versions. A stream that a replica broke off was resumed at any other one, and one that a caller took up was placed like a new request, at whichever node it reached.

Now the node that places a stream that may be resumed notes the version of the replica, and tells the other nodes as soon as several versions may serve: rows are numbered, and each message carries those that its receiver lacks, so that a node that has just started gets all that are known. A resumed stream goes to replicas of its version, also within one answer; it waits up to 600 ms for news of an unknown stream, and is refused at once if its version has left. An unknown stream goes on if one version alone has served for as long as a stream lasts; replicas that started lately when a node gets its first list count as a change.

Weighed: a version drawn from a hash of the attempt's id (what it gives changes with each step of a release), the store as carrier (calls are priced, and streams begin faster than it takes writes).

--- a/include/garnetstack/route_table.h
+++ b/include/garnetstack/route_table.h
@@ -133,6 +133,10 @@
 const gs_path_service_t *gs_route_table_service (const gs_route_table_t *table,
                                                  unsigned index);
 
+/** @return longest timeout of the routes whose streams may be resumed; 0 if
+    there is none */
+gs_time_t gs_route_table_stream_time (const gs_route_table_t *table);
+
 /** @return index of a service, or -1 if no service has that name */
 int gs_route_table_service_find (const gs_route_table_t *table,
                                  const char *name);
--- a/src/gateway/digest.c
+++ b/src/gateway/digest.c
@@ -11,7 +11,7 @@
 /* Nested arrays: the digest, a list of rows or members, and one of these.  */
 #define NESTING_MAX 3
 /* Fields that digest_encode() writes.  */
-#define FIELD_COUNT 17
+#define FIELD_COUNT 21
 
 static const row_layout_t load_layout
     = { sizeof (placer_load_t),
@@ -38,6 +38,7 @@
     .statements = g_array_new (FALSE, TRUE, sizeof (statement_row_t))
   };
   quarantine_rows_init (&digest->quarantine);
+  stream_origins_part_init (&digest->origins);
 }
 
 void
@@ -52,6 +53,7 @@
   digest->members = NULL;
   digest->statements = NULL;
   quarantine_rows_clear (&digest->quarantine);
+  stream_origins_part_clear (&digest->origins);
 }
 
 static void
@@ -88,6 +90,7 @@
   row_codec_pack (&out, &statement_layout, digest->statements);
   msgpack_pack_uint64 (&out, digest->usage_window);
   quarantine_rows_pack (&out, &digest->quarantine);
+  stream_origins_part_pack (&out, &digest->origins);
   bytes = g_byte_array_sized_new ((guint)buffer.size);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
@@ -137,6 +140,7 @@
           row_reader_rows (&reader, &statement_layout, out->statements);
           out->usage_window = row_reader_number (&reader);
           quarantine_rows_read (&reader, &out->quarantine);
+          stream_origins_part_read (&reader, &out->origins);
         }
     }
   msgpack_unpacked_destroy (&unpacked);
--- a/src/gateway/digest.h
+++ b/src/gateway/digest.h
@@ -5,6 +5,7 @@
 #ifndef GS_GATEWAY_DIGEST_H
 #define GS_GATEWAY_DIGEST_H
 
+#include "gateway/stream_origins.h"
 #include "gateway/traffic.h"
 
 /** Most nodes that a digest may list; a longer list is rejected. */
@@ -37,6 +38,7 @@
                               none */
   quarantine_rows_t quarantine; /**< empty from nodes of a version that sends
                                      none */
+  stream_origins_part_t origins;
 } digest_t;
 
 /** Set up an empty digest, with an empty report and no members. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -471,6 +471,38 @@
     }
 }
 
+typedef struct
+{
+  gateway_t *gateway;
+  GArray *rows;
+} origins_message_t;
+
+static void
+adopt_origins (void *context)
+{
+  origins_message_t *message = context;
+
+  peers_origins_add (message->gateway->peers, gs_clock_now (), message->rows);
+  g_array_unref (message->rows);
+  g_free (message);
+}
+
+/* Called on the traffic thread.  */
+static void
+on_origins (void *context, GArray *rows)
+{
+  gateway_t *gateway = context;
+  origins_message_t *message = g_new (origins_message_t, 1);
+
+  *message = (origins_message_t){ gateway, rows };
+  if (gs_loop_post (gateway->loop, adopt_origins, message) != GS_OK)
+    {
+      gs_log (GS_LOG_ERROR, "message_dropped", "reason=queue_full");
+      g_array_unref (rows);
+      g_free (message);
+    }
+}
+
 /* Calls to the store cost money and are limited, so in a large fleet only a
    few nodes follow it for all.  The others follow it themselves while they
    know of no node to which the store responds.  */
@@ -657,8 +689,12 @@
 gateway_create (gateway_t **out, const gs_deployment_t *settings)
 {
   gateway_t *gateway = g_new0 (gateway_t, 1);
-  traffic_options_t traffic = { &gateway->settings, &gs_platform_header_codec,
-                                0, on_report, gateway };
+  traffic_options_t traffic = { &gateway->settings,
+                                &gs_platform_header_codec,
+                                0,
+                                on_report,
+                                on_origins,
+                                gateway };
   gs_status_t status;
 
   *out = NULL;
--- a/src/gateway/peer_message.c
+++ b/src/gateway/peer_message.c
@@ -12,7 +12,7 @@
 #define HEAD_COUNT 10
 #define AGGREGATE_COUNT 6
 /* Elements after the aggregate, which older versions neither send nor read. */
-#define TAIL_COUNT 4
+#define TAIL_COUNT 8
 
 static const row_layout_t status_layout
     = { sizeof (peer_status_t),
@@ -49,6 +49,7 @@
     .statements = g_array_new (FALSE, TRUE, sizeof (statement_row_t)),
   };
   quarantine_rows_init (&message->quarantine);
+  stream_origins_part_init (&message->origins);
   aggregate_init (&message->aggregate);
 }
 
@@ -62,6 +63,7 @@
     g_array_unref (message->statements);
   message->statements = NULL;
   quarantine_rows_clear (&message->quarantine);
+  stream_origins_part_clear (&message->origins);
   aggregate_clear (&message->aggregate);
 }
 
@@ -123,6 +125,7 @@
   row_codec_pack (&out, &statement_layout, message->statements);
   msgpack_pack_uint64 (&out, message->usage_window);
   quarantine_rows_pack (&out, &message->quarantine);
+  stream_origins_part_pack (&out, &message->origins);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
@@ -161,6 +164,7 @@
           row_reader_rows (&reader, &statement_layout, out->statements);
           out->usage_window = row_reader_number (&reader);
           quarantine_rows_read (&reader, &out->quarantine);
+          stream_origins_part_read (&reader, &out->origins);
         }
     }
   msgpack_unpacked_destroy (&unpacked);
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -45,6 +45,7 @@
                               none */
   quarantine_rows_t quarantine; /**< empty from nodes of a version that sends
                                      none */
+  stream_origins_part_t origins;
 } peer_message_t;
 
 /** Set up an empty message, freed with peer_message_clear(). */
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -58,6 +58,7 @@
     peers->seeds[i] = seeds[i];
   statements_create (&peers->statements);
   quarantine_create (&peers->quarantine, false);
+  stream_origins_create (&peers->origins);
   gs_rng_seed (&peers->rng, seed);
   *out = peers;
 }
@@ -72,6 +73,7 @@
   peer_message_clear (&peers->view);
   statements_destroy (peers->statements);
   quarantine_destroy (peers->quarantine);
+  stream_origins_destroy (peers->origins);
   if (peers->fleet_view.bytes != NULL)
     g_byte_array_unref (peers->fleet_view.bytes);
   g_array_unref (peers->fleet_view.statuses);
@@ -234,8 +236,9 @@
                        report->quota->len);
 }
 
+/* @param peer the receiver; NULL if it is not known yet  */
 static GByteArray *
-encode_own_digest (const peers_t *peers, gs_time_t now)
+encode_own_digest (const peers_t *peers, gs_time_t now, const peer_t *peer)
 {
   digest_t digest;
   GHashTableIter iter;
@@ -244,6 +247,7 @@
 
   digest_init (&digest);
   digest_fill (peers, now, &digest);
+  peers_origins_fill (peers, now, peer, STREAM_ORIGIN_OWN, &digest.origins);
   g_hash_table_iter_init (&iter, peers->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((peer_t *)value)->listed)
@@ -328,12 +332,15 @@
   notify_listener (peers, now, &digest->self.peers, &state);
   statements_import (peers->statements, now, digest->statements);
   quarantine_import (peers->quarantine, now, &digest->quarantine);
+  peers_origins_receive (peers, now, peer, &digest->origins,
+                         STREAM_ORIGIN_OTHER);
   aggregate_init (&aggregate);
   aggregate_add_report (&aggregate, digest->report, true);
   peers_report_store (peers, now, &digest->self, 0, &aggregate, true);
 }
 
-static gs_status_t
+/* @return the sender; NULL if the digest was rejected  */
+static peer_t *
 accept_digest (peers_t *peers, gs_time_t now, const char *data, size_t length)
 {
   digest_t digest;
@@ -354,14 +361,15 @@
         digest_apply (peers, now, peer, &digest);
     }
   digest_clear (&digest);
-  return peer != NULL ? GS_OK : GS_EINVAL;
+  return peer;
 }
 
-/* @param out receives the message on success; to be cleared by the caller
+/* @param source from which the streams in the message come to this node
+   @param out receives the message on success; to be cleared by the caller
    @return the sender; NULL if the message was rejected  */
 static peer_t *
 accept_message (peers_t *peers, gs_time_t now, const char *data, size_t length,
-                peer_message_t *out)
+                unsigned source, peer_message_t *out)
 {
   peer_t *peer = NULL;
   peers_state_t state;
@@ -382,6 +390,8 @@
   notify_listener (peers, now, &out->self.peers, &state);
   statements_import (peers->statements, now, out->statements);
   quarantine_import (peers->quarantine, now, &out->quarantine);
+  peers_origins_receive (peers, now, peer, &out->origins, source);
+  g_array_set_size (out->origins.rows, 0);
   return peer;
 }
 
@@ -389,14 +399,16 @@
 receive_report (peers_t *peers, gs_time_t now, const char *data, size_t length)
 {
   peer_message_t message;
+  const peer_t *peer = accept_message (peers, now, data, length,
+                                       STREAM_ORIGIN_DATA_CENTRE, &message);
   GByteArray *bytes;
 
-  if (accept_message (peers, now, data, length, &message) == NULL)
+  if (peer == NULL)
     return NULL;
   peers_report_store (peers, now, &message.self, message.sequence,
                       &message.aggregate, message.has_usage);
   message.aggregate = (aggregate_t){ .nodes = 0 };
-  bytes = peers_view_encode (peers, now, &message);
+  bytes = peers_view_encode (peers, now, peer, &message);
   peer_message_clear (&message);
   return bytes;
 }
@@ -416,14 +428,15 @@
                  size_t length)
 {
   peer_message_t message;
-  peer_t *peer = accept_message (peers, now, data, length, &message);
+  peer_t *peer = accept_message (peers, now, data, length, STREAM_ORIGIN_OTHER,
+                                 &message);
 
   if (peer == NULL)
     return NULL;
   if (peer->call == CALL_SUMMARY)
     schedule_call (peers, now, peer);
   peers_summary_store (peers, now, &message);
-  return peers_summary_encode (peers, now, take_usage_turn (peer, now));
+  return peers_summary_encode (peers, now, peer, take_usage_turn (peer, now));
 }
 
 GByteArray *
@@ -431,13 +444,14 @@
                        const char *data, size_t length)
 {
   GByteArray *bytes = NULL;
+  const peer_t *peer;
 
   if (strcmp (path, PEERS_REPORT_PATH) == 0)
     bytes = receive_report (peers, now, data, length);
   else if (strcmp (path, PEERS_SUMMARY_PATH) == 0)
     bytes = receive_summary (peers, now, data, length);
-  else if (accept_digest (peers, now, data, length) == GS_OK)
-    bytes = encode_own_digest (peers, now);
+  else if ((peer = accept_digest (peers, now, data, length)) != NULL)
+    bytes = encode_own_digest (peers, now, peer);
   if (bytes == NULL)
     gs_log (GS_LOG_WARN, "digest_refused", "reason=\"%s\"", gs_error_last ());
   return bytes;
@@ -458,8 +472,9 @@
   peer_message_t message;
 
   if (call == CALL_DIGEST)
-    return accept_digest (peers, now, reply->body, reply->length) == GS_OK;
-  if (accept_message (peers, now, reply->body, reply->length, &message)
+    return accept_digest (peers, now, reply->body, reply->length) != NULL;
+  if (accept_message (peers, now, reply->body, reply->length,
+                      STREAM_ORIGIN_OTHER, &message)
       == NULL)
     return false;
   if (call == CALL_SUMMARY)
@@ -505,7 +520,7 @@
 
 static void
 call_endpoint (peers_t *peers, gs_time_t now, const gs_endpoint_t *endpoint,
-               const char *name, peer_call_t call, bool with_usage)
+               const peer_t *peer, peer_call_t call, bool with_usage)
 {
   peer_call_context_t *context = g_new0 (peer_call_context_t, 1);
   const char *path = PEERS_DIGEST_PATH;
@@ -514,19 +529,20 @@
   context->peers = peers;
   context->call = call;
   context->started_at = now;
-  g_strlcpy (context->name, name, sizeof context->name);
+  if (peer != NULL)
+    g_strlcpy (context->name, peer->member.name, sizeof context->name);
   switch (call)
     {
     case CALL_REPORT:
       path = PEERS_REPORT_PATH;
-      body = peers_report_encode (peers, now, with_usage);
+      body = peers_report_encode (peers, now, peer, with_usage);
       break;
     case CALL_SUMMARY:
       path = PEERS_SUMMARY_PATH;
-      body = peers_summary_encode (peers, now, with_usage);
+      body = peers_summary_encode (peers, now, peer, with_usage);
       break;
     default:
-      body = encode_own_digest (peers, now);
+      body = encode_own_digest (peers, now, peer);
       break;
     }
   peers->transport.post (peers->transport.context, now, endpoint, path, body,
@@ -538,7 +554,7 @@
 call_peer (peers_t *peers, gs_time_t now, peer_t *peer, peer_call_t call)
 {
   peer->call_pending = true;
-  call_endpoint (peers, now, &peer->member.peers, peer->member.name, call,
+  call_endpoint (peers, now, &peer->member.peers, peer, call,
                  take_usage_turn (peer, now));
 }
 
@@ -569,7 +585,7 @@
   peers->seeds_due = now + SILENT_PEER_INTERVAL;
   for (unsigned i = 0; i < peers->seed_count; i++)
     if (!is_known_endpoint (peers, &peers->seeds[i]))
-      call_endpoint (peers, now, &peers->seeds[i], "", CALL_DIGEST, true);
+      call_endpoint (peers, now, &peers->seeds[i], NULL, CALL_DIGEST, true);
 }
 
 /* The first nodes of a data centre that may be its aggregators.  */
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -188,6 +188,13 @@
     owned by @p peers */
 quarantine_t *peers_quarantine (const peers_t *peers);
 
+/** Add streams that have begun at this node.
+    @param rows of stream_origin_row_t */
+void peers_origins_add (peers_t *peers, gs_time_t now, const GArray *rows);
+
+/** @return the streams that this node knows of; owned by @p peers */
+const stream_origins_t *peers_origins (const peers_t *peers);
+
 /** @return the value of a node's entry in the store; freed by the caller with
     json_decref() */
 json_t *peers_member_encode (const digest_member_t *member);
--- a/src/gateway/peers_fleet.c
+++ b/src/gateway/peers_fleet.c
@@ -409,7 +409,8 @@
 }
 
 GByteArray *
-peers_view_encode (peers_t *peers, gs_time_t now, const peer_message_t *report)
+peers_view_encode (peers_t *peers, gs_time_t now, const peer_t *peer,
+                   const peer_message_t *report)
 {
   fleet_view_t *view = &peers->fleet_view;
   const uint64_t *included;
@@ -419,6 +420,7 @@
   update_fleet_view (peers, now);
   peer_message_init (&message);
   fill_head (peers, now, &message);
+  peers_origins_fill (peers, now, peer, STREAM_ORIGIN_ALL, &message.origins);
   included = g_hash_table_lookup (view->included, &report->self.incarnation);
   message.sequence = included != NULL ? *included : 0;
   message.status_version = view->status_version;
@@ -444,7 +446,8 @@
 }
 
 GByteArray *
-peers_report_encode (peers_t *peers, gs_time_t now, bool with_usage)
+peers_report_encode (peers_t *peers, gs_time_t now, const peer_t *peer,
+                     bool with_usage)
 {
   const traffic_report_t *own
       = peers->listener.get_report (peers->listener.context);
@@ -454,6 +457,7 @@
 
   peer_message_init (&message);
   fill_head (peers, now, &message);
+  peers_origins_fill (peers, now, peer, STREAM_ORIGIN_OWN, &message.origins);
   if (own != NULL)
     aggregate_add_report (&message.aggregate, own, with_usage);
   remember_report (peers, &message.aggregate);
@@ -500,7 +504,8 @@
 }
 
 GByteArray *
-peers_summary_encode (const peers_t *peers, gs_time_t now, bool with_usage)
+peers_summary_encode (const peers_t *peers, gs_time_t now, const peer_t *peer,
+                      bool with_usage)
 {
   peer_message_t message;
   GByteArray *aggregate;
@@ -508,6 +513,9 @@
 
   peer_message_init (&message);
   fill_head (peers, now, &message);
+  peers_origins_fill (peers, now, peer,
+                      STREAM_ORIGIN_OWN | STREAM_ORIGIN_DATA_CENTRE,
+                      &message.origins);
   message.has_statuses = true;
   message.status_version
       = collect_statuses (peers, now, true, message.statuses);
@@ -640,6 +648,10 @@
   view->statements = statements_list (peers_statements_update (peers));
   quarantine_rows_init (&view->quarantine);
   peers_quarantine_export (peers, now, &view->quarantine);
+  view->origins = g_array_new (FALSE, FALSE, sizeof (stream_origin_row_t));
+  peers->origins_viewed = stream_origins_export (
+      peers->origins, now, peers->origins_viewed,
+      STREAM_ORIGIN_DATA_CENTRE | STREAM_ORIGIN_OTHER, view->origins);
   append_reports (peers, now, view);
   if (peers->role == PEERS_ROLE_AGGREGATOR)
     foreach_data_centre (peers, now, append_summary, view);
--- a/src/gateway/peers_private.h
+++ b/src/gateway/peers_private.h
@@ -66,6 +66,12 @@
   bool call_pending;
   bool unreachable; /* the last call failed, and no message has come since */
   bool silent;      /* no message has come yet, or its silence was logged */
+  /* Exchange of streams with the process that runs at the peer.  */
+  uint64_t origins_incarnation; /* of that process; 0 before its first message
+                                 */
+  uint64_t origins_sent;        /* last own row that it has */
+  uint64_t origins_received;    /* last row of its table that is here */
+  uint64_t origins_before;      /* last own row at its first message */
 } peer_t;
 
 typedef struct
@@ -114,6 +120,8 @@
   fleet_view_t fleet_view;
   statements_t *statements; /* of replicas, as this node and others say */
   quarantine_t *quarantine; /* what this node and others know */
+  stream_origins_t *origins;
+  uint64_t origins_viewed; /* last row that a view has covered */
 };
 
 /* @return whether a message of the peer itself came recently.  */
@@ -158,10 +166,11 @@
 /* Encode the next report, summary, or the view for a peer.
    @return freed with g_byte_array_unref()  */
 GByteArray *peers_report_encode (peers_t *peers, gs_time_t now,
-                                 bool with_usage);
+                                 const peer_t *peer, bool with_usage);
 GByteArray *peers_summary_encode (const peers_t *peers, gs_time_t now,
-                                  bool with_usage);
+                                  const peer_t *peer, bool with_usage);
 GByteArray *peers_view_encode (peers_t *peers, gs_time_t now,
+                               const peer_t *peer,
                                const peer_message_t *report);
 
 /* @return how long a report, summary or view counts as the present load of its
@@ -172,6 +181,20 @@
    @return all known ones  */
 statements_t *peers_statements_update (const peers_t *peers);
 
+/* Fill in the streams that a peer lacks.
+   @param peer NULL for a node that is not known yet
+   @param sources of the streams that are sent to it, as flags; to a process
+   that was not heard before, those of all sources that are known already  */
+void peers_origins_fill (const peers_t *peers, gs_time_t now,
+                         const peer_t *peer, unsigned sources,
+                         stream_origins_part_t *out);
+
+/* Add the streams that a peer has sent.
+   @param source as one flag  */
+void peers_origins_receive (peers_t *peers, gs_time_t now, peer_t *peer,
+                            const stream_origins_part_t *part,
+                            unsigned source);
+
 /* Add what this node's traffic thread knows, and append all that is known.  */
 void peers_quarantine_export (const peers_t *peers, gs_time_t now,
                               quarantine_rows_t *out);
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -112,6 +112,13 @@
                                (XXH64_hash_t)replica->started_ms);
 }
 
+/* Short, as nodes send it with each stream.  */
+uint64_t
+placer_version_hash (const char *version)
+{
+  return XXH3_64bits (version, strlen (version)) % UINT32_MAX + 1;
+}
+
 static replica_row_t *
 row_find (const placer_t *placer, const char *id)
 {
@@ -158,6 +165,7 @@
       row->refused_until = 0;
     }
   row->replica = *replica;
+  row->version = placer_version_hash (replica->version);
   row->listed = true;
 }
 
@@ -316,14 +324,24 @@
          && strcmp (row->replica.service, service) == 0;
 }
 
+/* @return whether a replica may get a request, full or not  */
+static bool
+is_candidate (const replica_row_t *row, gs_time_t now,
+              const placer_query_t *query)
+{
+  return placer_row_is_usable (row, now, query->service)
+         && (query->version == 0 || row->version == query->version);
+}
+
 /* An ejected replica is better than none.
    @return the time at which to judge whether a replica is ejected: @p now, or
    GS_TIME_NEVER so that ejected replicas are usable  */
 static gs_time_t
-eject_check_time (const placer_t *placer, gs_time_t now, const char *service)
+eject_check_time (const placer_t *placer, gs_time_t now,
+                  const placer_query_t *query)
 {
   for (guint i = 0; i < placer->rows->len; i++)
-    if (placer_row_is_usable (placer_row (placer, i), now, service))
+    if (is_candidate (placer_row (placer, i), now, query))
       return now;
   return GS_TIME_NEVER;
 }
@@ -385,7 +403,7 @@
       const replica_row_t *row = placer_row (placer, i);
       uint64_t value;
 
-      if (!placer_row_is_usable (row, now, query->service))
+      if (!is_candidate (row, now, query))
         continue;
       value = preference_hash (row, session);
       if (best == PLACER_ROW_NONE || value > best_value)
@@ -509,7 +527,7 @@
 placer_pick (placer_t *placer, gs_time_t now, const placer_query_t *query,
              placer_choice_t *out)
 {
-  gs_time_t eject_time = eject_check_time (placer, now, query->service);
+  gs_time_t eject_time = eject_check_time (placer, now, query);
   uint32_t preferred = preferred_row_find (placer, eject_time, query);
   comparison_t comparison = { .row = PLACER_ROW_NONE,
                               .best = { .score = INFINITY },
@@ -521,7 +539,7 @@
     {
       const replica_row_t *row = placer_row (placer, i);
 
-      if (!placer_row_is_usable (row, eject_time, query->service))
+      if (!is_candidate (row, eject_time, query))
         continue;
       out->candidates++;
       if (is_full (row, now, query))
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -34,8 +34,10 @@
       alone. */
   const gs_prompt_block_t *blocks;
   unsigned block_count;
-  uint32_t avoid; /**< row that is chosen only if no other replica has room;
-                       PLACER_ROW_NONE for none */
+  uint64_t version; /**< placer_version_hash() of the software version that the
+                         replica must have; 0 for any */
+  uint32_t avoid;   /**< row that is chosen only if no other replica has room;
+                         PLACER_ROW_NONE for none */
 } placer_query_t;
 
 /** The chosen replica and the values that led to the choice. */
@@ -100,6 +102,9 @@
     under the id that it had */
 uint64_t placer_process_hash (const gs_replica_t *replica);
 
+/** @return hash that stands for a software version; never 0 */
+uint64_t placer_version_hash (const char *version);
+
 /** Replace the load that all peers put on replicas.
     @param peers number of nodes that place requests besides this one */
 void placer_peer_loads_set (placer_t *placer, const placer_peer_load_t *loads,
--- a/src/gateway/placer_private.h
+++ b/src/gateway/placer_private.h
@@ -19,6 +19,7 @@
   bool listed;         /* in the latest replica list */
   uint32_t generation; /* rises when the row gets another replica */
   uint64_t hash;       /* placer_replica_hash() of its id */
+  uint64_t version;    /* placer_version_hash() of its software */
   uint32_t in_flight;
   uint64_t backlog_tokens;
   uint64_t reserved_tokens;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -160,6 +160,19 @@
   relay_free (relay);
 }
 
+static bool
+is_success (const gs_response_head_t *head)
+{
+  return head->status >= 200 && head->status < 300;
+}
+
+static bool
+is_stream (const relay_t *relay)
+{
+  return relay->route->streaming && is_success (&relay->head)
+         && relay->head.is_signed && !relay->head.encoded;
+}
+
 /* Records the first event of a stream, or the whole response.  Both show that
    the request has run, so it is counted in the usage, once.  */
 static void
@@ -170,6 +183,8 @@
   if (relay->attempt_responded)
     return;
   relay->attempt_responded = true;
+  if (relay->route->resend_policy == GS_RESEND_RESUME && is_stream (relay))
+    relay->version = placer_version_hash (relay->replica_version);
   placer_first_event_record (relay->traffic->placer, now, &relay->ticket);
   if (relay->first_response_at == 0)
     relay->first_response_at = now;
@@ -179,19 +194,6 @@
   relay->usage_counted = true;
 }
 
-static bool
-is_success (const gs_response_head_t *head)
-{
-  return head->status >= 200 && head->status < 300;
-}
-
-static bool
-is_stream (const relay_t *relay)
-{
-  return relay->route->streaming && is_success (&relay->head)
-         && relay->head.is_signed && !relay->head.encoded;
-}
-
 /* Records what the replica says of itself in its answer.  With status 421
    another replica answers, which has the address now.  */
 static void
@@ -498,6 +500,7 @@
                                : request->output_tokens_max / 2,
     .blocks = request->blocks,
     .block_count = request->block_count,
+    .version = relay->version,
     .avoid = relay->avoid_row,
   };
 }
@@ -530,6 +533,7 @@
   g_strlcpy (relay->replica_version, replica->version,
              sizeof relay->replica_version);
   relay->process = placer_process_hash (replica);
+  relay_origin_record (relay, now);
   relay->sent_at = now;
   relay->attempts++;
   relay->possible_runs++;
@@ -589,21 +593,57 @@
   return true;
 }
 
+/* @return whether replicas of other versions than that of a resumed stream
+   serve, but none of its own  */
+static bool
+is_version_gone (relay_t *relay, gs_time_t now)
+{
+  placer_query_t query = make_query (relay);
+  placer_choice_t choice;
+
+  if (query.version == 0
+      || placer_pick (relay->traffic->placer, now, &query, &choice)
+             != GS_ENOTFOUND)
+    return false;
+  query.version = 0;
+  return placer_pick (relay->traffic->placer, now, &query, &choice)
+         != GS_ENOTFOUND;
+}
+
+/* Keeps a resumed stream in the queue until other nodes have told of its
+   origin, or rejects it.  */
+static void
+await_origin (relay_t *relay, gs_time_t now)
+{
+  if (now >= MIN (relay->origin_deadline, relay->deadline))
+    fail_request (relay, now, "origin_unknown");
+  else if (!relay->queued)
+    relay_queue_hold (relay);
+}
+
 /* Sends a request to a replica, queues it, or rejects it.  Only a request that
    no attempt may have run is queued.  */
 static void
 dispatch_request (relay_t *relay, gs_time_t now)
 {
-  placer_query_t query = make_query (relay);
+  placer_query_t query;
   gs_status_t status;
 
   if (reject_if_quarantined (relay, now))
     return;
+  if (!relay_origin_is_known (relay, now))
+    {
+      await_origin (relay, now);
+      return;
+    }
+  query = make_query (relay);
   status = placer_pick (relay->traffic->placer, now, &query, &relay->choice);
   if (status == GS_OK)
     send_request (relay, now, &query);
   else if (relay->possible_runs > 0)
     fail_request (relay, now, "no_other_replica");
+  else if (is_version_gone (relay, now))
+    fail_request (relay, now, "version_gone");
   else if (!relay_queue_insert (relay, now))
     reject_for_capacity (relay, now, "no_room");
 }
@@ -617,14 +657,22 @@
   for (GList *link = service->queue.head; link != NULL; link = next)
     {
       relay_t *relay = link->data;
-      placer_query_t query = make_query (relay);
+      placer_query_t query;
 
       next = link->next;
       if (reject_if_quarantined (relay, now))
         continue;
-      if (may_place
-          && placer_pick (traffic->placer, now, &query, &relay->choice)
-                 == GS_OK)
+      if (!relay_origin_is_known (relay, now))
+        {
+          await_origin (relay, now);
+          continue;
+        }
+      query = make_query (relay);
+      if (is_version_gone (relay, now))
+        fail_request (relay, now, "version_gone");
+      else if (may_place
+               && placer_pick (traffic->placer, now, &query, &relay->choice)
+                      == GS_OK)
         {
           relay_queue_remove (relay);
           send_request (relay, now, &query);
@@ -634,7 +682,8 @@
           relay_queue_remove (relay);
           reject_for_capacity (relay, now, "waited_for_room");
         }
-      else
+      /* A resumed stream waits for few replicas; the others may have room. */
+      else if (query.version == 0)
         may_place = false;
     }
 }
@@ -719,6 +768,7 @@
     }
   relay_fingerprint_set (relay);
   relay_deadlines_set (relay);
+  relay_origin_set (relay, now);
   relay->service_config = relay_service_choose (relay);
   relay->service
       = traffic_service_ensure (traffic, relay->service_config->name);
--- /dev/null
+++ b/src/gateway/relay_origin.c
@@ -0,0 +1,53 @@
+#include "gateway/relay_private.h"
+
+/* Nodes tell each other of a stream within two exchanges; a request that
+   resumes a stream which this node does not know waits for them.  */
+#define ORIGIN_WAIT_MAX (600 * GS_MSEC)
+/* A caller that claims to wait longer counts as one that waits as long.  */
+#define STREAM_TIME_MAX (600 * GS_SEC)
+
+void
+relay_origin_set (relay_t *relay, gs_time_t now)
+{
+  const gs_request_headers_t *request = &relay->request;
+  traffic_t *traffic = relay->traffic;
+
+  if (relay->route->resend_policy != GS_RESEND_RESUME)
+    return;
+  traffic->stream_time_max = MAX (traffic->stream_time_max,
+                                  MIN (request->timeout, STREAM_TIME_MAX));
+  relay->resumed = request->resume_after != 0 || request->resumes[0] != '\0';
+  relay->origin_deadline
+      = request->resumes[0] != '\0' ? now + ORIGIN_WAIT_MAX : now;
+}
+
+bool
+relay_origin_is_known (relay_t *relay, gs_time_t now)
+{
+  traffic_t *traffic = relay->traffic;
+
+  if (!relay->resumed || relay->version != 0)
+    return true;
+  if (relay->request.resumes[0] != '\0'
+      && stream_origins_find (traffic->origins, now,
+                              stream_origins_hash (relay->request.resumes),
+                              &relay->version))
+    return true;
+  return service_versions_get_single (
+      traffic->versions, now, relay->service->name,
+      traffic_stream_lookback (traffic), &relay->version);
+}
+
+void
+relay_origin_record (relay_t *relay, gs_time_t now)
+{
+  gs_time_t wait = MAX (relay->request.timeout, relay->deadline - now);
+  stream_origin_t origin
+      = { .stream = stream_origins_hash (relay->request.id),
+          .version = placer_version_hash (relay->replica_version),
+          .expires_at = relay->arrived_at + wait };
+
+  if (relay->route->resend_policy == GS_RESEND_RESUME && relay->version == 0)
+    stream_origins_add (relay->traffic->origins, now, &origin,
+                        STREAM_ORIGIN_OWN);
+}
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -2,7 +2,8 @@
  * @file relay_private.h
  * State of a client request that the gateway forwards to a replica.  It is
  * shared by relay.c (attempts and responses), relay_admit.c (routing and
- * admission), relay_queue.c (queueing) and relay_log.c (logs and metrics).
+ * admission), relay_origin.c (versions of streams), relay_queue.c (queueing)
+ * and relay_log.c (logs and metrics).
  */
 #ifndef GS_GATEWAY_RELAY_PRIVATE_H
 #define GS_GATEWAY_RELAY_PRIVATE_H
@@ -38,11 +39,15 @@
   GString *body;
   events_splitter_t events;
   /* State across attempts. */
-  unsigned attempts;      /* the current one included */
-  unsigned possible_runs; /* attempts that ran or may have run */
-  bool usage_counted;     /* the request is counted in the usage */
-  bool head_sent;         /* the head of the response was sent to the caller */
-  uint32_t avoid_row;     /* placer row of the last attempt */
+  unsigned attempts;         /* the current one included */
+  unsigned possible_runs;    /* attempts that ran or may have run */
+  bool resumed;              /* the caller resumes a stream */
+  uint64_t version;          /* software version that began the stream; 0 if it
+                                has not begun or is not known yet */
+  gs_time_t origin_deadline; /* when a stream of unknown origin is refused */
+  bool usage_counted;        /* the request is counted in the usage */
+  bool head_sent;     /* the head of the response was sent to the caller */
+  uint32_t avoid_row; /* placer row of the last attempt */
   placer_choice_t choice;
   uint64_t fingerprint; /* the same for all repeats of a request */
   char replica_id[GS_NAME_BYTES];
@@ -81,6 +86,9 @@
     that the request may spend in the queue */
 bool relay_queue_insert (relay_t *relay, gs_time_t now);
 
+/** Add a request to the queue of its service whatever the expected wait. */
+void relay_queue_hold (relay_t *relay);
+
 /** Remove a request from the queue of its service, if it is queued. */
 void relay_queue_remove (relay_t *relay);
 
@@ -90,6 +98,16 @@
 /** @return time from now after which a rejected caller should retry. */
 gs_time_t relay_retry_after (relay_t *relay, gs_time_t now);
 
+/** Note whether a routed request resumes a stream. */
+void relay_origin_set (relay_t *relay, gs_time_t now);
+
+/** Look up the software version at which a resumed stream must go on.
+    @return false if it resumes one whose version is not known */
+bool relay_origin_is_known (relay_t *relay, gs_time_t now);
+
+/** Record that the chosen replica is to begin a stream, if it is a new one. */
+void relay_origin_record (relay_t *relay, gs_time_t now);
+
 /** Set the fingerprint of a request whose account is known. */
 void relay_fingerprint_set (relay_t *relay);
 
--- a/src/gateway/relay_queue.c
+++ b/src/gateway/relay_queue.c
@@ -101,12 +101,21 @@
                 taken / RUN_TIME_INITIAL_SECONDS / relay->traffic->members);
 }
 
+void
+relay_queue_hold (relay_t *relay)
+{
+  GQueue *queue = &relay->service->queue;
+
+  g_queue_insert_sorted (queue, relay, compare_queued, NULL);
+  relay->queue_link = g_queue_find (queue, relay);
+  relay->queued = true;
+}
+
 bool
 relay_queue_insert (relay_t *relay, gs_time_t now)
 {
-  GQueue *queue = &relay->service->queue;
+  double ahead = g_queue_get_length (&relay->service->queue) + 1.0;
   double rate = estimate_send_rate (relay, now);
-  double ahead = g_queue_get_length (queue) + 1.0;
   gs_time_t expected
       = now + (gs_time_t)(ahead / MAX (rate, 1e-3) * (double)GS_SEC);
 
@@ -114,8 +123,6 @@
                                              relay->service->name));
   if (expected > relay_queue_deadline (relay))
     return false;
-  g_queue_insert_sorted (queue, relay, compare_queued, NULL);
-  relay->queue_link = g_queue_find (queue, relay);
-  relay->queued = true;
+  relay_queue_hold (relay);
   return true;
 }
--- a/src/gateway/route_table.c
+++ b/src/gateway/route_table.c
@@ -14,6 +14,7 @@
   GArray *accounts;       /* of gs_client_account_t */
   GHashTable *by_key;     /* key -> index + 1 */
   gs_caller_limits_t limits;
+  gs_time_t stream_time; /* longest timeout of streams that may be resumed */
 };
 
 static void
@@ -138,6 +139,8 @@
                           strlen (copy->prefix));
 
   g_ptr_array_add (table->routes, copy);
+  if (copy->resend_policy == GS_RESEND_RESUME)
+    table->stream_time = MAX (table->stream_time, copy->timeout);
   if (g_hash_table_contains (table->by_prefix, key))
     {
       g_free (key);
@@ -169,6 +172,12 @@
   return &table->limits;
 }
 
+gs_time_t
+gs_route_table_stream_time (const gs_route_table_t *table)
+{
+  return table->stream_time;
+}
+
 unsigned
 gs_route_table_service_count (const gs_route_table_t *table)
 {
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -75,6 +75,7 @@
   g_array_unref (peers->peers);
   g_array_unref (peers->nodes);
   g_array_unref (peers->statements);
+  g_array_unref (peers->origins);
   quarantine_rows_clear (&peers->quarantine);
   g_free (peers);
 }
@@ -155,6 +156,35 @@
   traffic->options.on_report (traffic->options.context, report);
 }
 
+gs_time_t
+traffic_stream_lookback (const traffic_t *traffic)
+{
+  gs_time_t configured = traffic->table != NULL
+                             ? gs_route_table_stream_time (traffic->table)
+                             : 0;
+
+  return MAX (traffic->stream_time_max, configured);
+}
+
+/* While all streams begin at one version, nobody needs to be told.  */
+static void
+send_origins (traffic_t *traffic, gs_time_t now)
+{
+  GArray *rows;
+
+  if (traffic->origins_told == stream_origins_last (traffic->origins)
+      || !service_versions_are_mixed (traffic->versions, now,
+                                      traffic_stream_lookback (traffic)))
+    return;
+  rows = g_array_new (FALSE, FALSE, sizeof (stream_origin_row_t));
+  traffic->origins_told = stream_origins_export (
+      traffic->origins, now, traffic->origins_told, STREAM_ORIGIN_OWN, rows);
+  if (rows->len > 0)
+    traffic->options.on_origins (traffic->options.context, rows);
+  else
+    g_array_unref (rows);
+}
+
 static void
 on_tick (void *context)
 {
@@ -170,6 +200,7 @@
   traffic->last_tick_at = now;
   quarantine_update (traffic->quarantine, now);
   relay_queues_serve (traffic, now);
+  send_origins (traffic, now);
   if (now >= traffic->report_due)
     {
       traffic->report_due = now + TRAFFIC_REPORT_INTERVAL;
@@ -232,6 +263,8 @@
   traffic->members = 1;
   gs_rng_seed (&traffic->rng, options->seed);
   placer_create (&traffic->placer, options->seed);
+  service_versions_create (&traffic->versions);
+  stream_origins_create (&traffic->origins);
   quarantine_create (&traffic->quarantine, true);
   quarantine_ttl_set (traffic->quarantine,
                       options->deployment->quarantine_time);
@@ -277,6 +310,8 @@
   usage_count_destroy (traffic->usage);
   quota_destroy (traffic->quota);
   quarantine_destroy (traffic->quarantine);
+  stream_origins_destroy (traffic->origins);
+  service_versions_destroy (traffic->versions);
   placer_destroy (traffic->placer);
   gs_replica_list_unref (traffic->replicas);
   gs_route_table_unref (traffic->table);
@@ -355,6 +390,8 @@
   gs_replica_list_unref (traffic->replicas);
   traffic->replicas = message->list;
   placer_replicas_set (traffic->placer, gs_clock_now (), traffic->replicas);
+  service_versions_set (traffic->versions, gs_clock_now (),
+                        gs_clock_wall () / GS_MSEC, traffic->replicas);
   if (traffic->replicas->count > TRAFFIC_LOADS_MAX)
     gs_log (GS_LOG_WARN, "loads_left_out", "replicas=%u told_of=%u",
             traffic->replicas->count, TRAFFIC_LOADS_MAX);
@@ -403,6 +440,8 @@
       peers->statements->len);
   quarantine_import (traffic->quarantine, peers->quarantine.made_at,
                      &peers->quarantine);
+  stream_origins_import (traffic->origins, now, peers->origins,
+                         STREAM_ORIGIN_OTHER);
   g_array_unref (loads);
   traffic_peers_free (message->peers);
   g_free (message);
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -17,6 +17,7 @@
 #include "gateway/placer.h"
 #include "gateway/quarantine.h"
 #include "gateway/quota.h"
+#include "gateway/stream_origins.h"
 
 /** Maximum number of replica loads in a report; further ones are left out. */
 #define TRAFFIC_LOADS_MAX 2048
@@ -86,6 +87,8 @@
                         this one first */
   GArray *statements; /**< of statement_t: the latest of each replica */
   quarantine_rows_t quarantine;
+  GArray *origins; /**< of stream_origin_row_t: streams that this node has
+                        learned of since the last view */
 } traffic_peers_t;
 
 void traffic_peers_free (traffic_peers_t *peers);
@@ -98,6 +101,10 @@
   /** Receives each report and takes ownership of it; called on the traffic
       thread. */
   void (*on_report) (void *context, traffic_report_t *report);
+  /** Receives streams that began at this node, while several versions of a
+      service may serve; called on the traffic thread.
+      @param rows of stream_origin_row_t; takes ownership */
+  void (*on_origins) (void *context, GArray *rows);
   void *context;
 } traffic_options_t;
 
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -11,6 +11,7 @@
 #include "gateway/events.h"
 #include "gateway/resend_budget.h"
 #include "gateway/response_memory.h"
+#include "gateway/service_versions.h"
 #include "gateway/traffic.h"
 #include "gateway/usage_count.h"
 
@@ -39,6 +40,11 @@
   placer_t *placer;
   quota_t *quota;
   quarantine_t *quarantine;
+  service_versions_t *versions;
+  stream_origins_t *origins;
+  uint64_t origins_told;     /* last row given to on_origins() */
+  gs_time_t stream_time_max; /* longest time that a caller of a stream that
+                                may be resumed was seen to wait */
   response_memory_t response_memory;
   GHashTable *services; /* service name -> traffic_service_t */
   usage_count_t *usage;
@@ -61,6 +67,10 @@
 /** @return the limits on resends, which hold for all nodes together. */
 resend_bounds_t traffic_resend_bounds (const traffic_t *traffic);
 
+/** @return how long ago a stream that a caller resumes may have begun at
+    most */
+gs_time_t traffic_stream_lookback (const traffic_t *traffic);
+
 /** Accept a request; called on the traffic thread. */
 void relay_start (traffic_t *traffic, gs_exchange_t *exchange);
 
--- a/tests/test_peer_message.c
+++ b/tests/test_peer_message.c
@@ -42,6 +42,7 @@
                                 .age_ms = 250 };
 
   quarantine_key_row_t key = { .key = UINT64_MAX, .age_ms = 5 };
+  stream_origin_row_t origin = { UINT64_MAX, 77, 12000 };
 
   fill_report (report, 3);
   g_strlcpy (message->self.name, "self", sizeof message->self.name);
@@ -56,6 +57,8 @@
   g_array_append_val (message->statuses, status);
   g_array_append_val (message->statements, statement);
   g_array_append_val (message->quarantine.keys, key);
+  message->origins.last = 4711;
+  g_array_append_val (message->origins.rows, origin);
   aggregate_add_report (&message->aggregate, report, true);
   traffic_report_free (report);
 }
@@ -107,6 +110,12 @@
       CU_ASSERT_EQUAL (
           g_array_index (decoded.quarantine.keys, quarantine_key_row_t, 0).key,
           UINT64_MAX);
+      CU_ASSERT_EQUAL (decoded.origins.last, 4711);
+      CU_ASSERT_EQUAL_FATAL (decoded.origins.rows->len, 1);
+      CU_ASSERT_EQUAL (memcmp (decoded.origins.rows->data,
+                               sent.origins.rows->data,
+                               sizeof (stream_origin_row_t)),
+                       0);
       CU_ASSERT_EQUAL (decoded.aggregate.nodes, 1);
       CU_ASSERT_EQUAL (decoded.aggregate.usage->len, with_usage);
       CU_ASSERT_EQUAL (decoded.aggregate.demand->len, 1);
@@ -121,8 +130,8 @@
     }
 }
 
-/* Messages of earlier versions end after the aggregate, or after statements
-   and usage window.  */
+/* Messages of earlier versions end after the aggregate, after statements and
+   usage window, or after the quarantine.  */
 static void
 messages_of_earlier_versions_are_accepted (void)
 {
@@ -130,7 +139,7 @@
   {
     guint8 elements;
     guint bytes_less;
-  } versions[] = { { 16, 4 }, { 18, 2 } };
+  } versions[] = { { 16, 8 }, { 18, 6 }, { 20, 4 } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
     {
@@ -143,14 +152,17 @@
       fill_message (&sent);
       g_array_set_size (sent.statements, 0);
       g_array_set_size (sent.quarantine.keys, 0);
+      g_array_set_size (sent.origins.rows, 0);
+      sent.origins.last = 0;
       sent.usage_window = 0;
       bytes = encode (&sent, true);
-      /* An array of 20 elements, the last four of them an empty array, 0, and
-         two empty arrays.  */
+      /* An array of 24 elements, the last eight of them an empty array, 0,
+         two empty arrays, 0, 0, 0, and an empty array.  */
       CU_ASSERT_EQUAL_FATAL (bytes->data[0], 0xdc);
-      CU_ASSERT_EQUAL_FATAL (bytes->data[2], 20);
+      CU_ASSERT_EQUAL_FATAL (bytes->data[2], 24);
       CU_ASSERT_EQUAL_FATAL (
-          memcmp (bytes->data + bytes->len - 4, "\x90\0\x90\x90", 4), 0);
+          memcmp (bytes->data + bytes->len - 8, "\x90\0\x90\x90\0\0\0\x90", 8),
+          0);
       bytes->data[2] = versions[i].elements;
       CU_ASSERT_EQUAL (
           peer_message_decode (&decoded, (const char *)bytes->data,
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -442,7 +442,68 @@
     }
 }
 
+#define STREAM_TIME (12 * GS_SEC)
+
+static bool
+knows_stream (peers_world_t *world, unsigned node, uint64_t stream)
+{
+  uint64_t version;
+
+  return stream_origins_find (peers_origins (peers_world_peers (world, node)),
+                              peers_world_now (world), stream, &version)
+         && version == 5;
+}
+
+static void
+begin_stream (peers_world_t *world, unsigned node, uint64_t stream)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (stream_origin_row_t));
+  stream_origin_row_t row = { stream, 5, (uint64_t)(STREAM_TIME / GS_MSEC) };
+
+  g_array_append_val (rows, row);
+  peers_origins_add (peers_world_peers (world, node), peers_world_now (world),
+                     rows);
+  g_array_unref (rows);
+}
+
+/* Also a process that starts after a stream has begun must know it, and the
+   node where it began may have ended by then.  */
+static void
+the_version_that_began_a_stream_is_known_to_all_nodes (void)
+{
+  static const unsigned origin_sizes[] = { 2, 3, 5, 10, 30, 118, 372 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (origin_sizes); i++)
+    {
+      unsigned count = origin_sizes[i];
+      peers_world_t *world = make_world (count, 0);
+      unsigned missing = 0;
+
+      peers_world_run (world, SETTLE_TIME);
+      for (unsigned node = 0; node < count; node++)
+        begin_stream (world, node, node + 1);
+      peers_world_run (world, STATEMENT_TIMEOUT);
+      for (unsigned node = 0; node < count; node++)
+        for (unsigned begun = 0; begun < count; begun++)
+          missing += !knows_stream (world, node, begun + 1);
+      CU_ASSERT_EQUAL (missing, 0);
+      if (count > 2)
+        peers_world_kill (world, 1);
+      peers_world_kill (world, 0);
+      peers_world_run (world, GS_SEC);
+      peers_world_start (world, 0);
+      peers_world_run (world, 2 * GS_SEC);
+      for (unsigned begun = 0; begun < count; begun++)
+        missing += !knows_stream (world, 0, begun + 1);
+      printf ("\n  %u nodes: %u streams unknown ", count, missing);
+      CU_ASSERT_EQUAL (missing, 0);
+      peers_world_destroy (world);
+    }
+}
+
 static const check_case_t cases[] = {
+  { "the version that began a stream is known to all nodes",
+    the_version_that_began_a_stream_is_known_to_all_nodes },
   { "a lost request is known to all nodes",
     a_lost_request_is_known_to_all_nodes },
   { "a statement of a replica reaches all nodes",
--- a/tests/test_placer.c
+++ b/tests/test_placer.c
@@ -603,7 +603,41 @@
     }
 }
 
+static void
+a_stream_gets_replicas_of_its_version_only (void)
+{
+  gs_replica_list_t *list = make_list (REPLICAS);
+  gs_prompt_block_t blocks[3];
+  placer_query_t query = make_query (blocks, 7);
+  placer_choice_t choice;
+  placer_t *placer;
+
+  for (unsigned i = 0; i < REPLICAS; i++)
+    g_strlcpy (list->rows[i].version, i < 2 ? "v1" : "v2",
+               sizeof list->rows[i].version);
+  placer_create (&placer, 1);
+  placer_replicas_set (placer, GS_SEC, list);
+  query.version = placer_version_hash ("v1");
+  for (unsigned i = 0; i < 2 * SLOTS; i++)
+    {
+      placer_ticket_t ticket;
+
+      CU_ASSERT_EQUAL_FATAL (placer_pick (placer, GS_SEC, &query, &choice),
+                             GS_OK);
+      CU_ASSERT (choice.row < 2);
+      placer_attempt_begin (placer, GS_SEC, &query, &choice, &ticket);
+    }
+  CU_ASSERT_EQUAL (placer_pick (placer, GS_SEC, &query, &choice), GS_ELIMIT);
+  query.version = placer_version_hash ("v3");
+  CU_ASSERT_EQUAL (placer_pick (placer, GS_SEC, &query, &choice),
+                   GS_ENOTFOUND);
+  placer_destroy (placer);
+  gs_replica_list_unref (list);
+}
+
 static const check_case_t cases[] = {
+  { "a stream gets replicas of its version only",
+    a_stream_gets_replicas_of_its_version_only },
   { "a statement binds only the process that made it",
     a_statement_binds_only_the_process_that_made_it },
   { "a limit of any value survives the way to other nodes",
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -56,11 +56,14 @@
   gs_request_headers_t request = read_request (
       "X-Attempt-Id: abc\r\nX-Token-Counts: 13700,1122\r\n"
       "X-Length-Hint: 400\r\nX-Deadline-Ms: 12000\r\nX-Api-Key: k\r\n"
+      "Last-Event-Id: 9\r\nResumes: ab3\r\n"
       "X-Prompt-Prefix: 4f975b232a5d:704,43f7fdf693ff:8230,"
       "14aef4bb5e25:4766\r\n");
 
   CU_ASSERT_STRING_EQUAL (request.id, "abc");
   CU_ASSERT_STRING_EQUAL (request.key, "k");
+  CU_ASSERT_STRING_EQUAL (request.resumes, "ab3");
+  CU_ASSERT_EQUAL (request.resume_after, 9);
   CU_ASSERT_EQUAL (request.timeout, 12 * GS_SEC);
   CU_ASSERT_TRUE (request.has_token_counts);
   CU_ASSERT_EQUAL (request.prompt_tokens, 13700);
@@ -99,6 +102,34 @@
   return status;
 }
 
+static void
+versions_of_replicas_are_told_apart (void)
+{
+#define ENTRY_OF_VERSION(VERSION)                                             \
+  "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","          \
+  "\"slots\":1,\"state\":\"ready\"" VERSION "}"
+#define LONG_VERSION                                                          \
+  "0123456789012345678901234567890123456789012345678901234567890123456789"    \
+  "0123456789012345678901234567890123456789012345678901234567890123456789"
+  static const char *const entries[] = {
+    ENTRY_OF_VERSION (""),
+    ENTRY_OF_VERSION (",\"version\":\"v1\""),
+    ENTRY_OF_VERSION (",\"version\":\"v1.1\""),
+    ENTRY_OF_VERSION (",\"version\":1"),
+    ENTRY_OF_VERSION (",\"version\":2"),
+    ENTRY_OF_VERSION (",\"version\":\"" LONG_VERSION "\""),
+    ENTRY_OF_VERSION (",\"version\":\"" LONG_VERSION "1\""),
+  };
+  gs_replica_t replicas[G_N_ELEMENTS (entries)];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (entries); i++)
+    {
+      CU_ASSERT_EQUAL (decode_replica (&replicas[i], entries[i]), GS_OK);
+      for (size_t j = 0; j < i; j++)
+        CU_ASSERT_STRING_NOT_EQUAL (replicas[i].version, replicas[j].version);
+    }
+}
+
 static void
 a_replica_entry_is_decoded (void)
 {
@@ -470,6 +501,8 @@
 }
 
 static const check_case_t cases[] = {
+  { "versions of replicas are told apart",
+    versions_of_replicas_are_told_apart },
   { "a watch with a long response ends whole or says that it did not",
     a_watch_with_a_long_response_ends_whole_or_says_that_it_did_not },
   { "what a replica says in a rejection is read",
