gateway: log whether a lost attempt went over a kept connection

Attempts of a node that is cut from its replicas fail in different ways on new and on kept connections; the log did not tell which of the two was lost.

--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -69,6 +69,8 @@
   const char *content_type; /**< "" if none */
   const char *reason;       /**< why there is no complete response, "" if there
                                  is one */
+  bool kept_connection;     /**< the request was sent on a connection that an
+                                 earlier one had opened */
 } gs_http_result_t;
 
 /** Receives a part of the response body.
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -465,6 +465,7 @@
   const gs_response_head_t *head = &relay->head;
 
   relay->call = NULL;
+  relay->kept_connection = result->kept_connection;
   if (result->status != GS_OK || !head->complete || relay->response_mismatched)
     handle_lost_attempt (relay, now, result);
   else if (head->not_run)
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -34,6 +34,7 @@
   gs_response_head_t head;
   bool response_mismatched; /* the response answers another attempt */
   bool response_too_large;
+  bool kept_connection;   /* the attempt went over one that was open before */
   size_t buffered;        /* bytes taken from the memory for responses */
   bool attempt_responded; /* the first event or the whole response is here */
   GString *body;
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -305,7 +305,10 @@
                                             ? "Head is too large"
                                             : curl_easy_strerror (code) };
   char *content_type = NULL;
+  long connects = 1;
 
+  curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &connects);
+  result.kept_connection = connects == 0;
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
   curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &content_type);
   if (content_type != NULL)
