tests: nodes that are cut from all replicas

Three gateways with a path of their own to each replica, which refuses, resets, hangs or stays silent for one gateway, or hangs for two of them.

--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -181,6 +181,21 @@
     }
 }
 
+void
+gw_paths_create (gateway_world_t *world)
+{
+  for (unsigned i = 0; i < WORLD_GATEWAYS_MAX; i++)
+    for (unsigned j = 0; j < world->replica_count; j++)
+      raw_proxy_create (&world->paths[i][j], world->replicas[j].port);
+}
+
+void
+gw_paths_set_mode (gateway_world_t *world, unsigned gateway, proxy_mode_t mode)
+{
+  for (unsigned i = 0; i < world->replica_count; i++)
+    raw_proxy_set_mode (world->paths[gateway][i], mode);
+}
+
 static void
 ports_reserve (world_gateway_t *gateway, unsigned host)
 {
@@ -510,6 +525,9 @@
     gw_signal (world, i, SIGKILL);
   for (unsigned i = 0; i < WORLD_GATEWAYS_MAX; i++)
     raw_server_destroy (world->stores[i].server);
+  for (unsigned i = 0; i < WORLD_GATEWAYS_MAX; i++)
+    for (unsigned j = 0; j < world->replica_count; j++)
+      raw_proxy_destroy (world->paths[i][j]);
   raw_server_destroy (world->provider);
   for (unsigned i = 0; i < world->replica_count; i++)
     raw_server_destroy (world->replicas[i].server);
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -8,6 +8,7 @@
 #define GS_TESTS_GATEWAY_WORLD_H
 
 #include "raw_http.h"
+#include "raw_proxy.h"
 #include "reserved_port.h"
 
 #include <jansson.h>
@@ -112,6 +113,9 @@
   raw_server_t *provider;
   world_replica_t replicas[WORLD_REPLICAS_MAX];
   unsigned replica_count;
+  /* Between a gateway and a replica; NULL unless gw_paths_create() was called.
+   */
+  raw_proxy_t *paths[WORLD_GATEWAYS_MAX][WORLD_REPLICAS_MAX];
   const char *crash_part; /* see gw_crash_part_set() */
   const char *crash_body; /* see gw_crash_body_set() */
   GArray *crashes;        /* of gs_time_t: when replicas crashed */
@@ -123,6 +127,14 @@
     @param replicas at most WORLD_REPLICAS_MAX */
 void gw_create (gateway_world_t *world, unsigned replicas);
 
+/** Give each gateway a path of its own to each replica.  To be called before
+    gateways are started. */
+void gw_paths_create (gateway_world_t *world);
+
+/** Set how the paths of a gateway to all replicas behave. */
+void gw_paths_set_mode (gateway_world_t *world, unsigned gateway,
+                        proxy_mode_t mode);
+
 /** Kill the gateways, stop the platform and remove their files, unless
     GS_KEEP_LOGS is set. */
 void gw_destroy (gateway_world_t *world);
--- a/tests/raw_http.c
+++ b/tests/raw_http.c
@@ -14,6 +14,9 @@
 #define BLOCK_BYTES 16384
 #define LISTEN_BACKLOG_MAX 64
 
+/* More than a backlog of one connection holds.  */
+#define FILLERS_COUNT 4
+
 struct raw_server
 {
   int fd;
@@ -25,6 +28,9 @@
   pthread_cond_t conn_ended;
   GHashTable *fds; /* of open connections */
   bool stopping;
+  bool hung; /* accepts no connections */
+  pthread_cond_t unhung;
+  int fillers[FILLERS_COUNT]; /* take the listener's backlog while it hangs */
 };
 
 typedef struct
@@ -250,6 +256,10 @@
 
       if (fd < 0)
         return NULL;
+      pthread_mutex_lock (&server->lock);
+      while (server->hung && !server->stopping)
+        pthread_cond_wait (&server->unhung, &server->lock);
+      pthread_mutex_unlock (&server->lock);
       accepted = g_new (server_conn_t, 1);
       *accepted = (server_conn_t){ server, fd };
       pthread_mutex_lock (&server->lock);
@@ -294,6 +304,7 @@
   server->fds = g_hash_table_new (NULL, NULL);
   pthread_mutex_init (&server->lock, NULL);
   pthread_cond_init (&server->conn_ended, NULL);
+  pthread_cond_init (&server->unhung, NULL);
   server_listen (server, 0);
   *out = server;
 }
@@ -341,11 +352,58 @@
   server_listen (server, server->port);
 }
 
+void
+raw_server_refuse (raw_server_t *server)
+{
+  shutdown (server->fd, SHUT_RDWR);
+}
+
+/* Connections that come while the backlog is full get no answer.  */
+static void
+backlog_fill (raw_server_t *server)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (server->port) };
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  listen (server->fd, 0);
+  for (unsigned i = 0; i < FILLERS_COUNT; i++)
+    {
+      server->fillers[i]
+          = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      (void)connect (server->fillers[i], (struct sockaddr *)&address,
+                     sizeof address);
+    }
+}
+
+void
+raw_server_hang (raw_server_t *server, bool hung)
+{
+  pthread_mutex_lock (&server->lock);
+  if (hung == server->hung)
+    {
+      pthread_mutex_unlock (&server->lock);
+      return;
+    }
+  server->hung = hung;
+  pthread_cond_broadcast (&server->unhung);
+  pthread_mutex_unlock (&server->lock);
+  if (hung)
+    {
+      backlog_fill (server);
+      return;
+    }
+  for (unsigned i = 0; i < FILLERS_COUNT; i++)
+    close (server->fillers[i]);
+  listen (server->fd, LISTEN_BACKLOG_MAX);
+}
+
 void
 raw_server_destroy (raw_server_t *server)
 {
   if (server == NULL)
     return;
+  raw_server_hang (server, false);
   shutdown (server->fd, SHUT_RDWR);
   pthread_join (server->thread, NULL);
   close (server->fd);
@@ -354,6 +412,7 @@
   while (g_hash_table_size (server->fds) > 0)
     pthread_cond_wait (&server->conn_ended, &server->lock);
   pthread_mutex_unlock (&server->lock);
+  pthread_cond_destroy (&server->unhung);
   pthread_cond_destroy (&server->conn_ended);
   pthread_mutex_destroy (&server->lock);
   g_hash_table_unref (server->fds);
--- a/tests/raw_http.h
+++ b/tests/raw_http.h
@@ -80,6 +80,15 @@
     exits if that fails. */
 void raw_server_restart (raw_server_t *server);
 
+/** Refuse new connections from now on; open ones stay.  Ended by
+    raw_server_restart(). */
+void raw_server_refuse (raw_server_t *server);
+
+/** Let new connections hang without an answer, as behind a partition; open
+    ones stay.
+    @param hung false to accept connections again */
+void raw_server_hang (raw_server_t *server, bool hung);
+
 /** Shut down the listener and all connections, and wait for the threads. */
 void raw_server_destroy (raw_server_t *server);
 
--- a/tests/raw_proxy.c
+++ b/tests/raw_proxy.c
@@ -29,7 +29,7 @@
   int mode = atomic_load (&proxy->mode);
   ssize_t count;
 
-  if (mode == PROXY_SILENT)
+  if (mode == PROXY_SILENT || mode == PROXY_HANG)
     return true;
   count = recv (from->fd, block, sizeof block, 0);
   if (count < 0 || (count == 0 && *dropped))
@@ -66,7 +66,7 @@
           raw_reset_on_close (client);
           break;
         }
-      if (mode == PROXY_SILENT)
+      if (mode == PROXY_SILENT || mode == PROXY_HANG)
         {
           g_usleep (POLL_INTERVAL_MSEC * 1000);
           continue;
@@ -100,7 +100,13 @@
 void
 raw_proxy_set_mode (raw_proxy_t *proxy, proxy_mode_t mode)
 {
-  atomic_store (&proxy->mode, (int)mode);
+  int before = atomic_exchange (&proxy->mode, (int)mode);
+
+  raw_server_hang (proxy->server, mode == PROXY_HANG);
+  if (mode == PROXY_REFUSE && before != PROXY_REFUSE)
+    raw_server_refuse (proxy->server);
+  else if (mode != PROXY_REFUSE && before == PROXY_REFUSE)
+    raw_server_restart (proxy->server);
 }
 
 void
--- a/tests/raw_proxy.h
+++ b/tests/raw_proxy.h
@@ -15,6 +15,8 @@
   PROXY_SILENT,       /* nothing is forwarded; connections stay open */
   PROXY_NO_RESPONSES, /* requests are forwarded, responses are dropped */
   PROXY_RESET,        /* connections are reset */
+  PROXY_HANG,         /* as PROXY_SILENT, and new connections get no answer */
+  PROXY_REFUSE,       /* new connections are refused, open ones go on */
   PROXY_MODE_COUNT
 } proxy_mode_t;
 
--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -158,15 +158,46 @@
 }
 
 static void
-send_json (raw_conn_t *conn, unsigned status, const char *era_header,
-           json_t *body)
+send_json (raw_conn_t *conn, unsigned status, json_t *body)
 {
   char *text = json_dumps (body, JSON_COMPACT);
 
   raw_printf (conn,
               "HTTP/1.1 %u X\r\nContent-Type: application/json\r\n"
-              "%sContent-Length: %zu\r\n\r\n%s",
-              status, era_header, strlen (text), text);
+              "Content-Length: %zu\r\n\r\n%s",
+              status, strlen (text), text);
+  free (text);
+  json_decref (body);
+}
+
+/* Replaces the addresses of replicas by those of the gateway's own paths.  */
+static void
+send_json_to_gateway (raw_conn_t *conn, const world_store_t *store,
+                      unsigned status, const char *era_header, json_t *body)
+{
+  const gateway_world_t *world = store->world;
+  char *text = json_dumps (body, JSON_COMPACT);
+  GString *out = g_string_new (text);
+
+  for (unsigned i = 0; i < world->replica_count; i++)
+    if (world->paths[store->gateway][i] != NULL)
+      {
+        char *from
+            = g_strdup_printf ("127.0.0.1:%u\"", world->replicas[i].port);
+        char *to = g_strdup_printf (
+            "127.0.0.1:%u\"",
+            raw_proxy_port (world->paths[store->gateway][i]));
+
+        g_string_replace (out, from, to, 0);
+        g_free (to);
+        g_free (from);
+      }
+  raw_printf (conn,
+              "HTTP/1.1 %u X\r\nContent-Type: application/json\r\n"
+              "%sContent-Length: %zu\r\n\r\n",
+              status, era_header, out->len);
+  raw_send (conn, out->str, out->len);
+  g_string_free (out, TRUE);
   free (text);
   json_decref (body);
 }
@@ -382,7 +413,7 @@
           return;
         }
       if (body != NULL)
-        send_json (conn, status, era_header, body);
+        send_json_to_gateway (conn, store, status, era_header, body);
       g_free (era_header);
       if (body == NULL)
         return;
@@ -412,6 +443,6 @@
       g_free (fence);
       g_free (holder);
       raw_message_clear (&request);
-      send_json (conn, 200, "", json_object ());
+      send_json (conn, 200, json_object ());
     }
 }
