gateway: an attempt is taken out of the load once

After a refused or lost attempt the request kept the row of its replica, so that the next one would avoid it. If it then waited in the queue and its caller disconnected, the attempt was ended a second time: the replica's count of requests went below zero, which reads as four billion, and the replica counted as full, at the other nodes too, for as long as the node ran. Found while requests were passed on to other nodes, which left the row in the same way.

process_gateway_replica, 'a caller that leaves the queue after a refusal takes no room', failed before: none of 3 later requests was answered; now all are.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -346,7 +346,6 @@
 resend_or_fail (relay_t *relay, gs_time_t now, bool arrived,
                 const char *reason)
 {
-  relay->avoid_row = relay->ticket.row;
   events_partial_discard (&relay->events);
   if (arrived ? reserve_resend (relay, now)
               : relay->attempts < ATTEMPTS_MAX
@@ -359,15 +358,14 @@
 static void
 handle_not_run (relay_t *relay, gs_time_t now)
 {
-  uint32_t row = relay->ticket.row;
   bool wrong_replica = relay->head.status == 421;
 
   relay->possible_runs--;
   relay_log_attempt (relay, "not_run",
                      wrong_replica ? "other_replica" : "replica_refused");
+  relay->avoid_row = relay->ticket.row;
   end_attempt (relay, now,
                wrong_replica ? PLACER_REPLICA_MISMATCH : PLACER_FULL);
-  relay->ticket.row = row;
   if (relay->head.status == 400)
     reply_with_error (relay, 400, "replica_rejected", 0);
   else
@@ -400,7 +398,6 @@
 handle_lost_attempt (relay_t *relay, gs_time_t now,
                      const gs_http_result_t *result)
 {
-  uint32_t row = relay->ticket.row;
   bool not_sent = result->status == GS_EUNREACHABLE;
   /* libcurl ends a transfer up to a millisecond before its deadline, so the
      reason comes from its status and not from the clock.  */
@@ -423,8 +420,8 @@
                      result->status == GS_OK || relay->response_too_large
                          ? reason
                          : result->reason);
+  relay->avoid_row = relay->ticket.row;
   end_attempt (relay, now, not_sent ? PLACER_UNREACHABLE : PLACER_FAILED);
-  relay->ticket.row = row;
   resend_or_fail (relay, now, !not_sent, reason);
 }
 
--- a/tests/test_process_gateway_replica.c
+++ b/tests/test_process_gateway_replica.c
@@ -224,7 +224,44 @@
   end_world ();
 }
 
+/* A request that its replica has rejected waits in the queue, and is no longer
+   counted at the replica when its caller disconnects.  */
+static void
+a_caller_that_leaves_the_queue_after_a_refusal_takes_no_room (void)
+{
+  raw_conn_t conns[WORLD_SLOTS];
+  char *answer;
+
+  start_gateway (1);
+  gw_replica_refuse (&world, 0, "0.3");
+  for (unsigned i = 0; i < WORLD_SLOTS; i++)
+    {
+      char *id = g_strdup_printf ("left-%u", i);
+
+      CU_ASSERT_TRUE_FATAL (gw_connect (&conns[i], &world, 0));
+      gw_send (&conns[i], "POST", "/a/free/good", id, "", "x");
+      g_free (id);
+    }
+  g_usleep (100000);
+  for (unsigned i = 0; i < WORLD_SLOTS; i++)
+    raw_close (&conns[i]);
+  g_usleep (500000);
+  gw_replica_refuse (&world, 0, NULL);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      char *id = g_strdup_printf ("later-%u", i);
+
+      answer = gw_request (&world, 0, "POST", "/a/free/good", id, "", "x");
+      CU_ASSERT_EQUAL (status_of (answer), 200);
+      g_free (answer);
+      g_free (id);
+    }
+  end_world ();
+}
+
 static const check_case_t cases[] = {
+  { "a caller that leaves the queue after a refusal takes no room",
+    a_caller_that_leaves_the_queue_after_a_refusal_takes_no_room },
   { "a replica that says that it leaves gets nothing from any node",
     a_replica_that_says_that_it_leaves_gets_nothing_from_any_node },
   { "a replica that wants nothing for a while gets nothing",
