gateway: a node that reaches no replica passes requests on to nodes that do

Cause: a node had no other way to replicas than its own connections, and took each one that it could not open for the fault of that replica. It tried up to four, half a second each, and refused; it did not know that it was the one that was cut off, so neither did the others and callers.

Now a failed connection, or silence of all replicas that should have answered, makes a node ask three replicas at once. If none answers it counts as cut off: it passes its callers' requests on to nodes that are not, in its data centre first, which treat them as their own callers' (account, limits, counts), tells them so in its digests, and is left out of the addresses that callers get. It goes on asking, and uses its own paths again after the first answer; replicas are no longer left out for what was its own cut. A request is passed on once, and refused at once where no node reaches replicas.

Ruled out: callers that are told of other nodes only (their kept connections stay); dead kept connections (225 of the log's attempts were not sent at all). Weighed: paths for requests between nodes of their own (another codec and another set of limits); not ready while cut off (a missed duty, and callers who come all the same are refused).

process_gateway_cut failed before: 20 of 40 requests served where new connections are refused, none of 40 where they hang, are reset or silent; now 39 or 40 of 40 in each of the five cases.

--- a/include/garnetstack/header_codec.h
+++ b/include/garnetstack/header_codec.h
@@ -41,13 +41,19 @@
   char resumes[GS_NAME_BYTES]; /**< id of the attempt that brought the first
                                     event of the stream that the caller
                                     resumes; "" if it resumes none */
+  bool from_node;              /**< another node passes the request on */
   unsigned block_count;
   gs_prompt_block_t blocks[GS_PROMPT_BLOCKS_MAX]; /**< in the prompt's order */
 } gs_request_headers_t;
 
-/** Headers that a node sets when it forwards a request to a replica. */
+/** Headers that a node sets when it forwards a request to a replica or to
+    another node. */
 typedef struct
 {
+  bool to_node;          /**< the receiver is a node, which gets the caller's
+                              headers and sets those for the replica itself */
+  const char *resumes;   /**< to a node with resume_after: the attempt that
+                              began the stream; else NULL */
   const char *replica;   /**< id of the replica that is to run the request */
   const char *account;   /**< name of the client account; NULL for none */
   gs_time_t deadline;    /**< when the replica stops running the request */
--- a/include/garnetstack/route_table.h
+++ b/include/garnetstack/route_table.h
@@ -65,6 +65,7 @@
 typedef struct
 {
   char *name;
+  char *health_path;        /**< of its health check; NULL if unknown */
   unsigned connections_max; /**< connections to one replica, of all nodes */
   bool engine;              /**< its replicas are model engines */
   unsigned slots;           /**< requests that an engine runs at once */
--- a/src/gateway/digest.h
+++ b/src/gateway/digest.h
@@ -39,6 +39,8 @@
   quarantine_rows_t quarantine; /**< empty from nodes of a version that sends
                                      none */
   stream_origins_part_t origins;
+  bool cut; /**< it reaches no replica; false from nodes of a version that does
+                 not say */
 } digest_t;
 
 /** Set up an empty digest, with an empty report and no members. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -111,6 +111,15 @@
          && report->can_serve;
 }
 
+/* @return whether this node reaches no replica  */
+static bool
+is_cut (const gateway_t *gateway)
+{
+  const traffic_report_t *report = duties_report (gateway->duties);
+
+  return report != NULL && report->cut;
+}
+
 static void
 reply_status (gs_exchange_t *exchange, unsigned status)
 {
@@ -133,6 +142,7 @@
 {
   const gateway_t *gateway = context;
   gs_endpoint_t endpoints[ADDRESSES_MAX];
+  gs_time_t now = gs_clock_now ();
   unsigned count = 0;
   char *text;
 
@@ -141,10 +151,18 @@
       reply_status (exchange, 404);
       return;
     }
-  if (is_ready (gateway))
+  if (is_ready (gateway) && !is_cut (gateway))
     endpoints[count++] = gateway->settings.caller_endpoint;
-  count += peers_live_addresses (gateway->peers, gs_clock_now (),
-                                 endpoints + count, ADDRESSES_MAX - count);
+  count += peers_live_addresses (gateway->peers, now, true, endpoints + count,
+                                 ADDRESSES_MAX - count);
+  /* Where no node reaches replicas, all are named.  */
+  if (count == 0)
+    {
+      count = peers_live_addresses (gateway->peers, now, false, endpoints,
+                                    ADDRESSES_MAX - 1);
+      if (is_ready (gateway))
+        endpoints[count++] = gateway->settings.caller_endpoint;
+    }
   if (count == 0)
     {
       reply_status (exchange, 503);
@@ -391,6 +409,7 @@
     .flags
     = (is_ready (gateway) ? PEER_READY : 0)
       | (gateway->leaving ? PEER_LEAVING : 0)
+      | (is_cut (gateway) ? PEER_CUT : 0)
       | (gateway->follows_store && !store_lost ? PEER_FOLLOWS_STORE : 0),
     .store_lost = store_lost,
     .config_revision
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -15,6 +15,8 @@
 #define PEER_LEAVING 2U       /**< its process is about to end */
 #define PEER_FOLLOWS_STORE 4U /**< it watches the store, which responds */
 
+#define PEER_CUT 8U /**< it reaches no replica */
+
 /** State of a node, as an aggregator of its data centre knows it. */
 typedef struct
 {
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -218,6 +218,7 @@
   out->ready = (state.flags & PEER_READY) != 0;
   out->leaving = (state.flags & PEER_LEAVING) != 0;
   out->follows_store = (state.flags & PEER_FOLLOWS_STORE) != 0;
+  out->cut = (state.flags & PEER_CUT) != 0;
   out->store_lost = state.store_lost;
   out->config_revision = state.config_revision;
   out->replicas_revision = state.replicas_revision;
@@ -354,6 +355,7 @@
       peer = record_heard (peers, now, &digest.self,
                            (digest.ready ? PEER_READY : 0)
                                | (digest.leaving ? PEER_LEAVING : 0)
+                               | (digest.cut ? PEER_CUT : 0)
                                | (digest.follows_store && !digest.store_lost
                                       ? PEER_FOLLOWS_STORE
                                       : 0));
@@ -967,6 +969,40 @@
   return false;
 }
 
+static bool
+reaches_replicas (const peers_t *peers, const peer_t *peer, gs_time_t now)
+{
+  uint32_t flags;
+
+  return accepts_requests (peers, peer, now)
+         && peers_is_live (peers, peer, now, &flags)
+         && (flags & PEER_CUT) == 0;
+}
+
+void
+peers_detours (const peers_t *peers, gs_time_t now, GArray *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  for (unsigned near = 2; near-- > 0;)
+    {
+      g_hash_table_iter_init (&iter, peers->by_name);
+      while (g_hash_table_iter_next (&iter, NULL, &value)
+             && out->len < TRAFFIC_DETOURS_MAX)
+        {
+          const peer_t *peer = value;
+          traffic_detour_t row
+              = { .endpoint = peer->member.callers, .near = near != 0 };
+          bool is_near = peer->data_centre == peers->data_centre
+                         && peers->data_centre != 0;
+
+          if (is_near == row.near && reaches_replicas (peers, peer, now))
+            g_array_append_val (out, row);
+        }
+    }
+}
+
 typedef struct
 {
   uint64_t order;
@@ -985,8 +1021,8 @@
 /* The order differs between nodes, so that all addresses are told to callers
    if one node may not tell them all.  */
 unsigned
-peers_live_addresses (const peers_t *peers, gs_time_t now, gs_endpoint_t *out,
-                      unsigned max)
+peers_live_addresses (const peers_t *peers, gs_time_t now, bool reaching,
+                      gs_endpoint_t *out, unsigned max)
 {
   GArray *live = g_array_new (FALSE, FALSE, sizeof (ordered_peer_t));
   GHashTableIter iter;
@@ -1000,7 +1036,8 @@
       uint64_t words[] = { peers->node, peer->node };
       ordered_peer_t row = { XXH3_64bits (words, sizeof words), peer };
 
-      if (accepts_requests (peers, peer, now))
+      if (reaching ? reaches_replicas (peers, peer, now)
+                   : accepts_requests (peers, peer, now))
         g_array_append_val (live, row);
     }
   g_array_sort (live, compare_order);
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -170,9 +170,11 @@
 /** Write the callers' addresses of other live nodes that accept requests.  If
     there are more than @p max, the choice differs between nodes but not over
     time.
+    @param reaching only those that reach replicas
     @return number of addresses written */
 unsigned peers_live_addresses (const peers_t *peers, gs_time_t now,
-                               gs_endpoint_t *out, unsigned max);
+                               bool reaching, gs_endpoint_t *out,
+                               unsigned max);
 
 /** @return the reports of the other live nodes, for traffic_peers_set(); freed
     with traffic_peers_free(). */
--- a/src/gateway/peers_fleet.c
+++ b/src/gateway/peers_fleet.c
@@ -648,6 +648,8 @@
   view->statements = statements_list (peers_statements_update (peers));
   quarantine_rows_init (&view->quarantine);
   peers_quarantine_export (peers, now, &view->quarantine);
+  view->detours = g_array_new (FALSE, FALSE, sizeof (traffic_detour_t));
+  peers_detours (peers, now, view->detours);
   view->origins = g_array_new (FALSE, FALSE, sizeof (stream_origin_row_t));
   peers->origins_viewed = stream_origins_export (
       peers->origins, now, peers->origins_viewed,
--- a/src/gateway/peers_private.h
+++ b/src/gateway/peers_private.h
@@ -181,6 +181,10 @@
    @return all known ones  */
 statements_t *peers_statements_update (const peers_t *peers);
 
+/* Append the nodes that accept requests and reach replicas.
+   @param out of traffic_detour_t  */
+void peers_detours (const peers_t *peers, gs_time_t now, GArray *out);
+
 /* Fill in the streams that a peer lacks.
    @param peer NULL for a node that is not known yet
    @param sources of the streams that are sent to it, as flags; to a process
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -702,6 +702,41 @@
   ticket->row = PLACER_ROW_NONE;
 }
 
+unsigned
+placer_sample (placer_t *placer, unsigned max, uint32_t *rows)
+{
+  unsigned count = 0;
+  unsigned seen = 0;
+
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      const replica_row_t *row = placer_row (placer, i);
+      uint64_t place;
+
+      if (!placer_row_is_usable (row, GS_TIME_NEVER, row->replica.service))
+        continue;
+      /* Reservoir sampling.  */
+      place = count < max ? count++ : gs_rng_below (&placer->rng, seen + 1);
+      if (place < max)
+        rows[place] = i;
+      seen++;
+    }
+  return count;
+}
+
+void
+placer_ejections_clear (placer_t *placer)
+{
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      replica_row_t *row = placer_row (placer, i);
+
+      row->ejected_until = 0;
+      row->ejections = 0;
+      row->failures = 0;
+    }
+}
+
 const gs_replica_t *
 placer_replica (const placer_t *placer, uint32_t row)
 {
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -181,6 +181,15 @@
 void placer_attempt_end (placer_t *placer, gs_time_t now,
                          placer_ticket_t *ticket, placer_outcome_t outcome);
 
+/** Draw replicas of any service that take requests, ejected ones included.
+    @param rows receives up to @p max different rows
+    @return their number */
+unsigned placer_sample (placer_t *placer, unsigned max, uint32_t *rows);
+
+/** End all ejections: this node could not reach any replica, so none is to
+    blame. */
+void placer_ejections_clear (placer_t *placer);
+
 /** @return the replica of a row, owned by the placer and valid until the next
     placer_replicas_set(); its id is "" if the replica is no longer listed and
     no attempt runs there */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -183,11 +183,17 @@
   if (relay->attempt_responded)
     return;
   relay->attempt_responded = true;
+  if (relay->first_response_at == 0)
+    relay->first_response_at = now;
+  /* Another node knows the replica, and counts the request.  */
+  if (relay->detoured)
+    {
+      relay->resumed |= is_stream (relay);
+      return;
+    }
   if (relay->route->resend_policy == GS_RESEND_RESUME && is_stream (relay))
     relay->version = placer_version_hash (relay->replica_version);
   placer_first_event_record (relay->traffic->placer, now, &relay->ticket);
-  if (relay->first_response_at == 0)
-    relay->first_response_at = now;
   if (!relay->usage_counted && relay->account != NULL)
     usage_count_add (relay->traffic->usage, gs_clock_monotonic_wall (),
                      relay->account->name);
@@ -206,7 +212,7 @@
   traffic_t *traffic = relay->traffic;
   gs_time_t now = gs_clock_now ();
 
-  if (head->status == 421)
+  if (head->status == 421 || relay->detoured)
     return;
   if (head->status == 503 && head->retry_after > 0)
     statement.refused_until = now + head->retry_after;
@@ -222,13 +228,15 @@
 {
   relay_t *relay = context;
 
+  if (!relay->detoured)
+    relay->traffic->replica_heard_at = gs_clock_now ();
   /* Trailers follow the body; they do not change what the head says.  */
   if (relay->head.complete)
     return true;
   relay->traffic->options.header_codec->read_line (&relay->head, line, length);
   if (!relay->head.complete)
     return true;
-  if (relay->head.keep_alive_seconds != 0)
+  if (relay->head.keep_alive_seconds != 0 && !relay->detoured)
     relay->service->keep_alive_seconds = relay->head.keep_alive_seconds;
   /* A late response to an earlier request on the same connection carries
      that request's attempt id.  */
@@ -238,7 +246,7 @@
   if (!relay->response_mismatched)
     {
       record_statement (relay);
-      if (relay->head.status != 421)
+      if (relay->head.status != 421 && !relay->detoured)
         relay_quarantine_alive (relay, gs_clock_now ());
     }
   return !relay->response_mismatched;
@@ -303,6 +311,8 @@
   relay_t *relay = context;
   GString *complete;
 
+  if (!relay->detoured)
+    relay->traffic->replica_heard_at = gs_clock_now ();
   if (!is_stream (relay))
     {
       if (!set_buffered (relay, relay->body->len + length))
@@ -413,7 +423,9 @@
 
   if (not_sent)
     relay->possible_runs--;
-  if (!relay->response_mismatched
+  if (!relay->detoured && (not_sent || result->status == GS_EUNKNOWN))
+    replica_reach_doubt (&relay->traffic->reach);
+  if (!relay->response_mismatched && !relay->detoured
       && (result->status == GS_EUNKNOWN || has_partial_event (relay)))
     relay_quarantine_lost (relay, now);
   relay_log_attempt (relay, not_sent ? "not_sent" : "unknown",
@@ -439,7 +451,7 @@
 
   record_response (relay);
   end_attempt (relay, now, status >= 500 ? PLACER_FAILED : PLACER_SUCCEEDED);
-  if (is_success (&relay->head) && relay->head.framed)
+  if (is_success (&relay->head) && relay->head.framed && !relay->detoured)
     relay_quarantine_answered (relay, now);
   relay_log_end (relay, now, "answered", status, "replica_answered");
   if (is_stream (relay))
@@ -454,6 +466,28 @@
   relay_free (relay);
 }
 
+/* Ends or resends a request that another node has ended with an answer of its
+   own, whose statuses promise as much as those of this node.  */
+static void
+handle_node_answer (relay_t *relay, gs_time_t now)
+{
+  unsigned status = relay->head.status;
+  bool not_run = status < 500 || status == 503;
+  bool may_try_again = status >= 500 && relay->detours < RELAY_DETOURS_MAX
+                       && relay->head.retry_after == 0;
+
+  relay_log_attempt (relay, not_run ? "not_run" : "unknown", "node_answered");
+  relay->possible_runs -= not_run;
+  if (may_try_again
+      && (not_run ? now + RESEND_TIME_LEFT_MIN < relay->deadline
+                  : reserve_resend (relay, now)))
+    dispatch_request (relay, now);
+  else if (relay->possible_runs > 0)
+    fail_request (relay, now, "node_failed");
+  else
+    reply_with_error (relay, status, "node_rejected", relay->head.retry_after);
+}
+
 static void
 on_done (void *context, const gs_http_result_t *result)
 {
@@ -465,6 +499,8 @@
   relay->kept_connection = result->kept_connection;
   if (result->status != GS_OK || !head->complete || relay->response_mismatched)
     handle_lost_attempt (relay, now, result);
+  else if (relay->detoured && !head->is_signed && !is_success (head))
+    handle_node_answer (relay, now);
   else if (head->not_run)
     handle_not_run (relay, now);
   else if (head->encoded || (is_success (head) && !head->is_signed)
@@ -503,6 +539,78 @@
   };
 }
 
+static void
+reset_attempt (relay_t *relay, gs_time_t now)
+{
+  relay->sent_at = now;
+  relay->attempts++;
+  relay->possible_runs++;
+  relay->attempt_responded = false;
+  relay->response_mismatched = false;
+  gs_response_head_clear (&relay->head);
+  gs_response_head_init (&relay->head);
+  g_string_truncate (relay->body, 0);
+  relay->response_too_large = false;
+  set_buffered (relay, 0);
+}
+
+/* Starts the attempt that reset_attempt() has set up.  */
+static void
+start_attempt (relay_t *relay, gs_time_t now, const char *url, char **headers,
+               gs_http_request_t *request)
+{
+  size_t length;
+  const char *body = gs_exchange_body (relay->exchange, &length);
+
+  request->method = gs_exchange_method (relay->exchange);
+  request->url = url;
+  request->target = gs_exchange_target (relay->exchange);
+  request->headers = (const char *const *)headers;
+  if (length > 0 || strcmp (request->method, "POST") == 0
+      || strcmp (request->method, "PUT") == 0)
+    request->body = body;
+  request->body_length = length;
+  request->deadline = relay->deadline;
+  request->connect_deadline = MIN (now + CONNECT_TIMEOUT, relay->deadline);
+  request->no_resend = true;
+  request->tcp_keepalive = true;
+  request->on_line = on_header_line;
+  request->on_data = on_body_data;
+  request->on_done = on_done;
+  request->context = relay;
+  gs_loop_http (&relay->call, relay->traffic->loop, request);
+}
+
+/* Passes a request on to another node, which treats it as one of its own
+   callers'.  */
+static void
+send_to_node (relay_t *relay, gs_time_t now)
+{
+  const gs_endpoint_t *endpoint = relay_detour_choose (relay);
+  gs_forward_headers_t extra = { .to_node = true,
+                                 .deadline = relay->deadline,
+                                 .resume_after = relay->events.last_id };
+  gs_http_request_t request = GS_HTTP_REQUEST_INIT;
+  char *url = g_strdup_printf ("http://%s:%u/", endpoint->host,
+                               (unsigned)endpoint->port);
+  char **headers;
+
+  if (extra.resume_after != 0 && relay->request.resumes[0] == '\0')
+    extra.resumes = relay->request.id;
+  headers = relay->traffic->options.header_codec->write_headers (
+      relay->exchange, &extra);
+  relay_detour_charge_cancel (relay, now);
+  relay->detoured = true;
+  reset_attempt (relay, now);
+  g_strlcpy (relay->replica_id, "-", sizeof relay->replica_id);
+  relay->replica_version[0] = '\0';
+  relay_log_detour (relay, now);
+  request.new_connection = relay->route->resend_policy == GS_RESEND_NEVER;
+  start_attempt (relay, now, url, headers, &request);
+  g_free (url);
+  g_strfreev (headers);
+}
+
 static void
 send_request (relay_t *relay, gs_time_t now, const placer_query_t *query)
 {
@@ -519,8 +627,6 @@
   char **headers = relay->traffic->options.header_codec->write_headers (
       relay->exchange, &extra);
   char *url = g_strdup_printf ("http://%s/", replica->address);
-  size_t length;
-  const char *body = gs_exchange_body (relay->exchange, &length);
   unsigned keep_alive = relay->service->keep_alive_seconds;
 
   placer_attempt_begin (relay->traffic->placer, now, query, &relay->choice,
@@ -532,42 +638,33 @@
              sizeof relay->replica_version);
   relay->process = placer_process_hash (replica);
   relay_origin_record (relay, now);
-  relay->sent_at = now;
-  relay->attempts++;
-  relay->possible_runs++;
-  relay->attempt_responded = false;
-  relay->response_mismatched = false;
-  gs_response_head_clear (&relay->head);
-  gs_response_head_init (&relay->head);
-  g_string_truncate (relay->body, 0);
-  relay->response_too_large = false;
-  set_buffered (relay, 0);
+  relay->detoured = false;
+  reset_attempt (relay, now);
   relay_log_placement (relay, now);
-  request.method = gs_exchange_method (relay->exchange);
-  request.url = url;
-  request.target = gs_exchange_target (relay->exchange);
-  request.headers = (const char *const *)headers;
-  if (length > 0 || strcmp (request.method, "POST") == 0
-      || strcmp (request.method, "PUT") == 0)
-    request.body = body;
-  request.body_length = length;
-  request.deadline = relay->deadline;
-  request.connect_deadline = MIN (now + CONNECT_TIMEOUT, relay->deadline);
-  request.no_resend = true;
-  request.tcp_keepalive = true;
   if (keep_alive >= KEEP_ALIVE_SECONDS_MIN)
     request.idle_seconds_max = keep_alive - 2;
   else if (relay->route->resend_policy == GS_RESEND_NEVER)
     request.new_connection = true;
-  request.on_line = on_header_line;
-  request.on_data = on_body_data;
-  request.on_done = on_done;
-  request.context = relay;
-  gs_loop_http (&relay->call, relay->traffic->loop, &request);
+  start_attempt (relay, now, url, headers, &request);
   g_free (url);
   g_strfreev (headers);
 }
 
+/* Ends a request that another node has passed on and that would be passed on
+   again.
+   @return false, without ending it, if it is none  */
+static bool
+reject_if_cut (relay_t *relay, gs_time_t now)
+{
+  if (!relay->request.from_node || !relay->traffic->reach.cut)
+    return false;
+  if (relay->possible_runs == 0)
+    reply_with_error (relay, 503, "cut_from_replicas", 0);
+  else
+    fail_request (relay, now, "cut_from_replicas");
+  return true;
+}
+
 static void
 reject_for_capacity (relay_t *relay, gs_time_t now, const char *reason)
 {
@@ -627,8 +724,13 @@
   placer_query_t query;
   gs_status_t status;
 
-  if (reject_if_quarantined (relay, now))
+  if (reject_if_quarantined (relay, now) || reject_if_cut (relay, now))
     return;
+  if (relay_detour_applies (relay))
+    {
+      send_to_node (relay, now);
+      return;
+    }
   if (!relay_origin_is_known (relay, now))
     {
       await_origin (relay, now);
@@ -658,8 +760,14 @@
       placer_query_t query;
 
       next = link->next;
-      if (reject_if_quarantined (relay, now))
+      if (reject_if_quarantined (relay, now) || reject_if_cut (relay, now))
         continue;
+      if (relay_detour_applies (relay))
+        {
+          relay_queue_remove (relay);
+          send_to_node (relay, now);
+          continue;
+        }
       if (!relay_origin_is_known (relay, now))
         {
           await_origin (relay, now);
@@ -770,7 +878,9 @@
   relay->service_config = relay_service_choose (relay);
   relay->service
       = traffic_service_ensure (traffic, relay->service_config->name);
-  resend_budget_request_record (&relay->service->budget, now);
+  /* The node that passes a request on has counted it.  */
+  if (!relay->request.from_node)
+    resend_budget_request_record (&relay->service->budget, now);
   if (is_past_leave_period (traffic, now))
     reply_with_error (relay, 503, "node_leaving", LEAVING_RETRY_DELAY);
   else if (reject_if_quarantined (relay, now))
@@ -779,7 +889,7 @@
     reply_with_error (relay, 429, "account_limit", retry_after);
   else
     {
-      relay->service->demand.requests++;
+      relay->service->demand.requests += !relay_detour_applies (relay);
       dispatch_request (relay, now);
     }
 }
--- a/src/gateway/relay_log.c
+++ b/src/gateway/relay_log.c
@@ -183,6 +183,23 @@
       elapsed_msec (traffic->peers_updated_at, now), traffic->members);
 }
 
+void
+relay_log_detour (const relay_t *relay, gs_time_t now)
+{
+  gs_log_value_t id;
+
+  gs_log_routine ("detour",
+                  "id=%s route=%s service=%s node=%s:%u send=%u nodes=%u"
+                  " cut_ms=%lld left_ms=%lld resume_after=%llu",
+                  gs_log_quote (&id, relay->request.id), relay->route->name,
+                  relay->service->name, relay->detour.host,
+                  (unsigned)relay->detour.port, relay->attempts,
+                  relay->traffic->detours->len,
+                  elapsed_msec (relay->traffic->reach.cut_at, now),
+                  elapsed_msec (now, relay->deadline),
+                  (unsigned long long)relay->events.last_id);
+}
+
 void
 relay_log_attempt (const relay_t *relay, const char *outcome,
                    const char *reason)
--- a/src/gateway/relay_origin.c
+++ b/src/gateway/relay_origin.c
@@ -25,13 +25,14 @@
 relay_origin_is_known (relay_t *relay, gs_time_t now)
 {
   traffic_t *traffic = relay->traffic;
+  const char *begun = relay->request.resumes[0] != '\0'
+                          ? relay->request.resumes
+                          : relay->request.id;
 
   if (!relay->resumed || relay->version != 0)
     return true;
-  if (relay->request.resumes[0] != '\0'
-      && stream_origins_find (traffic->origins, now,
-                              stream_origins_hash (relay->request.resumes),
-                              &relay->version))
+  if (stream_origins_find (traffic->origins, now, stream_origins_hash (begun),
+                           &relay->version))
     return true;
   return service_versions_get_single (
       traffic->versions, now, relay->service->name,
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -10,6 +10,9 @@
 
 #include "gateway/traffic_private.h"
 
+/** Nodes that a request is passed on to, one after the other. */
+#define RELAY_DETOURS_MAX 3
+
 struct relay
 {
   traffic_t *traffic;
@@ -34,6 +37,7 @@
   gs_response_head_t head;
   bool response_mismatched; /* the response answers another attempt */
   bool response_too_large;
+  bool detoured;          /* the attempt goes to another node */
   bool kept_connection;   /* the attempt went over one that was open before */
   size_t buffered;        /* bytes taken from the memory for responses */
   bool attempt_responded; /* the first event or the whole response is here */
@@ -41,6 +45,8 @@
   events_splitter_t events;
   /* State across attempts. */
   unsigned attempts;         /* the current one included */
+  unsigned detours;          /* attempts at other nodes */
+  gs_endpoint_t detour;      /* the last one */
   unsigned possible_runs;    /* attempts that ran or may have run */
   bool resumed;              /* the caller resumes a stream */
   uint64_t version;          /* software version that began the stream; 0 if it
@@ -109,6 +115,17 @@
 /** Record that the chosen replica is to begin a stream, if it is a new one. */
 void relay_origin_record (relay_t *relay, gs_time_t now);
 
+/** @return whether a request is to be passed on to another node: this one
+    reaches no replica, and the request comes from a caller. */
+bool relay_detour_applies (const relay_t *relay);
+
+/** Draw the node that a request is passed on to.  @return its endpoint, owned
+    by @p relay */
+const gs_endpoint_t *relay_detour_choose (relay_t *relay);
+
+/** Take back what a request that is passed on was charged. */
+void relay_detour_charge_cancel (relay_t *relay, gs_time_t now);
+
 /** Set the fingerprint of a request whose account is known. */
 void relay_fingerprint_set (relay_t *relay);
 
@@ -128,6 +145,9 @@
     of that data. */
 void relay_log_placement (const relay_t *relay, gs_time_t now);
 
+/** Log the node that a request is passed on to. */
+void relay_log_detour (const relay_t *relay, gs_time_t now);
+
 /** Log and count an attempt that ended without a response to forward. */
 void relay_log_attempt (const relay_t *relay, const char *outcome,
                         const char *reason);
--- a/src/gateway/route_table.c
+++ b/src/gateway/route_table.c
@@ -34,6 +34,7 @@
   gs_path_service_t *service = data;
 
   g_free (service->name);
+  g_free (service->health_path);
   if (service->scale.data_centre_prices != NULL)
     g_hash_table_unref (service->scale.data_centre_prices);
 }
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -76,6 +76,7 @@
   g_array_unref (peers->nodes);
   g_array_unref (peers->statements);
   g_array_unref (peers->origins);
+  g_array_unref (peers->detours);
   quarantine_rows_clear (&peers->quarantine);
   g_free (peers);
 }
@@ -144,6 +145,7 @@
       = quota_report_export (traffic->quota, now, rows, QUOTA_ROWS_MAX);
 
   report->can_serve = traffic->table != NULL && traffic->replicas != NULL;
+  report->cut = traffic->reach.cut;
   report->open_exchanges = gs_server_open_count (traffic->server);
   report->read_tokens_per_msec = placer_read_speed (traffic->placer);
   placer_loads_export (traffic->placer, TRAFFIC_LOADS_MAX, report->loads);
@@ -199,6 +201,7 @@
                           / GS_SEC);
   traffic->last_tick_at = now;
   quarantine_update (traffic->quarantine, now);
+  relay_probes_send (traffic, now);
   relay_queues_serve (traffic, now);
   send_origins (traffic, now);
   if (now >= traffic->report_due)
@@ -263,6 +266,8 @@
   traffic->members = 1;
   gs_rng_seed (&traffic->rng, options->seed);
   placer_create (&traffic->placer, options->seed);
+  traffic->detours = g_array_new (FALSE, FALSE, sizeof (traffic_detour_t));
+  traffic->replica_heard_at = gs_clock_now ();
   service_versions_create (&traffic->versions);
   stream_origins_create (&traffic->origins);
   quarantine_create (&traffic->quarantine, true);
@@ -312,6 +317,7 @@
   quarantine_destroy (traffic->quarantine);
   stream_origins_destroy (traffic->origins);
   service_versions_destroy (traffic->versions);
+  g_array_unref (traffic->detours);
   placer_destroy (traffic->placer);
   gs_replica_list_unref (traffic->replicas);
   gs_route_table_unref (traffic->table);
@@ -442,6 +448,9 @@
                      &peers->quarantine);
   stream_origins_import (traffic->origins, now, peers->origins,
                          STREAM_ORIGIN_OTHER);
+  g_array_set_size (traffic->detours, 0);
+  g_array_append_vals (traffic->detours, peers->detours->data,
+                       peers->detours->len);
   g_array_unref (loads);
   traffic_peers_free (message->peers);
   g_free (message);
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -52,6 +52,7 @@
 typedef struct
 {
   bool can_serve;              /**< routes and replicas have been received */
+  bool cut;                    /**< this node reaches no replica */
   unsigned open_exchanges;     /**< exchanges without a complete response */
   double read_tokens_per_msec; /**< observed prompt read speed of engines */
   GArray *loads;               /**< of placer_load_t */
@@ -76,6 +77,16 @@
   GArray *quota;         /**< of quota_row_t */
 } traffic_peer_t;
 
+/** A node that requests may be passed on to. */
+typedef struct
+{
+  gs_endpoint_t endpoint; /**< where it accepts requests */
+  bool near;              /**< in the same data centre */
+} traffic_detour_t;
+
+/** Maximum number of nodes that are known for that. */
+#define TRAFFIC_DETOURS_MAX 64
+
 /** What this node knows of the other nodes. */
 typedef struct
 {
@@ -87,6 +98,9 @@
                         this one first */
   GArray *statements; /**< of statement_t: the latest of each replica */
   quarantine_rows_t quarantine;
+  GArray *detours; /**< of traffic_detour_t: live nodes that accept requests
+                        and reach replicas, those of this node's data centre
+                        first */
   GArray *origins; /**< of stream_origin_row_t: streams that this node has
                         learned of since the last view */
 } traffic_peers_t;
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -10,6 +10,7 @@
 #include "garnetstack/thread.h"
 #include "gateway/events.h"
 #include "gateway/resend_budget.h"
+#include "gateway/replica_reach.h"
 #include "gateway/response_memory.h"
 #include "gateway/service_versions.h"
 #include "gateway/traffic.h"
@@ -40,6 +41,9 @@
   placer_t *placer;
   quota_t *quota;
   quarantine_t *quarantine;
+  replica_reach_t reach;
+  gs_time_t replica_heard_at; /* when the last byte of a replica came */
+  GArray *detours;            /* of traffic_detour_t */
   service_versions_t *versions;
   stream_origins_t *origins;
   uint64_t origins_told;     /* last row given to on_origins() */
@@ -78,6 +82,9 @@
     been queued for too long. */
 void relay_queues_serve (traffic_t *traffic, gs_time_t now);
 
+/** Ask replicas whether this node reaches them, if that is in doubt. */
+void relay_probes_send (traffic_t *traffic, gs_time_t now);
+
 /** Abort all open requests without a response. */
 void relay_abort_all (traffic_t *traffic);
 
--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -399,6 +399,23 @@
   return g_string_free (answer, FALSE);
 }
 
+char *
+gw_addresses_get (gateway_world_t *world, unsigned index)
+{
+  raw_conn_t conn;
+  GString *answer;
+
+  if (!gateway_connect (&conn, index,
+                        world->gateways[index].address_port.port))
+    return g_strdup ("");
+  raw_printf (&conn,
+              "GET /garnetstack/resolve?name=caller.example&region=r&zone=a"
+              " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  answer = raw_read_until (&conn, GS_SEC, NULL);
+  raw_close (&conn);
+  return g_string_free (answer, FALSE);
+}
+
 GString *
 gw_copy_get (gateway_world_t *world, unsigned index, const char *path,
              const char *headers)
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -259,6 +259,10 @@
     if the connection was refused. */
 char *gw_metrics_get (gateway_world_t *world, unsigned index);
 
+/** @return a gateway's HTTP response that names the nodes callers may use,
+    freed with g_free(); "" if the connection was refused. */
+char *gw_addresses_get (gateway_world_t *world, unsigned index);
+
 /** Read a path of a gateway's peer port, as another gateway does.
     @param headers more header lines, each with its line end; "" for none
     @return the response, freed by the caller; empty if the connection was
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -360,9 +360,9 @@
 
       memset (told, 0, sizeof told);
       memset (again, 0, sizeof again);
-      CU_ASSERT_EQUAL (peers_live_addresses (peers, now, told, MAX_TOLD),
+      CU_ASSERT_EQUAL (peers_live_addresses (peers, now, true, told, MAX_TOLD),
                        MAX_TOLD);
-      peers_live_addresses (peers, now, again, MAX_TOLD);
+      peers_live_addresses (peers, now, true, again, MAX_TOLD);
       CU_ASSERT_EQUAL (memcmp (told, again, sizeof told), 0);
       for (unsigned i = 0; i < MAX_TOLD; i++)
         times[told[i].port - 7000]++;
--- a/tests/test_placer.c
+++ b/tests/test_placer.c
@@ -603,6 +603,33 @@
     }
 }
 
+static void
+samples_are_different_replicas_that_take_requests (void)
+{
+  gs_replica_list_t *list = make_list (REPLICAS);
+  unsigned drawn[REPLICAS] = { 0 };
+  uint32_t rows[3];
+  placer_t *placer;
+
+  list->rows[0].state = GS_REPLICA_DRAINING;
+  placer_create (&placer, 1);
+  CU_ASSERT_EQUAL (placer_sample (placer, 3, rows), 0);
+  placer_replicas_set (placer, GS_SEC, list);
+  for (unsigned i = 0; i < 700; i++)
+    {
+      CU_ASSERT_EQUAL_FATAL (placer_sample (placer, 3, rows), 3);
+      CU_ASSERT (rows[0] != rows[1] && rows[1] != rows[2]
+                 && rows[0] != rows[2]);
+      for (unsigned j = 0; j < 3; j++)
+        drawn[rows[j]]++;
+    }
+  CU_ASSERT_EQUAL (drawn[0], 0);
+  for (unsigned i = 1; i < REPLICAS; i++)
+    CU_ASSERT (drawn[i] > 200 && drawn[i] < 400);
+  placer_destroy (placer);
+  gs_replica_list_unref (list);
+}
+
 static void
 a_stream_gets_replicas_of_its_version_only (void)
 {
@@ -636,6 +663,8 @@
 }
 
 static const check_case_t cases[] = {
+  { "samples are different replicas that take requests",
+    samples_are_different_replicas_that_take_requests },
   { "a stream gets replicas of its version only",
     a_stream_gets_replicas_of_its_version_only },
   { "a statement binds only the process that made it",
--- a/tests/test_process_gateway_cut.c
+++ b/tests/test_process_gateway_cut.c
@@ -1,6 +1,7 @@
 #include "check.h"
 #include "gateway_steps.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* Guards against nodes that reach no replica, while other nodes do, and refuse
@@ -107,18 +108,29 @@
                >= SERVED_RATIO_MIN * (double)counts->sent[i]);
 }
 
-/* @param cut gateways that lose their paths to all replicas  */
+/* A gateway that starts may copy the list of replicas from another one, with
+   the paths of that one; entries that change come from its own store.  */
 static void
-play_cut (proxy_mode_t mode, unsigned cut)
+start_gateways (unsigned count)
 {
-  counts_t counts;
-
   start_world (REPLICAS);
   gw_paths_create (&world);
   gw_configure (&world, 1, "/a/", WORLD_API_KEY);
-  for (unsigned i = 0; i < GATEWAYS; i++)
+  for (unsigned i = 0; i < count; i++)
     gw_start (&world, i, true);
   g_usleep ((gulong)GS_SEC);
+  for (unsigned i = 0; i < REPLICAS; i++)
+    gw_replica_publish (&world, i, "ready");
+  g_usleep ((gulong)GS_SEC);
+}
+
+/* @param cut gateways that lose their paths to all replicas  */
+static void
+play_cut (proxy_mode_t mode, unsigned cut)
+{
+  counts_t counts;
+
+  start_gateways (GATEWAYS);
   counts = run_load (GS_SEC);
   check_served (&counts);
   for (unsigned i = 0; i < cut; i++)
@@ -164,6 +176,160 @@
   play_cut (PROXY_HANG, GATEWAYS - 1);
 }
 
+static bool
+metric_is (unsigned gateway, const char *line)
+{
+  char *text = gw_metrics_get (&world, gateway);
+  bool found = strstr (text, line) != NULL;
+
+  g_free (text);
+  return found;
+}
+
+static bool
+knows_that_it_is_cut (void *context)
+{
+  (void)context;
+  return metric_is (1, "garnetstack_replicas_reached{} 0");
+}
+
+/* Sends requests until the node has found out that it is cut off.  */
+static void
+cut_second_gateway (void)
+{
+  gw_paths_set_mode (&world, 1, PROXY_REFUSE);
+  for (unsigned i = 0; i < 5 && !knows_that_it_is_cut (NULL); i++)
+    {
+      char *id = g_strdup_printf ("first-%u", i);
+
+      g_free (gw_request (&world, 1, "POST", "/a/never/good", id, "", "x"));
+      g_free (id);
+    }
+  CU_ASSERT_TRUE (gw_wait_until (knows_that_it_is_cut, NULL, CONTACT_TIME));
+}
+
+static void
+a_request_that_is_passed_on_arrives_unchanged (void)
+{
+  const arrival_t *arrival;
+  char *account;
+  char *deadline;
+  char *answer;
+
+  start_gateways (2);
+  cut_second_gateway ();
+  answer = gw_request (&world, 1, "POST", "/a/never/good?q=1", "passed-on",
+                       "X-Custom: kept\r\nX-Tenant: forged\r\n", "body");
+  arrival = gw_arrival_find (&world, "passed-on");
+  CU_ASSERT_EQUAL (status_of (answer), 200);
+  CU_ASSERT_EQUAL (gw_arrivals_count (&world, "passed-on"), 1);
+  CU_ASSERT_PTR_NOT_NULL (arrival);
+  if (arrival == NULL)
+    return;
+  CU_ASSERT_STRING_EQUAL (arrival->first_line,
+                          "POST /a/never/good?q=1 HTTP/1.1");
+  CU_ASSERT_STRING_EQUAL (arrival->body->str, "body");
+  CU_ASSERT_TRUE (head_has_line (arrival->head, "X-Custom: kept"));
+  CU_ASSERT_PTR_NULL (strstr (arrival->head, WORLD_API_KEY));
+  CU_ASSERT_PTR_NULL (strstr (arrival->head, "From-Node"));
+  account = header_of (arrival->head, "X-Tenant");
+  deadline = header_of (arrival->head, "X-Deadline-Ms");
+  CU_ASSERT_STRING_EQUAL (account, WORLD_ACCOUNT);
+  CU_ASSERT (strtoul (deadline, NULL, 10) <= 2500);
+  g_free (deadline);
+  g_free (account);
+  g_free (answer);
+  end_world ();
+}
+
+static void
+callers_are_told_of_nodes_that_reach_replicas (void)
+{
+  char *own;
+  char *answer = NULL;
+  gs_time_t end;
+
+  start_gateways (2);
+  own = g_strdup_printf ("127.0.0.3:%u", world.gateways[1].caller_port.port);
+  cut_second_gateway ();
+  end = gs_clock_now () + CONTACT_TIME;
+  do
+    {
+      g_free (answer);
+      answer = gw_addresses_get (&world, 0);
+      g_usleep (50000);
+    }
+  while (strstr (answer, own) != NULL && gs_clock_now () < end);
+  CU_ASSERT_PTR_NULL (strstr (answer, own));
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "127.0.0.2:"));
+  g_free (answer);
+  g_free (own);
+  end_world ();
+}
+
+/* No other node reaches replicas either.  */
+static void
+requests_are_refused_at_once_when_all_nodes_are_cut (void)
+{
+  gs_time_t start;
+  char *answer;
+
+  start_gateways (2);
+  gw_paths_set_mode (&world, 0, PROXY_REFUSE);
+  cut_second_gateway ();
+  for (unsigned i = 0; i < 20; i++)
+    {
+      char *id = g_strdup_printf ("refused-%u", i);
+
+      start = gs_clock_now ();
+      answer
+          = gw_request (&world, i % 2, "POST", "/a/never/good", id, "", "x");
+      CU_ASSERT_EQUAL (status_of (answer), 503);
+      CU_ASSERT_EQUAL (gw_arrivals_count (&world, id), 0);
+      CU_ASSERT (gs_clock_now () < start + GS_SEC);
+      g_free (answer);
+      g_free (id);
+    }
+  end_world ();
+}
+
+/* Replicas that are silent for a second and go on are no cut.  */
+static void
+replicas_that_are_silent_for_a_second_lose_no_request (void)
+{
+  open_request_t requests[8];
+  unsigned served = 0;
+  char id[32];
+
+  start_gateways (2);
+  for (unsigned i = 0; i < G_N_ELEMENTS (requests); i++)
+    {
+      requests[i].gateway = i % 2;
+      requests[i].target = i / 2 % G_N_ELEMENTS (targets);
+      g_snprintf (id, sizeof id, "silent-%u", i);
+      CU_ASSERT_TRUE_FATAL (
+          gw_connect (&requests[i].conn, &world, requests[i].gateway));
+      gw_send (&requests[i].conn, "POST", targets[requests[i].target], id,
+               "Connection: close\r\n", "x");
+      if (i == G_N_ELEMENTS (requests) / 2)
+        for (unsigned j = 0; j < 2; j++)
+          gw_paths_set_mode (&world, j, PROXY_SILENT);
+    }
+  g_usleep (1200000);
+  for (unsigned j = 0; j < 2; j++)
+    gw_paths_set_mode (&world, j, PROXY_PASS);
+  for (unsigned i = 0; i < G_N_ELEMENTS (requests); i++)
+    {
+      GString *answer = raw_read_until (&requests[i].conn, 4 * GS_SEC, NULL);
+
+      served += is_served (&requests[i], answer);
+      raw_close (&requests[i].conn);
+      g_string_free (answer, TRUE);
+    }
+  CU_ASSERT_EQUAL (served, G_N_ELEMENTS (requests));
+  end_world ();
+}
+
 static const check_case_t cases[] = {
   { "a node that replicas refuse serves its callers",
     a_node_that_replicas_refuse_serves_its_callers },
@@ -173,8 +339,16 @@
     a_node_whose_connections_to_replicas_hang_serves_its_callers },
   { "a node whose replicas are silent serves its callers",
     a_node_whose_replicas_are_silent_serves_its_callers },
+  { "a request that is passed on arrives unchanged",
+    a_request_that_is_passed_on_arrives_unchanged },
+  { "callers are told of nodes that reach replicas",
+    callers_are_told_of_nodes_that_reach_replicas },
   { "most nodes may be cut from all replicas",
     most_nodes_may_be_cut_from_all_replicas },
+  { "replicas that are silent for a second lose no request",
+    replicas_that_are_silent_for_a_second_lose_no_request },
+  { "requests are refused at once when all nodes are cut",
+    requests_are_refused_at_once_when_all_nodes_are_cut },
 };
 
 int
