gateway: brittle replicas are not sent more than they have room for

Replicas that say how many rejections a second they bear fall over when they must reject more. Nodes sent them what the last reports of the others left room for, half as many more where they are no engines, and asked again 50 ms after a rejection.

Now each node has a fixed part of the slots of such a replica, which together are no more than it has, whatever the nodes know of each other. After a rejection a node leaves a quarter of the slots unused for some seconds and pauses, so that all nodes together stay below half of what the replica bears. What finds no room waits in the queue, or is refused at once.

Weighed: parts by the free slots that were last reported (reports are 300 ms old; the last slots are then taken several times over).

--- a/include/garnetstack/header_codec.h
+++ b/include/garnetstack/header_codec.h
@@ -82,6 +82,9 @@
   bool has_limit;              /**< the replica names a limit */
   double limit_per_sec;        /**< requests a second that it takes from all
                                     nodes together */
+  bool has_brittle;            /**< the replica says that it is brittle */
+  double rejections_max;       /**< requests a second that it can reject for
+                                    lack of room; more make it fall over */
   bool leaving;                /**< the replica says that it leaves */
   gs_time_t retry_after; /**< how long the replica wants no requests from this
                               node; 0 if not given */
--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -161,6 +161,8 @@
       row->ejections = 0;
       row->ejected_until = 0;
       row->limit = (replica_limit_t){ .stated_at = row->limit.stated_at };
+      row->brittle = (brittle_replica_t){ .rank = row->brittle.rank,
+                                          .members = row->brittle.members };
       row->leaving = false;
       row->refused_until = 0;
     }
@@ -376,6 +378,10 @@
   if (row->full_until > now || row->refused_until > now
       || !replica_limit_allows (&row->limit, now))
     return true;
+  if (brittle_replica_is_set (&row->brittle, now)
+      && row->in_flight
+             >= brittle_replica_slots (&row->brittle, now, row->replica.slots))
+    return true;
   if (slots_taken (row, query->engine) >= slots_max (row, query->engine))
     return true;
   /* A request larger than the memory goes to an idle replica, which rejects
@@ -692,6 +698,7 @@
       break;
     case PLACER_FULL:
       row->full_until = now + FULL_TIMEOUT;
+      brittle_replica_reject (&row->brittle, now, row->replica.slots);
       break;
     case PLACER_REPLICA_MISMATCH:
       row_eject (row, now, "address_of_another");
--- a/src/gateway/placer.h
+++ b/src/gateway/placer.h
@@ -123,6 +123,8 @@
 {
   double limit_per_sec;    /**< requests a second that it takes from all nodes
                                 together; negative if it names no limit */
+  bool brittle;            /**< it falls over when it rejects too many */
+  double rejections_max;   /**< a second, if it is brittle */
   bool leaving;            /**< it takes no new requests any more */
   gs_time_t refused_until; /**< it wants no requests from this node until
                                 then; 0 if it says nothing of it */
--- a/src/gateway/placer_private.h
+++ b/src/gateway/placer_private.h
@@ -6,6 +6,7 @@
 #ifndef GS_GATEWAY_PLACER_PRIVATE_H
 #define GS_GATEWAY_PLACER_PRIVATE_H
 
+#include "gateway/brittle_replica.h"
 #include "gateway/placer.h"
 #include "gateway/replica_limit.h"
 
@@ -32,6 +33,7 @@
   gs_time_t ejected_until;
   gs_time_t full_until; /* the replica has rejected a request as full */
   replica_limit_t limit;
+  brittle_replica_t brittle;
   bool leaving;            /* as the replica said in an answer */
   gs_time_t leaving_at;    /* when a node received that */
   gs_time_t refused_until; /* the replica wants nothing from this node */
--- a/src/gateway/placer_statements.c
+++ b/src/gateway/placer_statements.c
@@ -28,6 +28,39 @@
                        placer->nodes->len, placer->members);
 }
 
+static void
+row_share_brittle (const placer_t *placer, replica_row_t *row)
+{
+  brittle_replica_share (&row->brittle, row->hash,
+                         (const uint64_t *)(void *)placer->nodes->data,
+                         placer->nodes->len, placer->members);
+}
+
+/* All answers of a brittle replica say so, so nodes need not tell each other.
+ */
+static void
+row_state_brittle (const placer_t *placer, gs_time_t now, replica_row_t *row,
+                   gs_time_t sent_at, double rejections_max)
+{
+  bool before = brittle_replica_is_set (&row->brittle, now);
+  bool after;
+
+  brittle_replica_state (&row->brittle, now, sent_at, rejections_max);
+  after = brittle_replica_is_set (&row->brittle, now);
+  if (after == before)
+    return;
+  row_share_brittle (placer, row);
+  gs_log (GS_LOG_INFO, "replica_brittle",
+          "id=%s service=%s brittle=%d rejections_per_sec=%.3f own_slots=%u"
+          " slots=%u",
+          row->replica.id, row->replica.service, after,
+          after ? rejections_max : 0.0,
+          after
+              ? brittle_replica_slots (&row->brittle, now, row->replica.slots)
+              : row->replica.slots,
+          row->replica.slots);
+}
+
 static bool
 row_state_limit (const placer_t *placer, gs_time_t now, replica_row_t *row,
                  gs_time_t stated_at, double per_sec, const char *source)
@@ -52,8 +85,14 @@
   g_array_append_vals (placer->nodes, nodes, (guint)count);
   placer->members = members;
   for (guint i = 0; i < placer->rows->len; i++)
-    if (replica_limit_is_set (&placer_row (placer, i)->limit, now))
-      row_share_limit (placer, now, placer_row (placer, i));
+    {
+      replica_row_t *row = placer_row (placer, i);
+
+      if (replica_limit_is_set (&row->limit, now))
+        row_share_limit (placer, now, row);
+      if (brittle_replica_is_set (&row->brittle, now))
+        row_share_brittle (placer, row);
+    }
 }
 
 static bool
@@ -93,6 +132,8 @@
 
   if (ticket->generation != row->generation)
     return false;
+  row_state_brittle (placer, now, row, ticket->sent_at,
+                     statement->brittle ? statement->rejections_max : -1);
   changed = statement->leaving && row_state_leaving (row, now, now, "answer");
   if (statement->refused_until > row->refused_until)
     {
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -208,6 +208,8 @@
   const gs_response_head_t *head = &relay->head;
   placer_statement_t statement
       = { .limit_per_sec = head->has_limit ? head->limit_per_sec : -1,
+          .brittle = head->has_brittle,
+          .rejections_max = head->rejections_max,
           .leaving = head->leaving };
   traffic_t *traffic = relay->traffic;
   gs_time_t now = gs_clock_now ();
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -20,6 +20,8 @@
 #define WORLD_SLOTS 8 /* of each replica */
 /* A node sends a replica half as many requests more than it has slots.  */
 #define WORLD_IN_FLIGHT_MAX 12
+/** Rejections a second that a brittle replica bears. */
+#define WORLD_BRITTLE_MAX 3
 /** Time from the crash of a replica until it is back. */
 #define WORLD_RESTART_TIME GS_SEC
 #define WORLD_API_KEY "test-key"
@@ -66,6 +68,9 @@
   const char *version;     /* of its software; NULL for "v1" */
   unsigned starts;         /* processes of this replica so far */
   gs_time_t crashed_at;    /* 0 while it runs */
+  unsigned running;        /* requests at present */
+  gs_time_t rejections[WORLD_BRITTLE_MAX + 1]; /* the last ones, in a ring */
+  unsigned rejection_count;
 } world_replica_t;
 
 /** The store's listener for one gateway. */
@@ -116,6 +121,7 @@
   /* Between a gateway and a replica; NULL unless gw_paths_create() was called.
    */
   raw_proxy_t *paths[WORLD_GATEWAYS_MAX][WORLD_REPLICAS_MAX];
+  bool brittle;           /* see gw_brittle_set() */
   const char *crash_part; /* see gw_crash_part_set() */
   const char *crash_body; /* see gw_crash_body_set() */
   GArray *crashes;        /* of gs_time_t: when replicas crashed */
@@ -190,6 +196,11 @@
 void gw_replica_refuse (gateway_world_t *world, unsigned index,
                         const char *retry_after);
 
+/** Set whether replicas are brittle: they say so, run WORLD_SLOTS requests at
+    once, reject others, and crash when they reject more than
+    WORLD_BRITTLE_MAX in a second. */
+void gw_brittle_set (gateway_world_t *world, bool brittle);
+
 /** Let each replica crash that begins to answer a request with a part in its
     prompt, other than the last one.
     @param part id and length, a string literal such as "dead:400"; NULL for
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -393,6 +393,21 @@
   { "1e999", -1 }, { "nan", -1 }, { "2,5", -1 },
 };
 
+static void
+a_brittle_replica_is_known_by_its_answers (void)
+{
+  static const char brittle[] = "Server-Brittle: 8\r\n";
+  gs_response_head_t head;
+
+  gs_response_head_init (&head);
+  gs_platform_header_codec.read_line (&head, "HTTP/1.1 503 X\r\n", 16);
+  CU_ASSERT_FALSE (head.has_brittle);
+  gs_platform_header_codec.read_line (&head, brittle, strlen (brittle));
+  CU_ASSERT_TRUE (head.has_brittle);
+  CU_ASSERT_DOUBLE_EQUAL (head.rejections_max, 8, 1e-9);
+  gs_response_head_clear (&head);
+}
+
 static void
 a_limit_in_an_answer_is_read_and_forwarded (void)
 {
@@ -501,6 +516,8 @@
 }
 
 static const check_case_t cases[] = {
+  { "a brittle replica is known by its answers",
+    a_brittle_replica_is_known_by_its_answers },
   { "versions of replicas are told apart",
     versions_of_replicas_are_told_apart },
   { "a watch with a long response ends whole or says that it did not",
--- a/tests/test_process_gateway_replica.c
+++ b/tests/test_process_gateway_replica.c
@@ -259,7 +259,60 @@
   end_world ();
 }
 
+#define BRITTLE_GATEWAYS 3
+#define BRITTLE_TIME (6 * GS_SEC)
+#define BRITTLE_REQUESTS 600
+/* A stream takes about 360 ms, so four replicas run 88 streams a second; this
+   is 1.4 times that.  */
+#define BRITTLE_INTERVAL_USEC 8000
+
+/* 2 and a tenth of the replicas may fall over.  */
+static void
+brittle_replicas_do_not_fall_over_while_callers_ask_for_more (void)
+{
+  static raw_conn_t conns[BRITTLE_REQUESTS];
+  unsigned count = 0;
+  unsigned answered = 0;
+  gs_time_t start;
+  GArray *crashes;
+
+  start_gateway (WORLD_REPLICAS_MAX);
+  for (unsigned i = 1; i < BRITTLE_GATEWAYS; i++)
+    gw_start (&world, i, true);
+  gw_brittle_set (&world, true);
+  start = gs_clock_now ();
+  while (gs_clock_now () < start + BRITTLE_TIME && count < BRITTLE_REQUESTS)
+    {
+      char *id = g_strdup_printf ("brittle-%u", count);
+
+      CU_ASSERT_TRUE_FATAL (
+          gw_connect (&conns[count], &world, count % BRITTLE_GATEWAYS));
+      gw_send (&conns[count++], "POST", "/a/stream/once/good", id,
+               "Connection: close\r\n", "x");
+      g_free (id);
+      gw_replicas_restart (&world);
+      g_usleep (BRITTLE_INTERVAL_USEC);
+    }
+  for (unsigned i = 0; i < count; i++)
+    {
+      GString *answer = raw_read_until (&conns[i], 4 * GS_SEC, NULL);
+
+      answered += is_complete_stream (answer->str, 6);
+      raw_close (&conns[i]);
+      g_string_free (answer, TRUE);
+    }
+  crashes = gw_crashes_list (&world);
+  printf ("\n  %u of %u answered, %u replicas fell over ", answered, count,
+          crashes->len);
+  CU_ASSERT (crashes->len <= 2 + WORLD_REPLICAS_MAX / 10);
+  CU_ASSERT (answered > count / 2);
+  g_array_unref (crashes);
+  end_world ();
+}
+
 static const check_case_t cases[] = {
+  { "brittle replicas do not fall over while callers ask for more",
+    brittle_replicas_do_not_fall_over_while_callers_ask_for_more },
   { "a caller that leaves the queue after a refusal takes no room",
     a_caller_that_leaves_the_queue_after_a_refusal_takes_no_room },
   { "a replica that says that it leaves gets nothing from any node",
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -204,6 +204,68 @@
     raw_server_crash (replica->server);
 }
 
+void
+gw_brittle_set (gateway_world_t *world, bool brittle)
+{
+  pthread_mutex_lock (&world->lock);
+  world->brittle = brittle;
+  pthread_mutex_unlock (&world->lock);
+}
+
+/* @return whether the rejection is one more than the replica bears  */
+static bool
+rejection_record_locked (world_replica_t *replica, gs_time_t now)
+{
+  gs_time_t *slot = &replica->rejections[replica->rejection_count++
+                                         % G_N_ELEMENTS (replica->rejections)];
+  gs_time_t oldest;
+
+  *slot = now;
+  oldest = replica->rejections[replica->rejection_count
+                               % G_N_ELEMENTS (replica->rejections)];
+  return oldest != 0 && now - oldest < GS_SEC;
+}
+
+/* Takes a slot of a brittle replica.
+   @return false if the request is rejected  */
+static bool
+take_slot (raw_conn_t *conn, arrival_t *arrival)
+{
+  world_replica_t *replica = arrival->replica_state;
+  gateway_world_t *world = replica->world;
+  bool has_room;
+  bool falls = false;
+
+  pthread_mutex_lock (&world->lock);
+  has_room = !world->brittle || replica->running < WORLD_SLOTS;
+  replica->running += has_room;
+  if (!has_room)
+    {
+      arrival->refused = true;
+      falls = rejection_record_locked (replica, gs_clock_now ());
+    }
+  pthread_mutex_unlock (&world->lock);
+  if (has_room)
+    return true;
+  raw_printf (conn,
+              "HTTP/1.1 503 X\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"
+              "Server-Brittle: %u\r\nContent-Length: 0\r\n\r\n",
+              arrival->id, WORLD_BRITTLE_MAX);
+  if (falls)
+    gw_replica_crash (world, arrival->replica);
+  return false;
+}
+
+static void
+return_slot (const arrival_t *arrival)
+{
+  world_replica_t *replica = arrival->replica_state;
+
+  pthread_mutex_lock (&replica->world->lock);
+  replica->running--;
+  pthread_mutex_unlock (&replica->world->lock);
+}
+
 /* @return more header lines of the replica's answers, "" for none  */
 static const char *
 more_headers (const arrival_t *arrival)
@@ -212,7 +274,9 @@
   const char *headers;
 
   pthread_mutex_lock (&replica->world->lock);
-  headers = replica->headers;
+  headers = replica->world->brittle
+                ? "Server-Brittle: " G_STRINGIFY (WORLD_BRITTLE_MAX) "\r\n"
+                : replica->headers;
   pthread_mutex_unlock (&replica->world->lock);
   return headers != NULL ? headers : "";
 }
@@ -569,6 +633,7 @@
 {
   arrival_t *arrival;
   unsigned earlier;
+  bool keep_open;
 
   if (strstr (request->first_line, "/early ") != NULL)
     return respond_early (replica, conn, request);
@@ -580,7 +645,11 @@
       crash_in_response (conn, arrival, replica->world->crash_body == NULL);
       return false;
     }
-  return respond (conn, arrival, earlier);
+  if (!take_slot (conn, arrival))
+    return true;
+  keep_open = respond (conn, arrival, earlier);
+  return_slot (arrival);
+  return keep_open;
 }
 
 void
