--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -354,10 +354,105 @@
     }
 }
 
+/* More than the buffers of both ends of a connection hold.  */
+#define LARGE_BODY_BYTES ((size_t)32 << 20)
+/* TCP_USER_TIMEOUT and keepalive together must have ended a connection by
+   then.  */
+#define DEAD_TIMEOUT (6 * GS_SEC)
+
+typedef struct
+{
+  gs_loop_t *loop;
+  gs_time_t silent_until; /* when the server begins to read */
+  gs_status_t status;
+  gs_time_t ended_at;
+} silent_transfer_t;
+
+static void
+serve_after_silence (void *context, raw_conn_t *conn)
+{
+  const silent_transfer_t *transfer = context;
+  raw_message_t request;
+
+  while (gs_clock_now () < transfer->silent_until)
+    g_usleep (10000);
+  if (!raw_read_request (conn, &request))
+    return;
+  raw_printf (conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  raw_message_clear (&request);
+}
+
+static void
+on_silent_transfer_done (void *context, const gs_http_result_t *result)
+{
+  silent_transfer_t *transfer = context;
+
+  transfer->status = result->status;
+  transfer->ended_at = gs_clock_now ();
+  gs_loop_stop (transfer->loop);
+}
+
+/* @param silence how long the server reads nothing */
+static silent_transfer_t
+send_to_silent_server (gs_time_t silence)
+{
+  silent_transfer_t transfer
+      = { .silent_until = gs_clock_now () + silence, .status = GS_OK };
+  gs_http_request_t request = GS_HTTP_REQUEST_INIT;
+  char *body = g_malloc0 (LARGE_BODY_BYTES);
+  raw_server_t *server;
+  char *url;
+
+  gs_loop_create (&transfer.loop);
+  raw_server_create (&server, serve_after_silence, &transfer);
+  url = g_strdup_printf ("http://127.0.0.1:%u/", raw_server_port (server));
+  request.method = "POST";
+  request.url = url;
+  request.body = body;
+  request.body_length = LARGE_BODY_BYTES;
+  request.tcp_keepalive = true;
+  request.no_resend = true;
+  request.on_done = on_silent_transfer_done;
+  request.context = &transfer;
+  gs_loop_http (NULL, transfer.loop, &request);
+  gs_loop_run (transfer.loop);
+  raw_server_destroy (server);
+  gs_loop_destroy (transfer.loop);
+  g_free (url);
+  g_free (body);
+  return transfer;
+}
+
+/* Guards against a TCP_USER_TIMEOUT that ends connections to a sound server
+   which is silent for about a second.  */
+static void
+a_server_that_is_silent_for_a_second_keeps_its_connection (void)
+{
+  silent_transfer_t transfer = send_to_silent_server (1500 * GS_MSEC);
+
+  CU_ASSERT_EQUAL (transfer.status, GS_OK);
+}
+
+/* Guards against connections that stay open without a sign of life: the server
+   takes no more bytes and acknowledges none.  */
+static void
+a_server_that_takes_no_bytes_loses_its_connection (void)
+{
+  gs_time_t start = gs_clock_now ();
+  silent_transfer_t transfer = send_to_silent_server (2 * DEAD_TIMEOUT);
+
+  CU_ASSERT_EQUAL (transfer.status, GS_EUNKNOWN);
+  CU_ASSERT (transfer.ended_at < start + DEAD_TIMEOUT);
+}
+
 int
 main (void)
 {
   static const check_case_t cases[] = {
+    { "a server that is silent for a second keeps its connection",
+      a_server_that_is_silent_for_a_second_keeps_its_connection },
+    { "a server that takes no bytes loses its connection",
+      a_server_that_takes_no_bytes_loses_its_connection },
     { "tasks_posted_by_many_threads_all_run",
       tasks_posted_by_many_threads_all_run },
     { "no_callback_after_unwatch", no_callback_after_unwatch },
