tests: streams that lose their replica are not equal requests

Traced: its twelve requests were equal (method, host, path, caller, body), and replicas that break off under equal requests 2 ms or more apart are taken for ones that crash on them. That rule is as it should be, so each request of the test has a body of its own now; bounds and cases are as before.

--- a/tests/test_process_gateway_versions.c
+++ b/tests/test_process_gateway_versions.c
@@ -26,14 +26,16 @@
   unsigned elsewhere; /* reached another version than before */
 } outcome_t;
 
+/* Each request has a body of its own: equal requests under which several
+   replicas break off are put into quarantine.  */
 static void
 send_stream_request (raw_conn_t *conn, const char *behaviour, const char *id,
                      const char *headers)
 {
   raw_printf (conn,
               "POST /a/stream/resume/%s HTTP/1.1\r\nX-Attempt-Id: "
-              "%s\r\n" DEADLINE_HEADERS "%sContent-Length: 1\r\n\r\nx",
-              behaviour, id, headers);
+              "%s\r\n" DEADLINE_HEADERS "%sContent-Length: %zu\r\n\r\n%s",
+              behaviour, id, headers, strlen (id), id);
 }
 
 static bool
