gateway: attempts and responses in sources of their own

It keeps how a request begins and ends; relay_dispatch.c has what sends it, to a replica or another node, and relay_answer.c what comes back.

One change of behaviour: the time of the last contact is set once a tick, not at each piece of a body.

--- a/src/gateway/brittle_replica.h
+++ b/src/gateway/brittle_replica.h
@@ -24,8 +24,8 @@
 /** What one node knows of one replica; all zero at first. */
 typedef struct
 {
-  gs_time_t stated_at;   /**< last answer that said so; 0 if it is not brittle
-                          */
+  gs_time_t stated_at; /**< last answer that stated it; 0 if it is not brittle
+                        */
   double rejections_max; /**< a second, of all nodes together */
   unsigned rank;         /**< of this node among those that share it, from 0 */
   unsigned members;      /**< nodes that share it */
@@ -51,7 +51,8 @@
  * Set which nodes share the replica.
  * @param replica hash of the replica
  * @param nodes hashes of the nodes that accept requests, this one first
- * @param members nodes that may send requests, those not heard of included
+ * @param members nodes that may send requests, those without a recent message
+ * included
  */
 void brittle_replica_share (brittle_replica_t *brittle, uint64_t replica,
                             const uint64_t *nodes, size_t count,
--- a/src/gateway/placer_statements.c
+++ b/src/gateway/placer_statements.c
@@ -36,8 +36,8 @@
                          placer->nodes->len, placer->members);
 }
 
-/* All answers of a brittle replica say so, so nodes need not tell each other.
- */
+/* All answers of a brittle replica state it, so nodes need not tell each
+   other. */
 static void
 row_state_brittle (const placer_t *placer, gs_time_t now, replica_row_t *row,
                    gs_time_t sent_at, double rejections_max)
--- /dev/null
+++ b/src/gateway/relay_dispatch.c
@@ -0,0 +1,299 @@
+#include "gateway/relay_private.h"
+
+#include <string.h>
+
+/* Replicas and nodes are in one region.  A connection that takes longer to
+   open has lost packets or an unreachable peer.  */
+#define CONNECT_TIMEOUT (500 * GS_MSEC)
+/* Connections are reused only if the replica's keep-alive time is at least
+   this long, because libcurl counts idle time in whole seconds.  */
+#define KEEP_ALIVE_SECONDS_MIN 3
+
+static placer_query_t
+make_query (const relay_t *relay)
+{
+  const gs_request_headers_t *request = &relay->request;
+  uint32_t hint = request->output_tokens_hint;
+
+  return (placer_query_t){
+    .service = relay->service->name,
+    .engine = relay->service_config->engine,
+    .cache_tokens = relay->service_config->cache_tokens,
+    .connections_max = relay->service_config->connections_max,
+    .prompt_tokens = request->prompt_tokens,
+    .output_tokens = hint != 0 ? MIN (hint, request->output_tokens_max)
+                               : request->output_tokens_max / 2,
+    .blocks = request->blocks,
+    .block_count = request->block_count,
+    .version = relay->version,
+    .avoid = relay->avoid_row,
+  };
+}
+
+static void
+reset_attempt (relay_t *relay, gs_time_t now)
+{
+  relay->sent_at = now;
+  relay->attempts++;
+  relay->possible_runs++;
+  relay->attempt_responded = false;
+  relay->response_mismatched = false;
+  gs_response_head_clear (&relay->head);
+  gs_response_head_init (&relay->head);
+  g_string_truncate (relay->body, 0);
+  relay->response_too_large = false;
+  relay_buffered_set (relay, 0);
+}
+
+/* Starts the attempt that reset_attempt() has set up.  */
+static void
+start_attempt (relay_t *relay, gs_time_t now, const char *url, char **headers,
+               gs_http_request_t *request)
+{
+  size_t length;
+  const char *body = gs_exchange_body (relay->exchange, &length);
+
+  request->method = gs_exchange_method (relay->exchange);
+  request->url = url;
+  request->target = gs_exchange_target (relay->exchange);
+  request->headers = (const char *const *)headers;
+  if (length > 0 || strcmp (request->method, "POST") == 0
+      || strcmp (request->method, "PUT") == 0)
+    request->body = body;
+  request->body_length = length;
+  request->deadline = relay->deadline;
+  request->connect_deadline = MIN (now + CONNECT_TIMEOUT, relay->deadline);
+  request->no_resend = true;
+  request->tcp_keepalive = true;
+  request->on_line = relay_on_line;
+  request->on_data = relay_on_data;
+  request->on_done = relay_on_done;
+  request->context = relay;
+  gs_loop_http (&relay->call, relay->traffic->loop, request);
+}
+
+/* Passes a request on to another node, which treats it as one of its own
+   callers'.  */
+static void
+send_to_node (relay_t *relay, gs_time_t now)
+{
+  const gs_endpoint_t *endpoint = relay_detour_choose (relay);
+  gs_forward_headers_t extra = { .to_node = true,
+                                 .deadline = relay->deadline,
+                                 .resume_after = relay->events.last_id };
+  gs_http_request_t request = GS_HTTP_REQUEST_INIT;
+  char *url = g_strdup_printf ("http://%s:%u/", endpoint->host,
+                               (unsigned)endpoint->port);
+  char **headers;
+
+  if (extra.resume_after != 0 && relay->request.resumes[0] == '\0')
+    extra.resumes = relay->request.id;
+  headers = relay->traffic->options.header_codec->write_headers (
+      relay->exchange, &extra);
+  relay_detour_charge_cancel (relay, now);
+  relay->detoured = true;
+  reset_attempt (relay, now);
+  g_strlcpy (relay->replica_id, "-", sizeof relay->replica_id);
+  relay->replica_version[0] = '\0';
+  relay_log_detour (relay, now);
+  request.new_connection = relay->route->resend_policy == GS_RESEND_NEVER;
+  start_attempt (relay, now, url, headers, &request);
+  g_free (url);
+  g_strfreev (headers);
+}
+
+static void
+send_request (relay_t *relay, gs_time_t now, const placer_query_t *query)
+{
+  const gs_replica_t *replica
+      = placer_replica (relay->traffic->placer, relay->choice.row);
+  gs_forward_headers_t extra
+      = { .replica = replica->id,
+          .account = relay->account != NULL ? relay->account->name : NULL,
+          .deadline = relay->deadline,
+          .priority = relay->service_config->engine ? relay_priority (relay)
+                                                    : GS_PRIORITY_UNSET,
+          .resume_after = relay->events.last_id };
+  gs_http_request_t request = GS_HTTP_REQUEST_INIT;
+  char **headers = relay->traffic->options.header_codec->write_headers (
+      relay->exchange, &extra);
+  char *url = g_strdup_printf ("http://%s/", replica->address);
+  unsigned keep_alive = relay->service->keep_alive_seconds;
+
+  placer_attempt_begin (relay->traffic->placer, now, query, &relay->choice,
+                        &relay->ticket);
+  relay->service->demand.in_flight++;
+  relay->service->demand.uncached_tokens += relay->choice.uncached_tokens;
+  g_strlcpy (relay->replica_id, replica->id, sizeof relay->replica_id);
+  g_strlcpy (relay->replica_version, replica->version,
+             sizeof relay->replica_version);
+  relay->process = placer_process_hash (replica);
+  relay_origin_record (relay, now);
+  relay->detoured = false;
+  reset_attempt (relay, now);
+  relay_log_placement (relay, now);
+  if (keep_alive >= KEEP_ALIVE_SECONDS_MIN)
+    request.idle_seconds_max = keep_alive - 2;
+  else if (relay->route->resend_policy == GS_RESEND_NEVER)
+    request.new_connection = true;
+  start_attempt (relay, now, url, headers, &request);
+  g_free (url);
+  g_strfreev (headers);
+}
+
+/* Ends a request that another node has passed on and that would be passed on
+   again.
+   @return false, without ending it, if it is none  */
+static bool
+reject_if_cut (relay_t *relay, gs_time_t now)
+{
+  if (!relay->request.from_node || !relay->traffic->reach.cut)
+    return false;
+  if (relay->possible_runs == 0)
+    relay_end_with_error (relay, 503, "cut_from_replicas", 0);
+  else
+    relay_fail (relay, now, "cut_from_replicas");
+  return true;
+}
+
+static void
+reject_for_capacity (relay_t *relay, gs_time_t now, const char *reason)
+{
+  relay->service->demand.rejected++;
+  relay_fail (relay, now, reason);
+}
+
+/* Ends a request that is likely to make a replica crash.
+   @return false, without ending it, if nothing is known against it  */
+bool
+relay_reject_if_quarantined (relay_t *relay, gs_time_t now)
+{
+  gs_time_t end = relay_quarantine_end (relay, now);
+
+  if (end == 0)
+    return false;
+  if (relay->possible_runs == 0)
+    relay_end_with_error (relay, 503, "quarantined", end - now);
+  else
+    relay_fail (relay, now, "quarantined");
+  return true;
+}
+
+/* @return whether replicas of other versions than that of a resumed stream
+   serve, but none of its own  */
+static bool
+is_version_removed (relay_t *relay, gs_time_t now)
+{
+  placer_query_t query = make_query (relay);
+  placer_choice_t choice;
+
+  if (query.version == 0
+      || placer_pick (relay->traffic->placer, now, &query, &choice)
+             != GS_ENOTFOUND)
+    return false;
+  query.version = 0;
+  return placer_pick (relay->traffic->placer, now, &query, &choice)
+         != GS_ENOTFOUND;
+}
+
+/* Keeps a resumed stream in the queue until other nodes have told of its
+   origin, or rejects it.  */
+static void
+await_origin (relay_t *relay, gs_time_t now)
+{
+  if (now >= MIN (relay->origin_deadline, relay->deadline))
+    relay_fail (relay, now, "origin_unknown");
+  else if (!relay->queued)
+    relay_queue_hold (relay);
+}
+
+/* Sends a request to a replica, queues it, or rejects it.  Only a request that
+   no attempt may have run is queued.  */
+void
+relay_dispatch (relay_t *relay, gs_time_t now)
+{
+  placer_query_t query;
+  gs_status_t status;
+
+  if (relay_reject_if_quarantined (relay, now) || reject_if_cut (relay, now))
+    return;
+  if (relay_detour_applies (relay))
+    {
+      send_to_node (relay, now);
+      return;
+    }
+  if (!relay_origin_is_known (relay, now))
+    {
+      await_origin (relay, now);
+      return;
+    }
+  query = make_query (relay);
+  status = placer_pick (relay->traffic->placer, now, &query, &relay->choice);
+  if (status == GS_OK)
+    send_request (relay, now, &query);
+  else if (relay->possible_runs > 0)
+    relay_fail (relay, now, "no_other_replica");
+  else if (is_version_removed (relay, now))
+    relay_fail (relay, now, "version_removed");
+  else if (!relay_queue_insert (relay, now))
+    reject_for_capacity (relay, now, "no_room");
+}
+
+static void
+serve_queue (traffic_t *traffic, traffic_service_t *service, gs_time_t now)
+{
+  bool may_place = true; /* false once a request stays in the queue */
+  GList *next;
+
+  for (GList *link = service->queue.head; link != NULL; link = next)
+    {
+      relay_t *relay = link->data;
+      placer_query_t query;
+
+      next = link->next;
+      if (relay_reject_if_quarantined (relay, now)
+          || reject_if_cut (relay, now))
+        continue;
+      if (relay_detour_applies (relay))
+        {
+          relay_queue_remove (relay);
+          send_to_node (relay, now);
+          continue;
+        }
+      if (!relay_origin_is_known (relay, now))
+        {
+          await_origin (relay, now);
+          continue;
+        }
+      query = make_query (relay);
+      if (is_version_removed (relay, now))
+        relay_fail (relay, now, "version_removed");
+      else if (may_place
+               && placer_pick (traffic->placer, now, &query, &relay->choice)
+                      == GS_OK)
+        {
+          relay_queue_remove (relay);
+          send_request (relay, now, &query);
+        }
+      else if (now >= relay_queue_deadline (relay))
+        {
+          relay_queue_remove (relay);
+          reject_for_capacity (relay, now, "waited_for_room");
+        }
+      /* A resumed stream waits for few replicas; the others may have room. */
+      else if (query.version == 0)
+        may_place = false;
+    }
+}
+
+void
+relay_queues_serve (traffic_t *traffic, gs_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, traffic->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!g_queue_is_empty (&((traffic_service_t *)value)->queue))
+      serve_queue (traffic, value, now);
+}
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -1,7 +1,9 @@
 /**
  * @file relay_private.h
  * State of a client request that the gateway forwards to a replica.  It is
- * shared by relay.c (attempts and responses), relay_admit.c (routing and
+ * shared by relay.c (begin and end), relay_dispatch.c (attempts),
+ * relay_answer.c (responses), relay_detour.c and relay_probe.c (nodes that are
+ * cut from replicas), relay_quarantine.c, relay_admit.c (routing and
  * admission), relay_origin.c (versions of streams), relay_queue.c (queueing)
  * and relay_log.c (logs and metrics).
  */
@@ -64,6 +66,44 @@
   gs_time_t first_response_at;
 };
 
+/** Free a request whose exchange has ended. */
+void relay_free (relay_t *relay);
+
+/** End a request with an error response made by this node, not by a replica,
+    and free it.
+    @param retry_after time from now after which the caller may retry; 0 to
+    leave that out */
+void relay_end_with_error (relay_t *relay, unsigned status, const char *reason,
+                           gs_time_t retry_after);
+
+/** End a request that has not run, and tell its caller when to retry. */
+void relay_reject (relay_t *relay, gs_time_t now, const char *reason);
+
+/** End a request that can't be sent again, with a status that is true of its
+    attempts. */
+void relay_fail (relay_t *relay, gs_time_t now, const char *reason);
+
+/** Send a request to a replica or another node, queue it, or end it.  Only a
+    request that no attempt may have run is queued. */
+void relay_dispatch (relay_t *relay, gs_time_t now);
+
+/** End a request that is likely to make a replica crash.
+    @return false, without ending it, if nothing is known against it */
+bool relay_reject_if_quarantined (relay_t *relay, gs_time_t now);
+
+/** Take the current attempt out of the load, if it is counted. */
+void relay_attempt_end (relay_t *relay, gs_time_t now,
+                        placer_outcome_t outcome);
+
+/** Account for a buffer of a response that has grown or shrunk.
+    @return false if the response is too large */
+bool relay_buffered_set (relay_t *relay, size_t length);
+
+/** Callbacks of the current attempt, as in gs_http_request_t. */
+bool relay_on_line (void *context, const char *line, size_t length);
+bool relay_on_data (void *context, const char *data, size_t length);
+void relay_on_done (void *context, const gs_http_result_t *result);
+
 /** Validate the request and look up its route and account.
     @param reason receives the reason when the request is rejected
     @return HTTP status to reject the request with, 0 to accept it */
--- a/src/gateway/relay_probe.c
+++ b/src/gateway/relay_probe.c
@@ -31,7 +31,7 @@
   gs_log (reach->cut ? GS_LOG_WARN : GS_LOG_INFO,
           reach->cut ? "replicas_unreachable" : "replicas_reachable",
           "silent_ms=%lld detours=%u",
-          (long long)((now - traffic->replica_heard_at) / GS_MSEC),
+          (long long)((now - traffic->last_contact_at) / GS_MSEC),
           traffic->detours->len);
 }
 
@@ -89,7 +89,7 @@
   GHashTableIter iter;
   gpointer key;
 
-  if (now < traffic->replica_heard_at + SILENCE_MAX)
+  if (now < traffic->last_contact_at + SILENCE_MAX)
     return false;
   g_hash_table_iter_init (&iter, traffic->relays);
   while (g_hash_table_iter_next (&iter, &key, NULL))
@@ -110,6 +110,9 @@
   uint32_t rows[REPLICA_REACH_PROBES];
   unsigned count;
 
+  if (traffic->has_contact)
+    traffic->last_contact_at = now;
+  traffic->has_contact = false;
   if (traffic->table == NULL)
     return;
   if (are_replicas_silent (traffic, now))
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -174,13 +174,15 @@
 {
   GArray *rows;
 
-  if (traffic->origins_told == stream_origins_last (traffic->origins)
+  if (traffic->origins_sent_to_control
+          == stream_origins_last (traffic->origins)
       || !service_versions_are_mixed (traffic->versions, now,
                                       traffic_stream_lookback (traffic)))
     return;
   rows = g_array_new (FALSE, FALSE, sizeof (stream_origin_row_t));
-  traffic->origins_told = stream_origins_export (
-      traffic->origins, now, traffic->origins_told, STREAM_ORIGIN_OWN, rows);
+  traffic->origins_sent_to_control = stream_origins_export (
+      traffic->origins, now, traffic->origins_sent_to_control,
+      STREAM_ORIGIN_OWN, rows);
   if (rows->len > 0)
     traffic->options.on_origins (traffic->options.context, rows);
   else
@@ -267,7 +269,7 @@
   gs_rng_seed (&traffic->rng, options->seed);
   placer_create (&traffic->placer, options->seed);
   traffic->detours = g_array_new (FALSE, FALSE, sizeof (traffic_detour_t));
-  traffic->replica_heard_at = gs_clock_now ();
+  traffic->last_contact_at = gs_clock_now ();
   service_versions_create (&traffic->versions);
   stream_origins_create (&traffic->origins);
   quarantine_create (&traffic->quarantine, true);
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -42,11 +42,12 @@
   quota_t *quota;
   quarantine_t *quarantine;
   replica_reach_t reach;
-  gs_time_t replica_heard_at; /* when the last byte of a replica came */
-  GArray *detours;            /* of traffic_detour_t */
+  bool has_contact;          /* a replica has sent bytes since the last tick */
+  gs_time_t last_contact_at; /* when the last byte of a replica came */
+  GArray *detours;           /* of traffic_detour_t */
   service_versions_t *versions;
   stream_origins_t *origins;
-  uint64_t origins_told;     /* last row given to on_origins() */
+  uint64_t origins_sent_to_control; /* last row given to on_origins() */
   gs_time_t stream_time_max; /* longest time that a caller of a stream that
                                 may be resumed was seen to wait */
   response_memory_t response_memory;
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -196,9 +196,9 @@
 void gw_replica_refuse (gateway_world_t *world, unsigned index,
                         const char *retry_after);
 
-/** Set whether replicas are brittle: they say so, run WORLD_SLOTS requests at
-    once, reject others, and crash when they reject more than
-    WORLD_BRITTLE_MAX in a second. */
+/** Set whether replicas are brittle: their answers state it, they run
+   WORLD_SLOTS requests at once, reject others, and crash when they reject more
+   than WORLD_BRITTLE_MAX in a second. */
 void gw_brittle_set (gateway_world_t *world, bool brittle);
 
 /** Let each replica crash that begins to answer a request with a part in its
