gateway: callers are told when to retry where no node reaches replicas

A request that was passed on to a node which is cut off as well was refused without Retry-After, so its caller came back at once.

--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -361,6 +361,8 @@
     relay_dispatch (relay, now);
   else if (relay->possible_runs > 0)
     relay_fail (relay, now, "node_failed");
+  else if (status == 503 && relay->head.retry_after == 0)
+    relay_reject (relay, now, "node_rejected");
   else
     relay_end_with_error (relay, status, "node_rejected",
                           relay->head.retry_after);
--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -233,16 +233,16 @@
                     : g_strdup_printf ("seed_nodes=127.0.0.2:%u\n",
                                        world->gateways[0].peer_port.port);
   char *text = g_strdup_printf (
-      "node=%s\nzone=a\nregion=r\nbind.front=127.0.0.%u:%u\n"
+      "node=%s\nzone=%s\nregion=r\nbind.front=127.0.0.%u:%u\n"
       "bind.ready=127.0.0.%u:%u\nbind.directory=127.0.0.%u:%u\n"
       "bind.control=127.0.0.%u:%u\n%splatform.address=127.0.0.1:%u\n"
       "provider.address=127.0.0.1:%u\nlimits.max_fds=3000\n"
       "bounds.window_s=1\nbounds.usage_late_s=10\nbounds.lease_ms=500\n"
       "bounds.grace_s=8\nbounds.drain_ms=2000\nbounds.retry_slack=50\n"
       "bootstrap=true\nunknown.key=1\n",
-      gateway->name, host, gateway->caller_port.port, host,
-      gateway->readiness_port.port, host, gateway->address_port.port, host,
-      gateway->peer_port.port, seeds,
+      gateway->name, gateway->data_centre != NULL ? gateway->data_centre : "a",
+      host, gateway->caller_port.port, host, gateway->readiness_port.port,
+      host, gateway->address_port.port, host, gateway->peer_port.port, seeds,
       raw_server_port (world->stores[index].server),
       raw_server_port (world->provider));
 
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -85,6 +85,7 @@
 {
   pid_t pid;
   char name[16];
+  const char *data_centre; /* NULL for "a" */
   reserved_port_t caller_port;
   reserved_port_t readiness_port;
   reserved_port_t address_port;
--- a/tests/test_process_gateway_cut.c
+++ b/tests/test_process_gateway_cut.c
@@ -114,6 +114,8 @@
 start_gateways (unsigned count)
 {
   start_world (REPLICAS);
+  for (unsigned i = 1; i < count; i++)
+    world.gateways[i].data_centre = "b";
   gw_paths_create (&world);
   gw_configure (&world, 1, "/a/", WORLD_API_KEY);
   for (unsigned i = 0; i < count; i++)
@@ -171,7 +173,7 @@
 }
 
 static void
-most_nodes_may_be_cut_from_all_replicas (void)
+all_nodes_of_a_data_centre_may_be_cut_from_all_replicas (void)
 {
   play_cut (PROXY_HANG, GATEWAYS - 1);
 }
@@ -285,6 +287,7 @@
       answer
           = gw_request (&world, i % 2, "POST", "/a/never/good", id, "", "x");
       CU_ASSERT_EQUAL (status_of (answer), 503);
+      CU_ASSERT_PTR_NOT_NULL (strstr (answer, "Retry-After: "));
       CU_ASSERT_EQUAL (gw_arrivals_count (&world, id), 0);
       CU_ASSERT (gs_clock_now () < start + GS_SEC);
       g_free (answer);
@@ -343,8 +346,8 @@
     a_request_that_is_passed_on_arrives_unchanged },
   { "callers are told of nodes that reach replicas",
     callers_are_told_of_nodes_that_reach_replicas },
-  { "most nodes may be cut from all replicas",
-    most_nodes_may_be_cut_from_all_replicas },
+  { "all nodes of a data centre may be cut from all replicas",
+    all_nodes_of_a_data_centre_may_be_cut_from_all_replicas },
   { "replicas that are silent for a second lose no request",
     replicas_that_are_silent_for_a_second_lose_no_request },
   { "requests are refused at once when all nodes are cut",
