gateway: a resumed stream may wait at a replica of its version

While an upgrade rolls, new streams take the slots of all versions, and a resumed stream finds room only at the few replicas of its own; it was refused after a part of its latency goal where new streams went elsewhere. It may now wait at a replica as requests to services that are no engines do, by half of its slots.

test_placer, 'a stream gets replicas of its version only', failed before (eight streams on two replicas with four slots, now twelve).

--- a/src/gateway/placer.c
+++ b/src/gateway/placer.c
@@ -357,11 +357,15 @@
          + (engine ? row->peer_in_flight : (uint32_t)row->peer_in_flight_mean);
 }
 
+/* A resumed stream that waits at a replica of its version is better off than
+   one that is refused: the other replicas cannot take it.  */
 static uint32_t
-slots_max (const replica_row_t *row, bool engine)
+slots_max (const replica_row_t *row, const placer_query_t *query)
 {
+  bool may_wait = !query->engine || query->version != 0;
+
   return row->replica.slots
-         + (engine ? 0 : (uint32_t)(QUEUE_SLOTS_RATIO * row->replica.slots));
+         + (may_wait ? (uint32_t)(QUEUE_SLOTS_RATIO * row->replica.slots) : 0);
 }
 
 static bool
@@ -382,7 +386,7 @@
       && row->in_flight
              >= brittle_replica_slots (&row->brittle, now, row->replica.slots))
     return true;
-  if (slots_taken (row, query->engine) >= slots_max (row, query->engine))
+  if (slots_taken (row, query->engine) >= slots_max (row, query))
     return true;
   /* A request larger than the memory goes to an idle replica, which rejects
      it.  */
