tests: streams go on while an upgrade rolls

Twelve streams begin while one version serves; two of four replicas then have another one, and all twelve are resumed at the other node.

--- a/tests/test_process_gateway_versions.c
+++ b/tests/test_process_gateway_versions.c
@@ -223,6 +223,28 @@
   end_world ();
 }
 
+/* All streams begin before there is a second version, so no node has told
+   another one of them.  */
+static void
+streams_go_on_while_an_upgrade_rolls (void)
+{
+  outcome_t outcome;
+
+  start_world (WORLD_REPLICAS_MAX);
+  gw_configure (&world, 1, "/a/", WORLD_API_KEY);
+  for (unsigned i = 0; i < 2; i++)
+    gw_start (&world, i, true);
+  g_usleep ((gulong)KNOWN_TIMEOUT);
+  begin_streams (2);
+  gw_replica_version_set (&world, 2, "v2");
+  gw_replica_version_set (&world, 3, "v2");
+  g_usleep (100000);
+  outcome = resume_streams (2);
+  CU_ASSERT_EQUAL (outcome.elsewhere, 0);
+  CU_ASSERT_EQUAL (outcome.complete, STREAMS);
+  end_world ();
+}
+
 /* The replica is lost within an event, and the node resumes the stream.  */
 static void
 a_stream_goes_on_at_its_version_when_a_replica_is_lost (void)
@@ -275,6 +297,8 @@
     a_stream_is_resumed_without_knowledge_while_one_version_serves },
   { "a stream that no node knows is refused while two versions serve",
     a_stream_that_no_node_knows_is_refused_while_two_versions_serve },
+  { "streams go on while an upgrade rolls",
+    streams_go_on_while_an_upgrade_rolls },
 };
 
 int
