gateway: log and count whether a request may be sent again

A line says that a request was placed once more, but not what the budget of repeats was made of, so lines could not tell a budget that is too large from one that a restart has emptied. Each decision writes a line 'resend' with the requests and resends of the window, the number of nodes that share the slack and the age of the process, and counts in resends_total.

--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -214,13 +214,16 @@
 reserve_resend (relay_t *relay, gs_time_t now)
 {
   resend_bounds_t bounds = traffic_resend_bounds (relay->traffic);
+  bool granted;
 
   if (relay->attempts >= ATTEMPTS_MAX
       || now + RESEND_TIME_LEFT_MIN > relay->deadline)
     return false;
   if (!may_run_again (relay))
     return false;
-  return resend_budget_take (&relay->service->budget, now, &bounds);
+  granted = resend_budget_take (&relay->service->budget, now, &bounds);
+  relay_log_resend (relay, now, granted);
+  return granted;
 }
 
 /* Resends the request to another replica if allowed, else ends it.
--- a/src/gateway/relay_log.c
+++ b/src/gateway/relay_log.c
@@ -205,6 +205,28 @@
                   (unsigned long long)relay->events.last_id);
 }
 
+void
+relay_log_resend (const relay_t *relay, gs_time_t now, bool granted)
+{
+  const traffic_t *traffic = relay->traffic;
+  resend_bounds_t bounds = traffic_resend_bounds (traffic);
+  gs_log_value_t id;
+  resend_use_t use;
+  char labels[96];
+
+  resend_budget_use_get (&relay->service->budget, now, &bounds, &use);
+  g_snprintf (labels, sizeof labels, "service=\"%s\",granted=\"%d\"",
+              relay->service->name, granted);
+  gs_meter_add ("resends_total", labels, 1);
+  gs_log_routine ("resend",
+                  "id=%s service=%s granted=%d sends=%u window_requests=%u"
+                  " window_resends=%u allowed=%.1f sharers=%u up_ms=%lld",
+                  gs_log_quote (&id, relay->request.id), relay->service->name,
+                  granted, relay->attempts, use.requests, use.resends,
+                  use.allowed, bounds.nodes,
+                  elapsed_msec (traffic->started_at, now));
+}
+
 void
 relay_log_attempt (const relay_t *relay, const char *outcome,
                    const char *reason)
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -276,6 +276,9 @@
 /** Log the node that a request is passed on to. */
 void relay_log_detour (const relay_t *relay, gs_time_t now);
 
+/** Log and count whether the budget allows a request to be sent again. */
+void relay_log_resend (const relay_t *relay, gs_time_t now, bool granted);
+
 /** Log and count an attempt that ended without a response to forward. */
 void relay_log_attempt (const relay_t *relay, const char *outcome,
                         const char *reason);
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -221,6 +221,7 @@
 
   *out = NULL;
   traffic->options = *options;
+  traffic->started_at = gs_clock_now ();
   traffic->members = 1;
   gs_rng_seed (&traffic->rng, options->seed);
   placer_create (&traffic->placer, options->seed);
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -63,6 +63,7 @@
   usage_count_t *usage;
   GHashTable *relays; /* set of relay_t */
   gs_rng_t rng;
+  gs_time_t started_at;        /* of this process */
   unsigned members;            /* nodes of the fleet, this one included */
   unsigned peers_source;       /* how the last data about them were divided */
   gs_time_t peers_updated_at;  /* last update of the data about other nodes */
--- a/src/policy/resend_budget.c
+++ b/src/policy/resend_budget.c
@@ -40,23 +40,30 @@
   budget->requests[budget->newest]++;
 }
 
-double
-resend_budget_remaining (resend_budget_t *budget, gs_time_t now,
-                         const resend_bounds_t *bounds)
+void
+resend_budget_use_get (resend_budget_t *budget, gs_time_t now,
+                       const resend_bounds_t *bounds, resend_use_t *out)
 {
-  unsigned requests = 0;
-  unsigned resends = 0;
-
+  *out = (resend_use_t){ .requests = 0 };
   bins_advance (budget, now);
   for (unsigned i = 0; i < RESEND_BIN_COUNT; i++)
     {
-      requests += budget->requests[i];
-      resends += budget->resends[i];
+      out->requests += budget->requests[i];
+      out->resends += budget->resends[i];
     }
-  return BOUND_USED_RATIO
-             * (bounds->ratio * requests
-                + (double)bounds->slack / MAX (bounds->nodes, 1))
-         - resends;
+  out->allowed = BOUND_USED_RATIO
+                 * (bounds->ratio * out->requests
+                    + (double)bounds->slack / MAX (bounds->nodes, 1));
+}
+
+double
+resend_budget_remaining (resend_budget_t *budget, gs_time_t now,
+                         const resend_bounds_t *bounds)
+{
+  resend_use_t use;
+
+  resend_budget_use_get (budget, now, bounds, &use);
+  return use.allowed - use.resends;
 }
 
 bool
--- a/src/policy/resend_budget.h
+++ b/src/policy/resend_budget.h
@@ -44,6 +44,17 @@
 bool resend_budget_take (resend_budget_t *budget, gs_time_t now,
                          const resend_bounds_t *bounds);
 
+/** Use of a budget in the current window. */
+typedef struct
+{
+  unsigned requests;
+  unsigned resends;
+  double allowed; /**< resends in the window */
+} resend_use_t;
+
+void resend_budget_use_get (resend_budget_t *budget, gs_time_t now,
+                            const resend_bounds_t *bounds, resend_use_t *out);
+
 /** @return resends that the budget allows now; may be negative */
 double resend_budget_remaining (resend_budget_t *budget, gs_time_t now,
                                 const resend_bounds_t *bounds);
