resend budget: a process takes no part of the slack in its first window

Cause: the slack of the budget is a bound of all nodes over a window, but each process began with the whole of its part, though the process before it had spent the same part within that window; k starts in a window allowed k + 1 slacks. In its first 0.1 s a process even took itself for the only node, and the slack of all nodes for its part. And when the fleet shrank, the nodes that stayed got a larger part at once, while the others had used theirs.

A process takes its part of the slack a window after its start, when nothing of the process before is left in any window. The part is that of the largest fleet within the window. Until then it may repeat by the ratio of the requests that it has counted itself, which no other process counts.

--- a/src/gateway/relay_log.c
+++ b/src/gateway/relay_log.c
@@ -223,7 +223,7 @@
                   " window_resends=%u allowed=%.1f sharers=%u up_ms=%lld",
                   gs_log_quote (&id, relay->request.id), relay->service->name,
                   granted, relay->attempts, use.requests, use.resends,
-                  use.allowed, bounds.nodes,
+                  use.allowed, use.nodes,
                   elapsed_msec (traffic->started_at, now));
 }
 
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -56,7 +56,8 @@
   return_schedule_create (&service->returns);
   g_strlcpy (service->demand.service, name, sizeof service->demand.service);
   resend_budget_init (&service->budget,
-                      traffic->options.deployment->resend_window);
+                      traffic->options.deployment->resend_window,
+                      traffic->started_at);
   g_hash_table_insert (traffic->services, service->name, service);
   return service;
 }
--- a/src/policy/resend_budget.c
+++ b/src/policy/resend_budget.c
@@ -8,10 +8,12 @@
 #define BOUND_USED_RATIO 0.8
 
 void
-resend_budget_init (resend_budget_t *budget, gs_time_t window)
+resend_budget_init (resend_budget_t *budget, gs_time_t window,
+                    gs_time_t started_at)
 {
   /* One bin more than the window spans, as the newest bin is incomplete.  */
-  *budget = (resend_budget_t){ .bin_length = window / (RESEND_BIN_COUNT - 1) };
+  *budget = (resend_budget_t){ .bin_length = window / (RESEND_BIN_COUNT - 1),
+                               .slack_at = started_at + window };
 }
 
 static void
@@ -27,6 +29,7 @@
       budget->newest = (budget->newest + 1) % RESEND_BIN_COUNT;
       budget->requests[budget->newest] = 0;
       budget->resends[budget->newest] = 0;
+      budget->nodes[budget->newest] = 0;
       budget->bin_start += budget->bin_length;
     }
   if (budget->bin_start + budget->bin_length <= now)
@@ -44,16 +47,22 @@
 resend_budget_use_get (resend_budget_t *budget, gs_time_t now,
                        const resend_bounds_t *bounds, resend_use_t *out)
 {
+  double slack = 0;
+
   *out = (resend_use_t){ .requests = 0 };
   bins_advance (budget, now);
+  budget->nodes[budget->newest]
+      = MAX (budget->nodes[budget->newest], MAX (bounds->nodes, 1));
   for (unsigned i = 0; i < RESEND_BIN_COUNT; i++)
     {
       out->requests += budget->requests[i];
       out->resends += budget->resends[i];
+      out->nodes = MAX (out->nodes, budget->nodes[i]);
     }
-  out->allowed = BOUND_USED_RATIO
-                 * (bounds->ratio * out->requests
-                    + (double)bounds->slack / MAX (bounds->nodes, 1));
+  /* Nodes that left have used their parts within the window.  */
+  if (now >= budget->slack_at)
+    slack = (double)bounds->slack / out->nodes;
+  out->allowed = BOUND_USED_RATIO * (bounds->ratio * out->requests + slack);
 }
 
 double
--- a/src/policy/resend_budget.h
+++ b/src/policy/resend_budget.h
@@ -4,7 +4,9 @@
  * nodes together may resend a ratio of the requests plus a fixed number (the
  * slack).  Each node uses the ratio of its own requests and an equal part of
  * the slack without communicating, so the bound also holds between nodes that
- * are partitioned.  The functions read no clock and do no I/O.
+ * are partitioned.  A process does not know what the one before it on its VM
+ * has sent, and takes no part of the slack until that is out of the window.
+ * The functions read no clock and do no I/O.
  */
 #ifndef GS_POLICY_RESEND_BUDGET_H
 #define GS_POLICY_RESEND_BUDGET_H
@@ -21,9 +23,11 @@
 {
   gs_time_t bin_length;
   gs_time_t bin_start; /**< of the newest bin; 0 before the first use */
+  gs_time_t slack_at;  /**< when this process takes its part of the slack */
   unsigned newest;     /**< index of the newest bin */
   unsigned requests[RESEND_BIN_COUNT];
   unsigned resends[RESEND_BIN_COUNT];
+  unsigned nodes[RESEND_BIN_COUNT]; /**< most nodes that shared the slack */
 } resend_budget_t;
 
 /** Bound on the resends in a window. */
@@ -34,7 +38,9 @@
   unsigned nodes; /**< that share the slack */
 } resend_bounds_t;
 
-void resend_budget_init (resend_budget_t *budget, gs_time_t window);
+/** @param started_at when this process started */
+void resend_budget_init (resend_budget_t *budget, gs_time_t window,
+                         gs_time_t started_at);
 
 /** Count a request of a caller. */
 void resend_budget_request_record (resend_budget_t *budget, gs_time_t now);
@@ -49,6 +55,7 @@
 {
   unsigned requests;
   unsigned resends;
+  unsigned nodes; /**< most that shared the slack */
   double allowed; /**< resends in the window */
 } resend_use_t;
 
