brittle replicas: windows of requests that grow, inherited by service

Cause: what nodes knew was bound to one process of a replica. A replica that came back was a new process that had not said yet that it is brittle; all nodes found it empty and sent it 23 to 44 requests before the first answer told them, and it fell over after about a second, six times in 5 s. The class: what holds for a service was learned anew for each process, and each node took what it did not know for free room. Of the same class: a node that has just started knows of no brittle replica and of no other nodes, and took the slots of all for its part; an entry that was missing in the list for a moment lost what its replica had said; nodes assumed that all slots are room.

Replicas of a service are brittle together, so one that has not answered yet inherits that, and nodes tell each other. Within its part of the slots a node has a window of the requests that it has had there at once without a rejection; it tries one more at a time and after a rejection waits, with jitter, so long that all nodes together stay below half of what the replica bears. At a new process nodes begin one after the other. The first rejection after a quiet time means that room has shrunk at all replicas of the service, and all windows close at once. Parts go by all nodes that are known, and until some are known a node takes one slot.

--- a/src/fleet/membership.c
+++ b/src/fleet/membership.c
@@ -37,13 +37,14 @@
   (void)now;
 }
 
-/* Has this node's entry written again if the store came back from an older
-   copy without it.  */
+/* Records that all nodes are known.  Has this node's entry written again if
+   the store came back from an older copy without it.  */
 static void
 on_listed (void *context, gs_time_t now)
 {
   membership_t *membership = context;
 
+  peers_members_listed_set (membership->peers);
   if (membership->entry_state != ENTRY_WRITTEN || membership->leaving
       || feed_has (membership->feed, membership->self.name)
       || gs_object_revision_era (feed_revision (membership->feed))
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -11,9 +11,6 @@
 /* Unreachable nodes that might be aggregators are called one after another at
    this interval, however many they are.  */
 #define PROBE_INTERVAL (250 * GS_MSEC)
-/* A node that is not listed in the store is removed when nothing has been
-   heard of it for this long.  */
-#define PEER_TTL (10 * GS_SEC)
 /* Reports carry usage counts at this interval; windows last seconds.  */
 #define USAGE_INTERVAL GS_SEC
 /* Interval at which roles and expired peers are reviewed.  */
@@ -863,26 +860,6 @@
   peers_tick (peers, now);
 }
 
-unsigned
-peers_member_count (const peers_t *peers, gs_time_t now)
-{
-  unsigned count = 1;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, peers->by_name);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const peer_t *peer = value;
-      uint32_t flags;
-
-      if (peer->listed || now <= peer->last_heard_at + PEER_TTL
-          || peers_is_live (peers, peer, now, &flags))
-        count++;
-    }
-  return count;
-}
-
 bool
 peers_name_is_live (const peers_t *peers, gs_time_t now, const char *name)
 {
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -164,10 +164,18 @@
 void peers_listed_set (peers_t *peers, gs_time_t now,
                        const digest_member_t *member, bool listed);
 
+/** Record that the store's list of nodes has been read. */
+void peers_members_listed_set (peers_t *peers);
+
 /** @return number of nodes that share the fleet-wide limits: this one, those
     listed in the store, and those that were recently heard of. */
 unsigned peers_member_count (const peers_t *peers, gs_time_t now);
 
+/** Append the hashes of these nodes, this one first.
+    @param out array of uint64_t; gets nothing while this node knows of no
+    other one and has not read the store's list */
+void peers_members_hash (const peers_t *peers, gs_time_t now, GArray *out);
+
 /** @return position of this node, from 0, among the live nodes that accept
     requests, in an order that all nodes share; only aggregators count in a
     large fleet, and UINT_MAX is returned for a node that is none.  The first
--- a/src/fleet/peers_fleet.c
+++ b/src/fleet/peers_fleet.c
@@ -648,6 +648,8 @@
   view->peers = g_array_new (FALSE, TRUE, sizeof (traffic_peer_t));
   view->nodes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   peers_accepting_nodes (peers, now, view->nodes);
+  view->members = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  peers_members_hash (peers, now, view->members);
   view->statements = statements_list (peers_statements_update (peers));
   quarantine_rows_init (&view->quarantine);
   peers_quarantine_export (peers, now, &view->quarantine);
--- a/src/fleet/peers_members.c
+++ b/src/fleet/peers_members.c
@@ -1,4 +1,4 @@
-#include "fleet/peers.h"
+#include "fleet/peers_private.h"
 
 #include <string.h>
 
@@ -48,3 +48,46 @@
   out->incarnation = g_ascii_strtoull (incarnation, NULL, 16);
   return GS_OK;
 }
+
+void
+peers_members_listed_set (peers_t *peers)
+{
+  peers->members_listed = true;
+}
+
+static bool
+is_member (const peers_t *peers, gs_time_t now, const peer_t *peer)
+{
+  uint32_t flags;
+
+  return peer->listed || now <= peer->last_heard_at + PEER_TTL
+         || peers_is_live (peers, peer, now, &flags);
+}
+
+unsigned
+peers_member_count (const peers_t *peers, gs_time_t now)
+{
+  unsigned count = 1;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += is_member (peers, now, value);
+  return count;
+}
+
+void
+peers_members_hash (const peers_t *peers, gs_time_t now, GArray *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!peers->members_listed && g_hash_table_size (peers->by_name) == 0)
+    return;
+  g_array_append_val (out, peers->node);
+  g_hash_table_iter_init (&iter, peers->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_member (peers, now, value))
+      g_array_append_val (out, ((const peer_t *)value)->node);
+}
--- a/src/fleet/peers_private.h
+++ b/src/fleet/peers_private.h
@@ -90,6 +90,10 @@
   uint64_t status_version;
 } fleet_view_t;
 
+/* A node that is not listed in the store is removed when no message of it has
+   come for this long.  */
+#define PEER_TTL (10 * GS_SEC)
+
 struct peers
 {
   digest_member_t self;
@@ -101,6 +105,7 @@
   peers_role_t role;
   unsigned data_centre_nodes; /* of this node's data centre, itself included */
   GHashTable *by_name;        /* name -> peer_t */
+  bool members_listed;        /* the store's list of nodes was read once */
   GHashTable *processes;      /* incarnation -> peer_process_t */
   GHashTable *summaries;      /* incarnation -> peer_summary_t */
   gs_endpoint_t seeds[GS_SEEDS_MAX];
--- a/src/fleet/report.c
+++ b/src/fleet/report.c
@@ -44,6 +44,7 @@
     }
   g_array_unref (peers->peers);
   g_array_unref (peers->nodes);
+  g_array_unref (peers->members);
   g_array_unref (peers->statements);
   g_array_unref (peers->origins);
   g_array_unref (peers->detours);
--- a/src/fleet/report.h
+++ b/src/fleet/report.h
@@ -97,6 +97,8 @@
   GArray *peers;   /**< of traffic_peer_t */
   GArray *nodes;   /**< of uint64_t: hashes of the nodes that accept requests,
                         this one first */
+  GArray *members; /**< of uint64_t: hashes of the nodes that share limits,
+                      this one first; empty while they are not known */
   GArray *statements; /**< of statement_t: the latest of each replica */
   quarantine_rows_t quarantine;
   GArray *detours; /**< of traffic_detour_t: live nodes that accept requests
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -427,6 +427,9 @@
   placer_nodes_set (traffic->placer, now,
                     (const uint64_t *)(void *)peers->nodes->data,
                     peers->nodes->len, peers->fleet.members);
+  placer_members_set (traffic->placer, now,
+                      (const uint64_t *)(void *)peers->members->data,
+                      peers->members->len);
   placer_statements_import (
       traffic->placer, now,
       (const statement_t *)(void *)peers->statements->data,
--- a/src/policy/placer.c
+++ b/src/policy/placer.c
@@ -45,8 +45,10 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   placer->blocks
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  placer->brittle = placer_brittle_table_create ();
   placer->available = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   placer->nodes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  placer->member_nodes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   placer->members = 1;
   placer->read_speed = READ_SPEED_INITIAL;
   gs_rng_seed (&placer->rng, seed);
@@ -58,9 +60,11 @@
 {
   if (placer == NULL)
     return;
+  g_array_unref (placer->member_nodes);
   g_array_unref (placer->nodes);
   g_array_unref (placer->available);
   g_hash_table_unref (placer->blocks);
+  g_hash_table_unref (placer->brittle);
   g_hash_table_unref (placer->former);
   g_hash_table_unref (placer->by_hash);
   g_hash_table_unref (placer->by_id);
@@ -119,19 +123,20 @@
 /* A restarted replica may keep its id but has an empty cache, so the new
    generation invalidates the blocks recorded for it.  */
 static void
-row_set_replica (placer_t *placer, replica_row_t *row,
+row_set_replica (placer_t *placer, gs_time_t now, replica_row_t *row,
                  const gs_replica_t *replica)
 {
-  if (row->replica.started_ms != replica->started_ms
-      || strcmp (row->replica.address, replica->address) != 0)
+  bool is_new = row->replica.started_ms != replica->started_ms
+                || strcmp (row->replica.address, replica->address) != 0;
+
+  if (is_new)
     {
       row->generation++;
       row->failures = 0;
       row->ejections = 0;
       row->ejected_until = 0;
       row->limit = (replica_limit_t){ .stated_at = row->limit.stated_at };
-      row->brittle = (brittle_replica_t){ .rank = row->brittle.rank,
-                                          .members = row->brittle.members };
+      row->brittle = (brittle_replica_t){ .stated_at = 0 };
       row->leaving = false;
       row->refused_until = 0;
     }
@@ -139,6 +144,8 @@
   row->version = placer_version_hash (replica->version);
   row->data_centre = crossing_centre_hash (replica->data_centre);
   row->listed = true;
+  if (is_new)
+    placer_brittle_process_set (placer, now, row);
 }
 
 /* Frees the rows of removed replicas on which no attempt runs.  */
@@ -188,7 +195,7 @@
                                g_memdup2 (&row->hash, sizeof row->hash),
                                GUINT_TO_POINTER (number));
         }
-      row_set_replica (placer, row, replica);
+      row_set_replica (placer, now, row, replica);
       if (is_new)
         placer_former_restore (placer, now, row);
     }
@@ -285,6 +292,7 @@
   };
   replica_limit_take (&row->limit, now);
   row->in_flight++;
+  brittle_replica_take (&row->brittle, now, row->in_flight);
   row->backlog_tokens += ticket->uncached_tokens;
   row->reserved_tokens += ticket->reserved_tokens;
   /* The last block belongs to this request alone, so no other request will
@@ -302,6 +310,7 @@
   double elapsed_msec
       = (double)(now - ticket->sent_at - PLACER_FIRST_EVENT_DELAY) / GS_MSEC;
 
+  brittle_replica_accept (&row->brittle, now, ticket->sent_at);
   row->backlog_tokens -= ticket->uncached_tokens;
   if (ticket->uncached_tokens >= READ_SPEED_TOKENS_MIN && elapsed_msec > 1
       && backlog <= 2.0 * ticket->uncached_tokens)
@@ -335,6 +344,7 @@
   replica_row_t *row = placer_row (placer, ticket->row);
 
   row->in_flight--;
+  brittle_replica_release (&row->brittle, now, row->in_flight);
   row->backlog_tokens -= ticket->uncached_tokens;
   row->reserved_tokens -= ticket->reserved_tokens;
   switch (outcome)
@@ -352,7 +362,7 @@
       break;
     case PLACER_FULL:
       row->full_until = now + FULL_TIMEOUT;
-      brittle_replica_reject (&row->brittle, now, row->replica.slots);
+      placer_brittle_reject (placer, now, row);
       break;
     case PLACER_REPLICA_MISMATCH:
       row_eject (row, now, "address_of_another");
@@ -427,21 +437,3 @@
 {
   return placer->read_speed;
 }
-
-void
-placer_slots_count (const placer_t *placer, gs_time_t now, const char *service,
-                    unsigned *slots, unsigned *taken)
-{
-  *slots = 0;
-  *taken = 0;
-  for (guint i = 0; i < placer->rows->len; i++)
-    {
-      const replica_row_t *row = placer_row (placer, i);
-
-      if (!placer_row_is_usable (row, 0, service)
-          || replica_limit_is_set (&row->limit, now))
-        continue;
-      *slots += row->replica.slots;
-      *taken += MIN (placer_row_slots_taken (row, true), row->replica.slots);
-    }
-}
--- a/src/policy/placer.h
+++ b/src/policy/placer.h
@@ -131,6 +131,16 @@
 void placer_nodes_set (placer_t *placer, gs_time_t now, const uint64_t *nodes,
                        size_t count, unsigned members);
 
+/**
+ * Set the nodes that may send requests to brittle replicas, which each have a
+ * fixed part of these.
+ * @param members hashes of all nodes, this one first, those without a recent
+ * message included
+ * @param count 0 while the nodes are not known
+ */
+void placer_members_set (placer_t *placer, gs_time_t now,
+                         const uint64_t *members, size_t count);
+
 /** What a replica says of itself in an answer. */
 typedef struct
 {
--- a/src/policy/placer_centres.c
+++ b/src/policy/placer_centres.c
@@ -36,3 +36,21 @@
     }
   return count;
 }
+
+void
+placer_slots_count (const placer_t *placer, gs_time_t now, const char *service,
+                    unsigned *slots, unsigned *taken)
+{
+  *slots = 0;
+  *taken = 0;
+  for (guint i = 0; i < placer->rows->len; i++)
+    {
+      const replica_row_t *row = placer_row (placer, i);
+
+      if (!placer_row_is_usable (row, 0, service)
+          || replica_limit_is_set (&row->limit, now))
+        continue;
+      *slots += row->replica.slots;
+      *taken += MIN (placer_row_slots_taken (row, true), row->replica.slots);
+    }
+}
--- a/src/policy/placer_choose.c
+++ b/src/policy/placer_choose.c
@@ -201,8 +201,8 @@
       || !replica_limit_allows (&row->limit, now))
     return true;
   if (brittle_replica_is_set (&row->brittle, now)
-      && row->in_flight
-             >= brittle_replica_slots (&row->brittle, now, row->replica.slots))
+      && row->in_flight >= brittle_replica_slots (
+             &row->brittle, now, row->replica.slots, row->in_flight))
     return true;
   if (placer_row_slots_taken (row, query->engine) >= slots_max (row, query))
     return true;
--- a/src/policy/placer_private.h
+++ b/src/policy/placer_private.h
@@ -1,8 +1,8 @@
 /**
  * @file placer_private.h
  * State of the placer, shared by placer.c (replicas and load),
- * placer_choose.c (choice) and placer_statements.c (what replicas say of
- * themselves).
+ * placer_choose.c (choice), placer_statements.c (what replicas say of
+ * themselves) and placer_brittle.c (services whose replicas are brittle).
  */
 #ifndef GS_POLICY_PLACER_PRIVATE_H
 #define GS_POLICY_PLACER_PRIVATE_H
@@ -64,12 +64,14 @@
   GHashTable *by_id;   /* id -> row + 1 */
   GHashTable *by_hash; /* hash of the id -> row + 1 */
   GHashTable *former;  /* hash of the id -> former_replica_t */
+  GHashTable *brittle; /* name -> brittle_service_t */
   GHashTable *blocks;  /* id -> cached_block_t */
   double read_speed;   /* tokens per millisecond */
   unsigned peers;      /* other nodes that place requests */
   GArray *nodes;       /* of uint64_t: see placer_nodes_set() */
   unsigned members;
-  GArray *available; /* of uint32_t; scratch: rows that are not full */
+  GArray *member_nodes; /* of uint64_t: see placer_members_set() */
+  GArray *available;    /* of uint32_t; scratch: rows that are not full */
   gs_rng_t rng;
 };
 
@@ -79,6 +81,30 @@
   return &g_array_index (placer->rows, replica_row_t, row);
 }
 
+/* Services whose replicas have said that they are brittle.  */
+GHashTable *placer_brittle_table_create (void);
+
+/* Lets a row that got a new process know what others of its service say.  */
+void placer_brittle_process_set (placer_t *placer, gs_time_t now,
+                                 replica_row_t *row);
+
+/* Sets this node's part of a brittle replica anew.  */
+void placer_brittle_share (const placer_t *placer, gs_time_t now,
+                           replica_row_t *row);
+
+/* Records that a replica has rejected a request for lack of room.  */
+void placer_brittle_reject (placer_t *placer, gs_time_t now,
+                            replica_row_t *row);
+
+/* Records what an answer of a replica says.  */
+void placer_brittle_answer (placer_t *placer, gs_time_t now,
+                            replica_row_t *row, gs_time_t sent_at,
+                            const placer_statement_t *statement);
+
+/* Records what a replica has said in an answer to another node.  */
+void placer_brittle_import (placer_t *placer, gs_time_t now,
+                            replica_row_t *row, const statement_t *statement);
+
 /* Keeps what a replica has said while no list contains it.  Does nothing if it
    has said nothing that binds.  */
 void placer_former_add (placer_t *placer, gs_time_t now,
--- a/src/policy/placer_statements.c
+++ b/src/policy/placer_statements.c
@@ -28,39 +28,6 @@
                        placer->nodes->len, placer->members);
 }
 
-static void
-row_share_brittle (const placer_t *placer, replica_row_t *row)
-{
-  brittle_replica_share (&row->brittle, row->hash,
-                         (const uint64_t *)(void *)placer->nodes->data,
-                         placer->nodes->len, placer->members);
-}
-
-/* All answers of a brittle replica state it, so nodes need not tell each
-   other. */
-static void
-row_state_brittle (const placer_t *placer, gs_time_t now, replica_row_t *row,
-                   gs_time_t sent_at, double rejections_max)
-{
-  bool before = brittle_replica_is_set (&row->brittle, now);
-  bool after;
-
-  brittle_replica_state (&row->brittle, now, sent_at, rejections_max);
-  after = brittle_replica_is_set (&row->brittle, now);
-  if (after == before)
-    return;
-  row_share_brittle (placer, row);
-  gs_log (GS_LOG_INFO, "replica_brittle",
-          "id=%s service=%s brittle=%d rejections_per_sec=%.3f own_slots=%u"
-          " slots=%u",
-          row->replica.id, row->replica.service, after,
-          after ? rejections_max : 0.0,
-          after
-              ? brittle_replica_slots (&row->brittle, now, row->replica.slots)
-              : row->replica.slots,
-          row->replica.slots);
-}
-
 static bool
 row_state_limit (const placer_t *placer, gs_time_t now, replica_row_t *row,
                  gs_time_t stated_at, double per_sec, const char *source)
@@ -90,8 +57,6 @@
 
       if (replica_limit_is_set (&row->limit, now))
         row_share_limit (placer, now, row);
-      if (brittle_replica_is_set (&row->brittle, now))
-        row_share_brittle (placer, row);
     }
 }
 
@@ -132,8 +97,7 @@
 
   if (ticket->generation != row->generation)
     return false;
-  row_state_brittle (placer, now, row, ticket->sent_at,
-                     statement->brittle ? statement->rejections_max : -1);
+  placer_brittle_answer (placer, now, row, ticket->sent_at, statement);
   changed = statement->leaving && row_state_leaving (row, now, now, "answer");
   if (statement->refused_until > row->refused_until)
     {
@@ -166,8 +130,12 @@
       if (row == NULL
           || (uint64_t)row->replica.started_ms != statement->started_ms)
         continue;
-      row_state_limit (placer, now, row, statement->stated_at,
-                       (double)statement->limit_micros / LIMIT_STEPS, "peer");
+      if (statement->limit_micros != 0
+          || replica_limit_is_set (&row->limit, now))
+        row_state_limit (placer, now, row, statement->stated_at,
+                         (double)statement->limit_micros / LIMIT_STEPS,
+                         "peer");
+      placer_brittle_import (placer, now, row, statement);
       if (statement->leaving != 0)
         row_state_leaving (row, now, statement->stated_at, "peer");
     }
@@ -189,6 +157,12 @@
 
       if (row->leaving)
         statement.stated_at = MAX (statement.stated_at, row->leaving_at);
+      if (row->brittle.answered && brittle_replica_is_set (&row->brittle, now))
+        {
+          statement_rejections_set (&statement, row->brittle.rejections_max);
+          statement.stated_at
+              = MAX (statement.stated_at, row->brittle.stated_at);
+        }
       if (statement.stated_at != 0 && row->replica.id[0] != '\0'
           && now <= statement.stated_at + REPLICA_LIMIT_TTL)
         g_array_append_val (out, statement);
@@ -237,7 +211,8 @@
   former_replica_t *former;
 
   if (!row->leaving && row->refused_until <= now
-      && !replica_limit_is_set (&row->limit, now))
+      && !replica_limit_is_set (&row->limit, now)
+      && !brittle_replica_is_set (&row->brittle, now))
     return;
   former = g_new (former_replica_t, 1);
   *former = (former_replica_t){ *row, now };
@@ -256,11 +231,15 @@
       && strcmp (former->row.replica.address, row->replica.address) == 0)
     {
       row->limit = former->row.limit;
+      if (brittle_replica_is_set (&former->row.brittle, now))
+        row->brittle = former->row.brittle;
       row->leaving = former->row.leaving;
       row->leaving_at = former->row.leaving_at;
       row->refused_until = former->row.refused_until;
       if (replica_limit_is_set (&row->limit, now))
         row_share_limit (placer, now, row);
+      if (brittle_replica_is_set (&row->brittle, now))
+        placer_brittle_share (placer, now, row);
     }
   g_hash_table_remove (placer->former, &row->hash);
 }
--- a/src/policy/statements.c
+++ b/src/policy/statements.c
@@ -3,15 +3,22 @@
 #include "garnetstack/log.h"
 #include "policy/replica_limit.h"
 
+#include <math.h>
+
+/* Smallest difference of two numbers of rejections is one divided by this.  */
+#define REJECTION_STEPS 1e6
+#define REJECTIONS_MAX 1e6
+
 const row_layout_t statement_layout
     = { sizeof (statement_row_t),
         STATEMENTS_MAX,
-        5,
+        6,
         { ROW_COLUMN (ROW_NUMBER, statement_row_t, replica),
           ROW_COLUMN (ROW_NUMBER, statement_row_t, started_ms),
           ROW_COLUMN (ROW_NUMBER, statement_row_t, leaving),
           ROW_COLUMN (ROW_NUMBER, statement_row_t, limit_micros),
-          ROW_COLUMN (ROW_NUMBER, statement_row_t, age_ms) } };
+          ROW_COLUMN (ROW_NUMBER, statement_row_t, age_ms),
+          ROW_COLUMN (ROW_OPTIONAL_NUMBER, statement_row_t, brittle) } };
 
 /* A statement that is confirmed sooner is left as it is.  A statement comes
    back from other nodes with an age that lacks the time on the way, so without
@@ -23,6 +30,21 @@
   GHashTable *by_replica; /* hash -> statement_t */
 };
 
+double
+statement_rejections (const statement_t *statement)
+{
+  return statement->brittle != 0
+             ? (double)(statement->brittle - 1) / REJECTION_STEPS
+             : 0;
+}
+
+void
+statement_rejections_set (statement_t *statement, double per_sec)
+{
+  statement->brittle
+      = 1 + (uint64_t)round (MIN (per_sec, REJECTIONS_MAX) * REJECTION_STEPS);
+}
+
 void
 statements_create (statements_t **out)
 {
@@ -45,7 +67,8 @@
 static bool
 is_same_content (const statement_t *a, const statement_t *b)
 {
-  return a->limit_micros == b->limit_micros && a->leaving == b->leaving;
+  return a->limit_micros == b->limit_micros && a->leaving == b->leaving
+         && a->brittle == b->brittle;
 }
 
 /* Joins a statement with what is known of the same process.  */
@@ -96,6 +119,7 @@
                                 .started_ms = row->started_ms,
                                 .leaving = row->leaving != 0,
                                 .limit_micros = row->limit_micros,
+                                .brittle = row->brittle,
                                 .stated_at = now };
 
       if (row->age_ms > (uint64_t)(REPLICA_LIMIT_TTL / GS_MSEC))
@@ -120,6 +144,7 @@
               .started_ms = statement->started_ms,
               .leaving = statement->leaving,
               .limit_micros = statement->limit_micros,
+              .brittle = statement->brittle,
               .age_ms
               = (uint64_t)MAX (now - statement->stated_at, 0) / GS_MSEC };
 
--- a/src/policy/statements.h
+++ b/src/policy/statements.h
@@ -24,9 +24,17 @@
   uint64_t leaving;      /**< 1 if it leaves, which no statement takes back */
   uint64_t limit_micros; /**< requests in 10^6 s that it takes from all nodes
                               together; 0 if it names no limit */
+  uint64_t brittle;      /**< 0 if it is not, else see
+                              statement_rejections() */
   gs_time_t stated_at;   /**< when a node received it, by this node's clock */
 } statement_t;
 
+/** @return rejections a second that a brittle replica bears */
+double statement_rejections (const statement_t *statement);
+
+/** Set that a replica is brittle. */
+void statement_rejections_set (statement_t *statement, double per_sec);
+
 /** A statement in a message: age in place of a time, as clocks differ. */
 typedef struct
 {
@@ -35,6 +43,7 @@
   uint64_t leaving;
   uint64_t limit_micros;
   uint64_t age_ms;
+  uint64_t brittle;
 } statement_row_t;
 
 extern const row_layout_t statement_layout; /**< of statement_row_t */
--- a/src/wire/row_codec.h
+++ b/src/wire/row_codec.h
@@ -15,7 +15,9 @@
 typedef enum
 {
   ROW_TEXT,
-  ROW_NUMBER /**< unsigned, 4 or 8 bytes */
+  ROW_NUMBER,         /**< unsigned, 4 or 8 bytes */
+  ROW_OPTIONAL_NUMBER /**< the same in a last column, which reads as zero in
+                           rows of earlier versions that lack it */
 } row_column_kind_t;
 
 typedef struct
--- a/tests/test_process_gateway_brittle.c
+++ b/tests/test_process_gateway_brittle.c
@@ -185,6 +185,10 @@
                                    { 4 * GS_SEC, EVENT_KILL_ALL, 0 },
                                    { 9 * GS_SEC / 2, EVENT_START_ALL, 0 },
                                    { 6 * GS_SEC, EVENT_CRASH_REPLICA, 3 },
+                                   /* The replicas still run what the nodes
+                                      have sent before.  */
+                                   { 8 * GS_SEC, EVENT_KILL_ALL, 0 },
+                                   { 8 * GS_SEC, EVENT_START_ALL, 0 },
                                } };
 
   play_check (&play);
--- a/tests/test_replica_limit.c
+++ b/tests/test_replica_limit.c
@@ -278,7 +278,42 @@
   statements_destroy (here);
 }
 
+/* Nodes of two versions run side by side during an upgrade.  */
+static void
+statements_of_an_earlier_version_are_read (void)
+{
+  row_layout_t earlier = statement_layout;
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (statement_row_t));
+  statement_row_t row = { .replica = REPLICA, .age_ms = 7, .brittle = 9 };
+  bool invalid = false;
+  row_reader_t reader = { NULL, 0, &invalid };
+  msgpack_unpacked unpacked;
+  msgpack_sbuffer buffer;
+  msgpack_packer out;
+
+  earlier.count--;
+  g_array_append_val (rows, row);
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&out, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&out, 2);
+  row_codec_pack (&out, &earlier, rows);
+  row_codec_pack (&out, &statement_layout, rows);
+  row_reader_unpack (&reader, &unpacked, buffer.data, buffer.size, 3);
+  row_reader_rows (&reader, &statement_layout, rows);
+  CU_ASSERT_EQUAL_FATAL (rows->len, 1);
+  CU_ASSERT_EQUAL (g_array_index (rows, statement_row_t, 0).age_ms, 7);
+  CU_ASSERT_EQUAL (g_array_index (rows, statement_row_t, 0).brittle, 0);
+  row_reader_rows (&reader, &earlier, rows);
+  CU_ASSERT_EQUAL (g_array_index (rows, statement_row_t, 0).age_ms, 7);
+  CU_ASSERT_FALSE (invalid);
+  msgpack_unpacked_destroy (&unpacked);
+  msgpack_sbuffer_destroy (&buffer);
+  g_array_unref (rows);
+}
+
 static const check_case_t cases[] = {
+  { "statements of an earlier version are read",
+    statements_of_an_earlier_version_are_read },
   { "all nodes together send what a replica takes",
     all_nodes_together_send_what_a_replica_takes },
   { "a limit holds while nodes come and go",
