--- a/src/wire/row_codec.c
+++ b/src/wire/row_codec.c
@@ -148,8 +148,10 @@
         if (layout->columns[j].kind == ROW_TEXT)
           row_reader_text (&row_reader, row + layout->columns[j].offset,
                            layout->columns[j].size);
-        else if (layout->columns[j].kind == ROW_NUMBER
-                 || row_reader_has_next (&row_reader))
+        else if (layout->columns[j].kind == ROW_OPTIONAL_NUMBER
+                 && !row_reader_has_next (&row_reader))
+          set_number (row, &layout->columns[j], 0);
+        else
           set_number (row, &layout->columns[j],
                       row_reader_number (&row_reader));
     }
