probes: a brittle replica is asked for a connection only

A probe of a brittle replica opens a connection and sends nothing: what it has to show is that the node reaches a replica.

--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -108,6 +108,8 @@
                                     is at least one; 0 for none */
   gs_time_t connect_deadline;  /**< for a new connection, 0 for none */
   bool new_connection;         /**< use a new connection and do not keep it */
+  bool connect_only; /**< only open a connection, and close it; the result has
+                          no HTTP status */
   bool no_resend; /**< send at most once, even when a reused connection turns
                   out to be dead, in which case libcurl would resend */
   bool tcp_keepalive; /**< enable TCP keepalive with one probe per second, so
--- a/src/gateway/relay_probe.c
+++ b/src/gateway/relay_probe.c
@@ -10,6 +10,7 @@
 typedef struct
 {
   traffic_t *traffic;
+  bool connect_only;
   bool answered;
 } probe_t;
 
@@ -41,10 +42,10 @@
   probe_t *probe = context;
   traffic_t *traffic = probe->traffic;
   gs_time_t now = gs_clock_now ();
-  bool changed
-      = replica_reach_probe_end (&traffic->reach, now, probe->answered);
+  bool answered
+      = probe->answered || (probe->connect_only && result->status == GS_OK);
+  bool changed = replica_reach_probe_end (&traffic->reach, now, answered);
 
-  (void)result;
   g_free (probe);
   if (!changed)
     return;
@@ -69,6 +70,10 @@
   probe_t *probe = g_new0 (probe_t, 1);
 
   probe->traffic = traffic;
+  /* A replica without room rejects a health check like any request, and a
+     brittle one bears only a few rejections.  */
+  probe->connect_only = placer_row_is_brittle (traffic->placer, now, row);
+  request.connect_only = probe->connect_only;
   request.url = url;
   request.target = path != NULL ? path : "/";
   request.new_connection = true;
--- a/src/policy/placer.h
+++ b/src/policy/placer.h
@@ -211,6 +211,11 @@
     @return their number */
 unsigned placer_sample (placer_t *placer, unsigned max, uint32_t *rows);
 
+/** @return whether the replica of a row is brittle: a health check that it
+    rejects for lack of room would count against it */
+bool placer_row_is_brittle (const placer_t *placer, gs_time_t now,
+                            uint32_t row);
+
 /** End all ejections: this node could not reach any replica, so none is to
     blame. */
 void placer_ejections_clear (placer_t *placer);
--- a/src/policy/placer_brittle.c
+++ b/src/policy/placer_brittle.c
@@ -136,6 +136,12 @@
     }
 }
 
+bool
+placer_row_is_brittle (const placer_t *placer, gs_time_t now, uint32_t row)
+{
+  return brittle_replica_is_set (&placer_row (placer, row)->brittle, now);
+}
+
 void
 placer_brittle_process_set (placer_t *placer, gs_time_t now,
                             replica_row_t *row)
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -622,6 +622,8 @@
       curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
     }
+  if (request->connect_only)
+    curl_easy_setopt (easy, CURLOPT_CONNECT_ONLY, 1L);
   if (request->no_resend)
     {
       curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_request_send);
