store: one unreadable entry does not cost the whole list

It can happen here: jansson rejects a text with more than 2,048 levels, an integer beyond 64 bits, a real that overflows or a string that is not UTF-8, and with it the whole response of the store. A node then goes on with the list that it had; a replica that drains gets requests all the while. Levels just below the bound were passed on to peers in a copy, which has more levels of its own and was rejected there. No node ended.

A response that jansson does not accept, or that is nested more than 64 times, is repaired: values that cannot be represented are marked, without recursion, and an object that holds a mark has no value. It names no replica, and the others hold. Copies between nodes are read in the same way. Numbers from entries and from the configuration are bounded before they become times or counts, whose conversion is undefined out of range.

--- a/src/fleet/feed.c
+++ b/src/fleet/feed.c
@@ -3,6 +3,7 @@
 #include "garnetstack/log.h"
 #include "garnetstack/metrics.h"
 #include "garnetstack/settings.h"
+#include "wire/json_load.h"
 
 #include <glib.h>
 #include <string.h>
@@ -540,7 +541,8 @@
 gs_status_t
 feed_import (feed_t *feed, gs_time_t now, const char *text, size_t length)
 {
-  json_t *root = json_loadb (text, length, 0, NULL);
+  bool marked;
+  json_t *root = gs_json_load (text, length, &marked);
   const json_t *objects = json_object_get (root, "objects");
   bool whole = json_is_true (json_object_get (root, "whole"));
   uint64_t revision
--- a/src/fleet/quarantine_store.c
+++ b/src/fleet/quarantine_store.c
@@ -89,8 +89,9 @@
       }
     row.is_request = json_is_true (json_object_get (entry, "is_request"));
     row.key = strtoull (text, NULL, 16);
-    row.age_ms
-        = (uint64_t)MAX (wall / GS_MSEC - (int64_t)json_integer_value (at), 0);
+    row.age_ms = (uint64_t)(wall / GS_MSEC
+                            - CLAMP ((int64_t)json_integer_value (at), 0,
+                                     wall / GS_MSEC));
     keys_add (copy->kept, row.key);
     g_array_append_val (rows.keys, row);
   }
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -21,6 +21,7 @@
 #define WORLD_SLOTS 8 /* of each replica */
 /* A node sends a replica half as many requests more than it has slots.  */
 #define WORLD_IN_FLIGHT_MAX 12
+#define WORLD_RAW_VALUES_MAX 16
 /** Rejections a second that a brittle replica bears, unless
     gw_brittle_bounds_set() sets another number up to the maximum. */
 #define WORLD_BRITTLE_DEFAULT 3
@@ -116,9 +117,11 @@
   uint64_t oldest_revision; /* watches from an earlier revision get 410 */
   GHashTable *objects;      /* "kind/name" -> json_t object */
   const char *locked_kind;  /* see gw_store_lock_kind() */
-  unsigned era;             /* sent in all answers; 0 for none */
-  GHashTable *copy;         /* of objects, by gw_store_copy(); NULL for none */
-  unsigned era_offset;      /* the header names the era less this */
+  const char *raw_values[WORLD_RAW_VALUES_MAX]; /* see gw_object_put_raw() */
+  unsigned raw_value_count;
+  unsigned era;        /* sent in all answers; 0 for none */
+  GHashTable *copy;    /* of objects, by gw_store_copy(); NULL for none */
+  unsigned era_offset; /* the header names the era less this */
   uint64_t copy_revision;
   json_t *history;       /* watch events with revision and kind */
   GPtrArray *arrivals;   /* of arrival_t */
@@ -183,6 +186,13 @@
 uint64_t gw_object_put (gateway_world_t *world, const char *kind,
                         const char *name, json_t *spec);
 
+/** Create or replace an object of the store whose value goes out as the text
+    that is given, JSON or not.
+    @param text as long as the world lives; at most WORLD_RAW_VALUES_MAX of
+    them */
+void gw_object_put_raw (gateway_world_t *world, const char *kind,
+                        const char *name, const char *text);
+
 /** Remove an object of the store, if it exists. */
 void gw_object_remove (gateway_world_t *world, const char *kind,
                        const char *name);
--- a/tests/world_store.c
+++ b/tests/world_store.c
@@ -57,6 +57,20 @@
   return revision;
 }
 
+void
+gw_object_put_raw (gateway_world_t *world, const char *kind, const char *name,
+                   const char *text)
+{
+  json_t *spec;
+
+  pthread_mutex_lock (&world->lock);
+  spec = json_sprintf ("@raw-%u@", world->raw_value_count);
+  world->raw_values[world->raw_value_count++] = text;
+  world_object_put_locked (world, kind, name, spec);
+  pthread_mutex_unlock (&world->lock);
+  json_decref (spec);
+}
+
 static void
 object_remove_locked (gateway_world_t *world, const char *kind,
                       const char *name)
@@ -220,6 +234,13 @@
   char *text = json_dumps (body, JSON_COMPACT);
   GString *out = g_string_new (text);
 
+  for (unsigned i = 0; i < world->raw_value_count; i++)
+    {
+      char *from = g_strdup_printf ("\"@raw-%u@\"", i);
+
+      g_string_replace (out, from, world->raw_values[i], 0);
+      g_free (from);
+    }
   for (unsigned i = 0; i < world->replica_count; i++)
     if (world->paths[store->gateway][i] != NULL)
       {
