resend budget: a series of restarts shares the slack

A process takes half of its node's part of the slack now; one that starts within the window of another one takes half of what that took, so that a series of any length takes no more than the part. The place in the series stands in the node's own entry in the store, which each process reads and writes when it starts; it takes nothing until the store has it, and until it knows the other nodes. No calls are added. A process that finds no entry is the first.

A node that stops as planned removes its entry, so the process after it counts as the first: two processes of a node then take the whole part within a window, a third one half of it more.

--- a/src/fleet/membership.c
+++ b/src/fleet/membership.c
@@ -9,6 +9,10 @@
 #define STORE_TIMEOUT GS_SEC
 /* Time until a failed write is repeated.  */
 #define RETRY_INTERVAL (300 * GS_MSEC)
+/* By which wall clocks of two processes of a node may differ: they are stepped
+   by seconds at times.  */
+#define CLOCK_STEP_MAX (5 * GS_SEC)
+#define RESTARTS_MAX 30
 
 typedef enum
 {
@@ -27,7 +31,10 @@
   uint64_t entry_revision; /* 0 when none is known */
   bool busy;               /* a write or removal is open */
   bool leaving;            /* the entry is to be removed */
-  gs_time_t due;           /* earliest time of the next write or removal */
+  gs_time_t restart_window;
+  int64_t started_ms; /* of this process, by the wall clock */
+  unsigned restarts;  /* see peers_restarts_set() */
+  gs_time_t due;      /* earliest time of the next write or removal */
 };
 
 static void
@@ -78,7 +85,8 @@
 
 void
 membership_create (membership_t **out, const gs_object_store_t *store,
-                   peers_t *peers, const digest_member_t *self, uint64_t seed)
+                   peers_t *peers, const digest_member_t *self,
+                   gs_time_t restart_window, uint64_t seed)
 {
   membership_t *membership = g_new0 (membership_t, 1);
   feed_listener_t listener
@@ -87,6 +95,8 @@
   membership->store = store;
   membership->peers = peers;
   membership->self = *self;
+  membership->restart_window = restart_window;
+  membership->started_ms = gs_clock_wall () / GS_MSEC;
   feed_create (&membership->feed, store, MEMBERSHIP_KIND, &listener, seed);
   *out = membership;
 }
@@ -106,6 +116,41 @@
   return membership->feed;
 }
 
+static json_t *
+entry_encode (const membership_t *membership)
+{
+  json_t *value = peers_member_encode (&membership->self);
+
+  json_object_set_new (value, "started_ms",
+                       json_integer (membership->started_ms));
+  json_object_set_new (value, "restarts", json_integer (membership->restarts));
+  return value;
+}
+
+/* Reads the entry of the process before this one, which may have ended just
+   now.  One of an earlier version says nothing of its start.  */
+static void
+predecessor_read (membership_t *membership, const json_t *value)
+{
+  const char *incarnation
+      = json_string_value (json_object_get (value, "incarnation"));
+  const json_t *started = json_object_get (value, "started_ms");
+  json_int_t restarts
+      = json_integer_value (json_object_get (value, "restarts"));
+  gs_time_t age
+      = (gs_time_t)(membership->started_ms - json_integer_value (started))
+        * GS_MSEC;
+
+  if (incarnation != NULL
+      && g_ascii_strtoull (incarnation, NULL, 16)
+             == membership->self.incarnation)
+    return;
+  membership->restarts = 1;
+  if (json_is_integer (started)
+      && age < membership->restart_window + CLOCK_STEP_MAX)
+    membership->restarts = (unsigned)CLAMP (restarts + 1, 1, RESTARTS_MAX);
+}
+
 static void
 on_written (void *argument, const gs_object_result_t *result)
 {
@@ -115,6 +160,7 @@
   if (result->status == GS_OK)
     {
       membership->entry_state = ENTRY_WRITTEN;
+      peers_restarts_set (membership->peers, membership->restarts);
       membership->entry_revision
           = result->count == 1 ? result->objects[0].revision : 0;
       return;
@@ -122,7 +168,10 @@
   /* The entry is from an earlier process of this node, or from this process's
      own write whose answer was lost.  The next write replaces it.  */
   if (result->status == GS_ECONFLICT && result->count == 1)
-    membership->entry_revision = result->objects[0].revision;
+    {
+      membership->entry_revision = result->objects[0].revision;
+      predecessor_read (membership, result->objects[0].value);
+    }
   else if (result->status == GS_ENOTFOUND)
     membership->entry_revision = 0;
   else
@@ -156,9 +205,8 @@
     {
       membership->busy = true;
       store->put (store->context, MEMBERSHIP_KIND, membership->self.name,
-                  membership->entry_revision,
-                  peers_member_encode (&membership->self), now + STORE_TIMEOUT,
-                  on_written, membership);
+                  membership->entry_revision, entry_encode (membership),
+                  now + STORE_TIMEOUT, on_written, membership);
     }
   else if (membership->leaving && membership->entry_state == ENTRY_WRITTEN)
     {
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -1,7 +1,9 @@
 /**
  * @file membership.h
  * Keeps this node's entry in the store, by which nodes find each other, and
- * passes the entries of other nodes to peers.h.  Runs on the control thread.
+ * passes the entries of other nodes to peers.h.  The entry also tells the next
+ * process of the node that there was one before it, and the how manyth in a
+ * series of restarts.  Runs on the control thread.
  */
 #ifndef GS_FLEET_MEMBERSHIP_H
 #define GS_FLEET_MEMBERSHIP_H
@@ -21,11 +23,13 @@
  * @param store borrowed; must outlive the membership
  * @param peers borrowed; gets the entries of other nodes
  * @param self address and incarnation of this node; copied
+ * @param restart_window a process that started that long after the one before
+ * it is no restart in a series
  * @param seed of the random part of retry delays
  */
 void membership_create (membership_t **out, const gs_object_store_t *store,
                         peers_t *peers, const digest_member_t *self,
-                        uint64_t seed);
+                        gs_time_t restart_window, uint64_t seed);
 
 /** Free the membership, which may be NULL.  No call to the store may be
     open. */
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -167,6 +167,15 @@
 /** Record that the store's list of nodes has been read. */
 void peers_members_listed_set (peers_t *peers);
 
+/** Set the place of this process in a series of restarts of this node: 0 if
+    no process was before it, 1 if that had run for long, and so on.  The next
+    process is able to read it. */
+void peers_restarts_set (peers_t *peers, unsigned restarts);
+
+/** @return whether the nodes and the place of this process in a series of
+    restarts are known */
+bool peers_is_fleet_known (const peers_t *peers);
+
 /** @return number of nodes that share the fleet-wide limits: this one, those
     listed in the store, and those that were recently heard of. */
 unsigned peers_member_count (const peers_t *peers, gs_time_t now);
--- a/src/fleet/peers_fleet.c
+++ b/src/fleet/peers_fleet.c
@@ -640,6 +640,7 @@
   unsigned exchanges = mesh ? 1 : 3;
 
   view->source = (unsigned)peers->role;
+  view->restarts = peers->restarts;
   view->fleet.members = peers_member_count (peers, now);
   view->fleet.report_ttl
       = peers_fresh_ttl (peers, mesh ? CALL_DIGEST : CALL_REPORT);
@@ -650,6 +651,7 @@
   peers_accepting_nodes (peers, now, view->nodes);
   view->members = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   peers_members_hash (peers, now, view->members);
+  view->restarts_known = peers_is_fleet_known (peers);
   view->statements = statements_list (peers_statements_update (peers));
   quarantine_rows_init (&view->quarantine);
   peers_quarantine_export (peers, now, &view->quarantine);
--- a/src/fleet/peers_members.c
+++ b/src/fleet/peers_members.c
@@ -55,6 +55,25 @@
   peers->members_listed = true;
 }
 
+void
+peers_restarts_set (peers_t *peers, unsigned restarts)
+{
+  peers->restarts_known = true;
+  peers->restarts = restarts;
+}
+
+static bool
+are_members_known (const peers_t *peers)
+{
+  return peers->members_listed || g_hash_table_size (peers->by_name) > 0;
+}
+
+bool
+peers_is_fleet_known (const peers_t *peers)
+{
+  return peers->restarts_known && are_members_known (peers);
+}
+
 static bool
 is_member (const peers_t *peers, gs_time_t now, const peer_t *peer)
 {
@@ -83,7 +102,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (!peers->members_listed && g_hash_table_size (peers->by_name) == 0)
+  if (!are_members_known (peers))
     return;
   g_array_append_val (out, peers->node);
   g_hash_table_iter_init (&iter, peers->by_name);
--- a/src/fleet/peers_private.h
+++ b/src/fleet/peers_private.h
@@ -106,8 +106,10 @@
   unsigned data_centre_nodes; /* of this node's data centre, itself included */
   GHashTable *by_name;        /* name -> peer_t */
   bool members_listed;        /* the store's list of nodes was read once */
-  GHashTable *processes;      /* incarnation -> peer_process_t */
-  GHashTable *summaries;      /* incarnation -> peer_summary_t */
+  bool restarts_known;
+  unsigned restarts;     /* see peers_restarts_set() */
+  GHashTable *processes; /* incarnation -> peer_process_t */
+  GHashTable *summaries; /* incarnation -> peer_summary_t */
   gs_endpoint_t seeds[GS_SEEDS_MAX];
   unsigned seed_count;
   gs_time_t seeds_due;
--- a/src/fleet/report.h
+++ b/src/fleet/report.h
@@ -92,9 +92,11 @@
 typedef struct
 {
   quota_fleet_t fleet;
-  unsigned source; /**< how the nodes are divided up; reports of different
-                        divisions overlap */
-  GArray *peers;   /**< of traffic_peer_t */
+  bool restarts_known; /**< and the nodes as well */
+  unsigned restarts;   /**< place of this process in a series of restarts */
+  unsigned source;     /**< how the nodes are divided up; reports of different
+                            divisions overlap */
+  GArray *peers;       /**< of traffic_peer_t */
   GArray *nodes;   /**< of uint64_t: hashes of the nodes that accept requests,
                         this one first */
   GArray *members; /**< of uint64_t: hashes of the nodes that share limits,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -35,15 +35,6 @@
          && report->can_serve;
 }
 
-/* @return whether this node reaches no replica  */
-bool
-gateway_is_cut (const gateway_t *gateway)
-{
-  const traffic_report_t *report = duties_report (gateway->duties);
-
-  return report != NULL && report->cut;
-}
-
 static void
 ignore_feed_event (void *context, gs_time_t now)
 {
@@ -417,7 +408,8 @@
                 gateway->settings.seed_count, &peers_listener, &transport,
                 seed + 2);
   membership_create (&gateway->membership, &gateway->store, gateway->peers,
-                     &gateway->self, seed + 3);
+                     &gateway->self, gateway->settings.resend_window,
+                     seed + 3);
   store_records_create (&gateway->records, &gateway->store, gateway->peers,
                         gateway->self.name);
   create_copy (gateway, &gateway->copies[COPY_CONFIG], gateway->config_feed,
--- a/src/gateway/gateway_listeners.c
+++ b/src/gateway/gateway_listeners.c
@@ -13,6 +13,15 @@
    from each node of a data centre with five hundred.  */
 #define CONTROL_CONNECTIONS_MAX 1024
 
+/* @return whether this node reaches no replica  */
+bool
+gateway_is_cut (const gateway_t *gateway)
+{
+  const traffic_report_t *report = duties_report (gateway->duties);
+
+  return report != NULL && report->cut;
+}
+
 static void
 reply_status (gs_exchange_t *exchange, unsigned status)
 {
--- a/src/gateway/gateway_rollouts.c
+++ b/src/gateway/gateway_rollouts.c
@@ -89,9 +89,12 @@
 gateway_view_publish (gateway_t *gateway, gs_time_t now)
 {
   traffic_peers_t *view;
+  bool is_fleet_known = peers_is_fleet_known (gateway->peers);
 
-  if (now < gateway->view_due)
+  /* Until then requests are not sent again by the slack.  */
+  if (now < gateway->view_due && is_fleet_known == gateway->view_has_fleet)
     return;
+  gateway->view_has_fleet = is_fleet_known;
   gateway->view_due = now + PEER_VIEW_INTERVAL;
   view = peers_view_create (gateway->peers, now);
   rollout_duty_peers_set (gateway->rollouts, view);
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -68,7 +68,8 @@
   const gs_deployment_t *deployment = traffic->options.deployment;
 
   return (resend_bounds_t){ deployment->resend_ratio, deployment->resend_slack,
-                            traffic->members };
+                            traffic->members, traffic->restarts_known,
+                            traffic->restarts };
 }
 
 static void
@@ -402,6 +403,8 @@
   gs_time_t now = gs_clock_now ();
   unsigned nodes = 0;
 
+  traffic->restarts_known = peers->restarts_known;
+  traffic->restarts = peers->restarts;
   traffic->members = peers->fleet.members;
   traffic->peers_updated_at = now;
   quota_fleet_set (traffic->quota, now, &peers->fleet);
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -63,9 +63,11 @@
   usage_count_t *usage;
   GHashTable *relays; /* set of relay_t */
   gs_rng_t rng;
-  gs_time_t started_at;        /* of this process */
-  unsigned members;            /* nodes of the fleet, this one included */
-  unsigned peers_source;       /* how the last data about them were divided */
+  gs_time_t started_at; /* of this process */
+  bool restarts_known;
+  unsigned restarts;     /* place of this process in a series of restarts */
+  unsigned members;      /* nodes of the fleet, this one included */
+  unsigned peers_source; /* how the last data about them were divided */
   gs_time_t peers_updated_at;  /* last update of the data about other nodes */
   gs_time_t loads_received_at; /* when the last load of other nodes came */
   bool has_far_nodes; /* nodes of other data centres accept requests */
--- a/src/policy/resend_budget.c
+++ b/src/policy/resend_budget.c
@@ -1,11 +1,15 @@
 #include "policy/resend_budget.h"
 
 #include <glib.h>
+#include <math.h>
 
 /* Ratio of the bound that a node uses.  The rest allows for requests that the
    party which checks the bound counts earlier or later than this node, and so
    in another window (see tests/test_resend_budget.c).  */
 #define BOUND_USED_RATIO 0.8
+/* Part of a node's part of the slack that one process takes; the rest is for
+   the processes that start after it within the window.  */
+#define SLACK_RATIO 0.5
 
 void
 resend_budget_init (resend_budget_t *budget, gs_time_t window,
@@ -43,11 +47,24 @@
   budget->requests[budget->newest]++;
 }
 
+/* Until it is known, and the next process will know it, whether another
+   process was before this one, this one takes nothing.
+   @return part of this node's part of the slack that the process may take  */
+static double
+slack_ratio (const resend_budget_t *budget, gs_time_t now,
+             const resend_bounds_t *bounds)
+{
+  if (now >= budget->slack_at)
+    return SLACK_RATIO;
+  return bounds->restarts_known ? ldexp (SLACK_RATIO, -(int)bounds->restarts)
+                                : 0;
+}
+
 void
 resend_budget_use_get (resend_budget_t *budget, gs_time_t now,
                        const resend_bounds_t *bounds, resend_use_t *out)
 {
-  double slack = 0;
+  double slack;
 
   *out = (resend_use_t){ .requests = 0 };
   bins_advance (budget, now);
@@ -60,8 +77,7 @@
       out->nodes = MAX (out->nodes, budget->nodes[i]);
     }
   /* Nodes that left have used their parts within the window.  */
-  if (now >= budget->slack_at)
-    slack = (double)bounds->slack / out->nodes;
+  slack = slack_ratio (budget, now, bounds) * bounds->slack / out->nodes;
   out->allowed = BOUND_USED_RATIO * (bounds->ratio * out->requests + slack);
 }
 
--- a/src/policy/resend_budget.h
+++ b/src/policy/resend_budget.h
@@ -5,7 +5,9 @@
  * slack).  Each node uses the ratio of its own requests and an equal part of
  * the slack without communicating, so the bound also holds between nodes that
  * are partitioned.  A process does not know what the one before it on its VM
- * has sent, and takes no part of the slack until that is out of the window.
+ * has sent within the window.  So a process takes half of its part, and one
+ * that starts after another one half of what that took, until the window has
+ * passed: all processes in a series of restarts take no more than the part.
  * The functions read no clock and do no I/O.
  */
 #ifndef GS_POLICY_RESEND_BUDGET_H
@@ -23,7 +25,7 @@
 {
   gs_time_t bin_length;
   gs_time_t bin_start; /**< of the newest bin; 0 before the first use */
-  gs_time_t slack_at;  /**< when this process takes its part of the slack */
+  gs_time_t slack_at;  /**< when no process before this one counts */
   unsigned newest;     /**< index of the newest bin */
   unsigned requests[RESEND_BIN_COUNT];
   unsigned resends[RESEND_BIN_COUNT];
@@ -36,6 +38,9 @@
   double ratio;   /**< resends per request */
   unsigned slack; /**< additional resends of all nodes together */
   unsigned nodes; /**< that share the slack */
+  bool restarts_known;
+  unsigned restarts; /**< place of this process in a series of restarts: 0 if
+                          no process was before it */
 } resend_bounds_t;
 
 /** @param started_at when this process started */
