relay: an earlier rejection that is written again is not taken for an answer

It can happen here in two ways. A rejection without an attempt id was taken for the answer to whatever had been sent on the connection. And a request that is sent to the same replica again, after that had rejected it, may go on the same connection; the rejection that is written once more then bears its own id.

Evidence: process_gateway_rejections fails on: status 503 for a request that has run and runs at two replicas where one is allowed, 1 of 6 requests answered; both cases pass now, 6 of 6.

--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -108,6 +108,7 @@
                                     is at least one; 0 for none */
   gs_time_t connect_deadline;  /**< for a new connection, 0 for none */
   bool new_connection;         /**< use a new connection and do not keep it */
+  bool unused_connection;      /**< use a new connection, which may be kept */
   bool connect_only; /**< only open a connection, and close it; the result has
                           no HTTP status */
   bool no_resend; /**< send at most once, even when a reused connection turns
@@ -146,6 +147,10 @@
 gs_status_t gs_loop_http (gs_http_call_t **out, gs_loop_t *loop,
                           const gs_http_request_t *request);
 
+/** @return whether a call that gets its response uses a connection that has
+    carried other requests */
+bool gs_loop_http_is_kept (const gs_http_call_t *call);
+
 /** End a request without calling on_done or context_free. */
 void gs_loop_http_cancel (gs_http_call_t *call);
 
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -2,9 +2,6 @@
 
 #include <string.h>
 
-/* Attempts per request, including those that a replica rejected without
-   running the request.  */
-#define ATTEMPTS_MAX 4
 /* A request with less time left before its deadline is not resent.  */
 #define RESEND_TIME_LEFT_MIN (60 * GS_MSEC)
 /* Largest response, or event of a stream, that is buffered.  */
@@ -90,6 +87,18 @@
     traffic->report_due = now;
 }
 
+/* A replica may write a response to an earlier request once more on a kept
+   connection.  Only the attempt id tells which request a response belongs to.
+ */
+static bool
+is_own_response (const relay_t *relay)
+{
+  if (relay->head.id[0] != '\0')
+    return strcmp (relay->head.id, relay->request.id) == 0;
+  return relay->detoured || relay->request.id[0] == '\0'
+         || !gs_loop_http_is_kept (relay->call);
+}
+
 bool
 relay_on_line (void *context, const char *line, size_t length)
 {
@@ -104,11 +113,7 @@
     return true;
   if (relay->head.keep_alive_seconds != 0 && !relay->detoured)
     relay->service->keep_alive_seconds = relay->head.keep_alive_seconds;
-  /* A late response to an earlier request on the same connection carries
-     that request's attempt id.  */
-  relay->response_mismatched
-      = relay->head.id[0] != '\0'
-        && strcmp (relay->head.id, relay->request.id) != 0;
+  relay->response_mismatched = !is_own_response (relay);
   if (!relay->response_mismatched)
     {
       record_statement (relay);
@@ -216,7 +221,7 @@
   resend_bounds_t bounds = traffic_resend_bounds (relay->traffic);
   bool granted;
 
-  if (relay->attempts >= ATTEMPTS_MAX
+  if (relay->attempts >= RELAY_SENDS_MAX
       || now + RESEND_TIME_LEFT_MIN > relay->deadline)
     return false;
   if (!may_run_again (relay))
@@ -235,7 +240,7 @@
 {
   events_partial_discard (&relay->events);
   if (arrived ? reserve_resend (relay, now)
-              : relay->attempts < ATTEMPTS_MAX
+              : relay->attempts < RELAY_SENDS_MAX
                     && now + RESEND_TIME_LEFT_MIN < relay->deadline)
     relay_dispatch (relay, now);
   else
--- a/src/gateway/relay_log.c
+++ b/src/gateway/relay_log.c
@@ -240,13 +240,13 @@
   gs_meter_add ("attempts_lost_total", labels, 1);
   gs_log (GS_LOG_INFO, "attempt",
           "id=%s replica=%s send=%u outcome=%s status=%u reason=\"%s\""
-          " took_ms=%lld connection=%s began=%d last_event=%llu"
+          " took_ms=%lld connection=%s id_echoed=%d began=%d last_event=%llu"
           " fingerprint=%llx parts=%s",
           gs_log_quote (&id, relay->request.id), relay->replica_id,
           relay->attempts, outcome, relay->head.status, reason,
           elapsed_msec (relay->sent_at, gs_clock_now ()),
-          relay->kept_connection ? "kept" : "new", relay->attempt_responded,
-          (unsigned long long)relay->events.last_id,
+          relay->kept_connection ? "kept" : "new", relay->head.id[0] != '\0',
+          relay->attempt_responded, (unsigned long long)relay->events.last_id,
           (unsigned long long)relay->fingerprint,
           format_shared_parts (&parts, &relay->request));
 }
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -14,6 +14,10 @@
 
 #include "gateway/traffic_private.h"
 
+/* Sends of a request, including those that a replica rejected without running
+   it.  */
+#define RELAY_SENDS_MAX 4
+
 /** What a request has to do with the roll-out of its service. */
 typedef struct
 {
@@ -76,6 +80,7 @@
   char replica_id[GS_NAME_BYTES];
   char replica_version[GS_NAME_BYTES]; /* of its software */
   uint64_t process;                    /* of the replica */
+  uint64_t sent_to[RELAY_SENDS_MAX];   /* processes, 0 for another node */
   char replica_data_centre[GS_NAME_BYTES];
   bool crossing_drawn; /* whether the request belongs to the share that
                           crosses has been drawn */
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -292,6 +292,15 @@
   return gs_error_set (GS_EUNKNOWN, "%s", curl_easy_strerror (code));
 }
 
+bool
+gs_loop_http_is_kept (const gs_http_call_t *call)
+{
+  long connects = 1;
+
+  curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &connects);
+  return connects == 0;
+}
+
 static void
 finish_call (gs_http_call_t *call, CURLcode code)
 {
@@ -305,10 +314,8 @@
                                             ? "Head is too large"
                                             : curl_easy_strerror (code) };
   char *content_type = NULL;
-  long connects = 1;
 
-  curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &connects);
-  result.kept_connection = connects == 0;
+  result.kept_connection = gs_loop_http_is_kept (call);
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
   curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &content_type);
   if (content_type != NULL)
@@ -622,6 +629,8 @@
       curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
     }
+  else if (request->unused_connection)
+    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
   if (request->connect_only)
     curl_easy_setopt (easy, CURLOPT_CONNECT_ONLY, 1L);
   if (request->no_resend)
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -53,6 +53,7 @@
   bool on_kept_connection; /* not the first request on its connection */
   struct world_replica *replica_state;
   gs_time_t arrived_at;
+  const raw_conn_t *conn; /* on which it was rejected; NULL otherwise */
   bool refused;        /* the replica rejected it, see gw_replica_refuse() */
   gs_time_t closed_at; /* when the node closed before a response, or within one
                           without end; 0 if not */
--- /dev/null
+++ b/tests/test_process_gateway_rejections.c
@@ -0,0 +1,110 @@
+#include "check.h"
+#include "gateway_steps.h"
+
+#include <string.h>
+
+/* Guards against an earlier rejection that a replica writes once more on a
+   kept connection and that is taken for the answer to a later request: its
+   caller is told that the request has not run, or it runs at a second replica.
+ */
+
+#define REQUESTS 6
+
+typedef struct
+{
+  const char *path;
+  unsigned replicas;
+  unsigned runs_max; /* of one request */
+  bool repeats_id;   /* the rejection bears the id of the request itself */
+} rejection_case_t;
+
+static const rejection_case_t rejection_cases[] = {
+  { "/a/never/again-foreign", 1, 1, false },
+  { "/a/never/again-anonymous", 1, 1, false },
+  { "/a/never/again-foreign", 2, 1, false },
+  { "/a/never/again-anonymous", 2, 1, false },
+  { "/a/never/again-own", 2, 1, true },
+  { "/a/free/again-foreign", 2, 2, false },
+  { "/a/free/again-anonymous", 2, 2, false },
+  { "/a/free/again-own", 2, 2, true },
+};
+
+/* @return whether the request ran on a connection that was used before  */
+static bool
+check_request (const rejection_case_t *row, unsigned number)
+{
+  char *id = g_strdup_printf ("rejected-%u", number);
+  char *answer = gw_request (&world, 0, "POST", row->path, id, "", "x");
+  unsigned status = status_of (answer);
+  unsigned runs = gw_arrivals_count (&world, id);
+  const arrival_t *arrival = gw_arrival_find (&world, id);
+  bool kept = arrival != NULL && arrival->on_kept_connection;
+
+  /* 429 and 503 promise that the request has not run.  */
+  if (runs > 0 && status != 200 && status != 502)
+    printf ("\n  %s: status %u, %u runs ", row->path, status, runs);
+  CU_ASSERT (runs == 0 || status == 200 || status == 502);
+  CU_ASSERT (runs <= row->runs_max);
+  CU_ASSERT (status != 200 || runs > 0);
+  g_free (answer);
+  g_free (id);
+  return kept;
+}
+
+static void
+a_rejection_that_is_written_again_is_not_the_answer_to_a_later_request (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (rejection_cases); i++)
+    {
+      unsigned kept = 0;
+
+      start_gateway (rejection_cases[i].replicas);
+      for (unsigned j = 0; j < REQUESTS; j++)
+        kept += check_request (&rejection_cases[i], j);
+      CU_ASSERT (kept > 0 || rejection_cases[i].repeats_id);
+      end_world ();
+    }
+}
+
+/* Both replicas reject a request the first time, so that it is sent to one of
+   them again.  */
+static void
+a_request_that_is_sent_to_a_replica_again_is_answered (void)
+{
+  unsigned answered = 0;
+
+  start_gateway (2);
+  for (unsigned i = 0; i < REQUESTS; i++)
+    {
+      char *id = g_strdup_printf ("good-%u", i);
+
+      g_free (gw_request (&world, 0, "POST", "/a/free/good", id, "", "x"));
+      g_free (id);
+    }
+  for (unsigned i = 0; i < REQUESTS; i++)
+    {
+      char *id = g_strdup_printf ("again-%u", i);
+      char *answer
+          = gw_request (&world, 0, "POST", "/a/never/again-own", id, "", "x");
+
+      answered += status_of (answer) == 200;
+      g_free (answer);
+      g_free (id);
+    }
+  printf ("\n  %u of %u answered ", answered, REQUESTS);
+  CU_ASSERT_EQUAL (answered, REQUESTS);
+  end_world ();
+}
+
+static const check_case_t cases[] = {
+  { "a rejection that is written again is not the answer to a later request",
+    a_rejection_that_is_written_again_is_not_the_answer_to_a_later_request },
+  { "a request that is sent to a replica again is answered",
+    a_request_that_is_sent_to_a_replica_again_is_answered },
+};
+
+int
+main (void)
+{
+  return CHECK_RUN ("process_gateway_rejections", cases);
+}
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -649,6 +649,76 @@
   return fails;
 }
 
+#define KEEP_ALIVE "Keep-Alive: timeout=5\r\n"
+
+/* @param id "" for a rejection without one  */
+static void
+send_rejection (raw_conn_t *conn, const char *id)
+{
+  raw_printf (conn,
+              "HTTP/1.1 503 X\r\n%s%s%sX-Not-Executed: 1\r\n" KEEP_ALIVE
+              "Content-Length: 0\r\n\r\n",
+              id[0] != '\0' ? "X-Attempt-Id: " : "", id,
+              id[0] != '\0' ? "\r\n" : "");
+}
+
+/* @param conn NULL for any
+   @return whether the replica has rejected the request before  */
+static bool
+has_rejected (const arrival_t *arrival, const raw_conn_t *conn)
+{
+  gateway_world_t *world = arrival->replica_state->world;
+  bool found = false;
+
+  pthread_mutex_lock (&world->lock);
+  for (guint i = 0; i < world->arrivals->len; i++)
+    {
+      const arrival_t *other = world->arrivals->pdata[i];
+
+      found |= other != arrival && other->refused
+               && other->replica == arrival->replica
+               && (conn == NULL || other->conn == conn)
+               && strcmp (other->id, arrival->id) == 0;
+    }
+  pthread_mutex_unlock (&world->lock);
+  return found;
+}
+
+/* Writes an earlier rejection once more before it answers a request that it
+   runs on the same connection: "again-foreign" that of another request,
+   "again-anonymous" the same without an id, "again-own" that of the request
+   itself, which each replica rejects the first time.
+   @return false if @p behaviour is another one  */
+static bool
+send_rejection_again (raw_conn_t *conn, arrival_t *arrival,
+                      const char *behaviour)
+{
+  bool own = strcmp (behaviour, "again-own") == 0;
+  bool foreign = strcmp (behaviour, "again-foreign") == 0;
+
+  if (!own && !foreign && strcmp (behaviour, "again-anonymous") != 0)
+    return false;
+  if (own && !has_rejected (arrival, NULL))
+    {
+      pthread_mutex_lock (&arrival->replica_state->world->lock);
+      arrival->refused = true;
+      arrival->conn = conn;
+      pthread_mutex_unlock (&arrival->replica_state->world->lock);
+      send_rejection (conn, arrival->id);
+      return true;
+    }
+  if (own && has_rejected (arrival, conn))
+    send_rejection (conn, arrival->id);
+  else if (!own && arrival->on_kept_connection)
+    send_rejection (conn, foreign ? "another" : "");
+  g_usleep (EVENT_INTERVAL_USEC);
+  raw_printf (conn,
+              "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
+              "Content-Length: 4\r\n\r\ndone",
+              arrival->id, arrival->id);
+  return true;
+}
+
 /* Responds with the behaviour that the last part of the path names.
    @return false to close the connection  */
 static bool
@@ -660,6 +730,7 @@
   if (apply_faults (arrival->replica_state))
     send_plain (conn, arrival, 500);
   else if (send_refusal (conn, arrival)
+           || send_rejection_again (conn, arrival, behaviour)
            || send_fixed_if_named (conn, arrival, behaviour, &keep_open))
     ;
   else if (send_endless_if_named (conn, arrival, behaviour))
