streams: what another replica sends goes on only after the last event

It can happen here when the error comes with status 200: its bytes were taken for events of the stream. Answers with another status, without a seal or that are not stated were held back already. A replica that begins the stream anew instead of going on came through as well, and a stream without event ids was sent again from its begin.

The first event of another replica must have a higher id than the last one that the caller got; comments aside, anything else ends the attempt. A stream whose events have no ids is not sent again once it has begun.

--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -83,37 +83,75 @@
   return 0;
 }
 
-static void
+/* @return whether an event has no other lines than comments  */
+static bool
+is_comment (const char *text, size_t length)
+{
+  bool line_begins = true;
+
+  for (size_t i = 0; i < length; i++)
+    {
+      bool ends = text[i] == '\n' || text[i] == '\r';
+
+      if (line_begins && !ends && text[i] != ':')
+        return false;
+      line_begins = ends;
+    }
+  return true;
+}
+
+/* @return whether the event may follow those before it  */
+static bool
 record_event (events_splitter_t *events, const char *text, size_t length)
 {
+  uint64_t last_id = events->last_id;
   size_t begin = 0;
 
+  if (events->continues && is_comment (text, length))
+    return true;
   for (size_t i = 0; i < length; i++)
     if (text[i] == '\n' || text[i] == '\r')
       {
         parse_line (events, text + begin, i - begin);
         begin = i + 1;
       }
+  if (events->continues && events->last_id <= last_id)
+    {
+      events->last_id = last_id;
+      return false;
+    }
+  events->continues = false;
   events->count++;
+  return true;
 }
 
-void
+bool
 events_feed (events_splitter_t *events, const char *data, size_t length,
              GString *complete)
 {
   size_t used = 0;
   size_t event_length;
+  bool fits = true;
 
   g_string_append_len (events->partial, data, (gssize)length);
-  while ((event_length = find_event_end (events, events->partial->str + used,
+  while (
+      fits
+      && (event_length = find_event_end (events, events->partial->str + used,
                                          events->partial->len - used))
-         > 0)
+             > 0)
     {
-      record_event (events, events->partial->str + used, event_length);
-      used += event_length;
+      fits = record_event (events, events->partial->str + used, event_length);
+      used += fits ? event_length : 0;
     }
   g_string_append_len (complete, events->partial->str, (gssize)used);
   g_string_erase (events->partial, 0, (gssize)used);
+  return fits;
+}
+
+void
+events_resume (events_splitter_t *events)
+{
+  events->continues = events->last_id > 0;
 }
 
 void
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -181,6 +181,7 @@
 {
   relay_t *relay = context;
   GString *complete;
+  bool continues;
 
   relay->traffic->has_contact |= !relay->detoured;
   relay_crossing_received (relay, length);
@@ -192,7 +193,8 @@
       return true;
     }
   complete = g_string_new (NULL);
-  events_feed (&relay->events, data, length, complete);
+  continues = events_feed (&relay->events, data, length, complete);
+  relay->response_mismatched |= !continues;
   if (complete->len > 0)
     {
       record_response (relay);
@@ -200,7 +202,7 @@
       gs_exchange_write (relay->exchange, complete->str, complete->len);
     }
   g_string_free (complete, TRUE);
-  return relay_buffered_set (relay, relay->events.partial->len);
+  return relay_buffered_set (relay, relay->events.partial->len) && continues;
 }
 
 /* @return whether the request may run once more.  A node that it was passed on
@@ -208,6 +210,9 @@
 static bool
 may_run_again (const relay_t *relay)
 {
+  /* A stream without event ids cannot go on in the middle.  */
+  if (relay->head_sent && relay->events.last_id == 0)
+    return false;
   return relay->possible_runs == 0
          || (relay->route->resend_policy != GS_RESEND_NEVER && !relay->detoured
              && relay_runs_left (relay) > 0);
--- a/src/gateway/relay_dispatch.c
+++ b/src/gateway/relay_dispatch.c
@@ -42,6 +42,8 @@
   relay->possible_runs++;
   relay->attempt_responded = false;
   relay->response_mismatched = false;
+  if (relay->head_sent)
+    events_resume (&relay->events);
   gs_response_head_clear (&relay->head);
   gs_response_head_init (&relay->head);
   g_string_truncate (relay->body, 0);
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -45,7 +45,49 @@
   events_clear (&events);
 }
 
+static void
+only_events_with_a_higher_id_continue_a_stream (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool continues;
+  } rows[] = {
+    { "id: 3\ndata: c\n\n", true },
+    { ": comment\n\nid: 3\ndata: c\n\n", true },
+    { "id: 5\ndata: e\n\ndata: without\n\n", true },
+    { "id: 2\ndata: b\n\n", false },
+    { "id: 1\ndata: a\n\nid: 3\ndata: c\n\n", false },
+    { "event: error\ndata: e\n\n", false },
+    { "HTTP/1.1 500 X\r\nContent-Length: 1\r\n\r\n", false },
+    { "id: x\ndata: c\n\n", false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      events_splitter_t events;
+      GString *complete = g_string_new (NULL);
+
+      events_init (&events);
+      CU_ASSERT_TRUE (
+          events_feed (&events, "id: 2\ndata: b\n\nid: 3", 21, complete));
+      events_partial_discard (&events);
+      events_resume (&events);
+      g_string_truncate (complete, 0);
+      CU_ASSERT_EQUAL (
+          events_feed (&events, rows[i].text, strlen (rows[i].text), complete),
+          rows[i].continues);
+      CU_ASSERT_EQUAL (complete->len,
+                       rows[i].continues ? strlen (rows[i].text) : 0);
+      CU_ASSERT (events.last_id >= 2);
+      g_string_free (complete, TRUE);
+      events_clear (&events);
+    }
+}
+
 static const check_case_t cases[] = {
+  { "only events with a higher id continue a stream",
+    only_events_with_a_higher_id_continue_a_stream },
   { "complete events pass wherever the stream is cut",
     complete_events_pass_wherever_the_stream_is_cut },
   { "an incomplete event is held back", an_incomplete_event_is_held_back },
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -491,6 +491,37 @@
     false },
   { "misdirected", "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", false,
     false },
+  { "error-text",
+    "HTTP/1.1 500 X\r\n" SEAL_HEADERS_TEXT "Content-Type: text/plain\r\n"
+    "Content-Length: 20\r\n\r\nerror: no memory\n\nx\n",
+    false, false },
+  { "error-unsealed",
+    "HTTP/1.1 500 X\r\nX-Attempt-Id: $ID\r\nContent-Length: 20\r\n\r\n"
+    "error: no memory\n\nx\n",
+    false, false },
+  { "error-missing",
+    "HTTP/1.1 404 X\r\n" SEAL_HEADERS_TEXT
+    "Content-Length: 20\r\n\r\nerror: no memory\n\nx\n",
+    false, false },
+  { "error-plain",
+    "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT "Content-Type: text/plain\r\n"
+    "Content-Length: 21\r\n\r\nerror: no memory\n\nx\n\n",
+    false, false },
+  { "error-event",
+    "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "1e\r\nevent: error\ndata: no memory\n\n\r\n0\r\n\r\n",
+    false, false },
+  { "error-head",
+    "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT
+    "Content-Type: text/event-stream\r\n\r\n"
+    "HTTP/1.1 500 X\r\nContent-Length: 17\r\n\r\nerror: no memory\n\n",
+    true, false },
+  { "error-begin",
+    "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "15\r\nid: 1\ndata: event 1\n\n\r\n0\r\n\r\n",
+    false, false },
   { "full", "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
     false, false },
   { "moved",
@@ -754,7 +785,11 @@
         arrival->closed_at = gs_clock_now ();
       keep_open = false;
     }
-  else if (strcmp (behaviour, "torn") == 0)
+  else if (g_str_has_prefix (behaviour, "torn-then-") && earlier > 0)
+    send_fixed_if_named (conn, arrival, behaviour + strlen ("torn-then-"),
+                         &keep_open);
+  else if (strcmp (behaviour, "torn") == 0
+           || g_str_has_prefix (behaviour, "torn-then-"))
     {
       send_stream (conn, arrival, EVENT_COUNT / 2, true, true);
       keep_open = false;
