tests: nothing follows data that the proxy has dropped

Trace: the request kind is free/late-extra, whose replica writes a second response 60 ms after the first, and the fault is a proxy that drops responses. The proxy dropped the first one, passed on again within the 60 ms, and delivered the second one as the first bytes of the answer: no TCP connection loses bytes in the middle.

The stand-in is corrected; raw_proxy 'nothing follows data that were dropped' failed before. That a replica writes a second response on a connection that is in use again is covered by process_gateway_rejections.

--- a/tests/raw_proxy.c
+++ b/tests/raw_proxy.c
@@ -19,7 +19,9 @@
 
 /* Forwards one block as the current mode demands.  An end that is no regular
    one, or comes after data that were dropped, is passed on as a reset: a
-   response without a length would look complete otherwise.
+   response without a length would look complete otherwise.  Nothing follows
+   data that were dropped, as on a real connection: a later response would be
+   taken for the one that was dropped.
    @return false if the connection has ended  */
 static bool
 block_forward (raw_proxy_t *proxy, raw_conn_t *from, raw_conn_t *to,
@@ -38,7 +40,7 @@
     return false;
   if (mode == PROXY_DELAY)
     g_usleep (BLOCK_DELAY_USEC);
-  if (mode != PROXY_NO_RESPONSES || !is_response)
+  if (!is_response || (mode != PROXY_NO_RESPONSES && !*dropped))
     raw_send (to, block, (size_t)count);
   else
     *dropped = true;
