soak: brittle replicas, unreadable entries, kills of all nodes

Seeds from 401 on also draw replicas that are brittle with room for one request, an entry among those of the replicas that cannot be read, and kills of all nodes at once, and requests to replicas that write a rejection again or answer a stream that broke off with an error. Falls of brittle replicas are checked against the bound of the rule.

--- a/tests/test_process_soak.c
+++ b/tests/test_process_soak.c
@@ -28,7 +28,7 @@
    for the same one: a reload signal that was sent while a node was paused was
    delivered to the thread that writes the log, and ended the process.  */
 static const uint64_t seeds[]
-    = { 1, 2, 5, 9, 10, 15, 16, 17, 101, 102, 103, 301, 302 };
+    = { 1, 2, 5, 9, 10, 15, 16, 17, 101, 102, 103, 301, 302, 401, 402 };
 /* Seeds from this one on draw all kinds of faults; those below draw the kinds
    that there were when they were chosen.  */
 #define SEED_ALL_KINDS_MIN 100
@@ -61,12 +61,25 @@
   { "never/too-many", true, false, true },
   { "stream/once/unframed-stream-cut", true, true, true },
   { "stream/resume/unframed-stream-torn-once", false, true, true },
+  { "never/again-foreign", true, false, true },
+  { "never/again-own", true, false, true },
+  { "free/again-anonymous", false, false, true },
+  { "stream/resume/torn-then-error-event", false, true, true },
+  { "stream/resume/torn-then-error-head", false, true, true },
 };
 
 /* Seeds below this one draw the kinds of requests and faults that there were
    when they were chosen.  */
 #define SEED_CRASHES_MIN 300
 #define REQUEST_KINDS_BEFORE 14
+#define SEED_BRITTLE_MIN 400
+#define REQUEST_KINDS_CRASHES 19
+/* Rejections that brittle replicas bear, and requests that they run.  */
+#define BRITTLE_REJECTIONS 8
+#define BRITTLE_ROOM 1
+/* 2 and a tenth of the replicas may fall over each time they are brittle.  */
+#define BRITTLE_FALLS_MAX (2 + REPLICA_COUNT / 10)
+#define ODD_ENTRY "{\"slots\":1e999,\"sequence\":123456789012345678901}"
 
 typedef struct
 {
@@ -85,6 +98,8 @@
   pthread_mutex_t lock;
   GPtrArray *requests; /* of request_t */
   unsigned faults;
+  unsigned brittle_times;     /* for which replicas have been brittle */
+  bool killed[GATEWAY_COUNT]; /* by FAULT_KILL_ALL */
 } soak_t;
 
 typedef struct
@@ -102,6 +117,14 @@
   g_free (request);
 }
 
+static size_t
+request_kind_count (const soak_t *soak)
+{
+  return soak->seed >= SEED_BRITTLE_MIN   ? G_N_ELEMENTS (request_kinds)
+         : soak->seed >= SEED_CRASHES_MIN ? REQUEST_KINDS_CRASHES
+                                          : REQUEST_KINDS_BEFORE;
+}
+
 static void *
 caller_run (void *context)
 {
@@ -115,9 +138,8 @@
       request_t *request = g_new0 (request_t, 1);
       char *target;
 
-      request->kind = &request_kinds[gs_rng_below (
-          &rng, soak->seed >= SEED_CRASHES_MIN ? G_N_ELEMENTS (request_kinds)
-                                               : REQUEST_KINDS_BEFORE)];
+      request->kind
+          = &request_kinds[gs_rng_below (&rng, request_kind_count (soak))];
       g_snprintf (request->id, sizeof request->id, "s%llu-%u-%u",
                   (unsigned long long)soak->seed, caller->number, i);
       target = g_strconcat ("/a/", request->kind->path, NULL);
@@ -151,7 +173,10 @@
   FAULT_LIMIT,  /* a replica names a limit on its requests */
   FAULT_REFUSE, /* a replica rejects requests and says for how long */
   FAULT_SET_BACK,
-  FAULT_CRASH, /* a replica ends and starts again */
+  FAULT_CRASH,    /* a replica ends and starts again */
+  FAULT_BRITTLE,  /* replicas are brittle, with little room */
+  FAULT_ENTRY,    /* an entry that cannot be read is among the replicas' */
+  FAULT_KILL_ALL, /* all nodes are killed */
   FAULT_KIND_COUNT
 } fault_kind_t;
 
@@ -169,14 +194,15 @@
 }
 
 static const char *const fault_names[FAULT_KIND_COUNT]
-    = { "pause",        "kill",    "term",     "hup",    "store",
-        "store_of_one", "compact", "proxy",    "config", "drain",
-        "limit",        "refuse",  "set_back", "crash" };
+    = { "pause",    "kill",  "term",    "hup",   "store",   "store_of_one",
+        "compact",  "proxy", "config",  "drain", "limit",   "refuse",
+        "set_back", "crash", "brittle", "entry", "kill_all" };
 
 static unsigned
 fault_kind_count (const soak_t *soak)
 {
-  return soak->seed >= SEED_CRASHES_MIN     ? FAULT_KIND_COUNT
+  return soak->seed >= SEED_BRITTLE_MIN     ? FAULT_KIND_COUNT
+         : soak->seed >= SEED_CRASHES_MIN   ? FAULT_BRITTLE
          : soak->seed >= SEED_ALL_KINDS_MIN ? FAULT_CRASH
                                             : FAULT_LIMIT;
 }
@@ -251,6 +277,23 @@
       gw_replica_crash (world, fault->target);
       fault->ends_at += 2 * WORLD_RESTART_TIME;
       break;
+    case FAULT_BRITTLE:
+      gw_brittle_bounds_set (world, BRITTLE_REJECTIONS, BRITTLE_ROOM);
+      gw_brittle_set (world, true);
+      soak->brittle_times++;
+      fault->ends_at += 2 * GS_SEC;
+      break;
+    case FAULT_ENTRY:
+      if (world->raw_value_count < WORLD_RAW_VALUES_MAX)
+        gw_object_put_raw (world, "servers", "odd", ODD_ENTRY);
+      break;
+    case FAULT_KILL_ALL:
+      for (unsigned i = 0; i < GATEWAY_COUNT; i++)
+        {
+          soak->killed[i] |= is_running (soak, i);
+          gw_signal (world, i, SIGKILL);
+        }
+      break;
     case FAULT_DRAIN:
     case FAULT_KIND_COUNT:
       gw_replica_publish (world, fault->target, "draining");
@@ -296,6 +339,18 @@
     case FAULT_CRASH:
       gw_replicas_restart (world);
       break;
+    case FAULT_BRITTLE:
+      gw_brittle_set (world, false);
+      break;
+    case FAULT_ENTRY:
+      gw_object_remove (world, "servers", "odd");
+      break;
+    case FAULT_KILL_ALL:
+      for (unsigned i = 0; i < GATEWAY_COUNT; i++)
+        if (soak->killed[i] && !is_running (soak, i))
+          gw_start (world, i, false);
+      memset (soak->killed, 0, sizeof soak->killed);
+      break;
     case FAULT_SET_BACK:
       gw_store_set_back (world);
       /* The operator and the replicas write again what was lost.  */
@@ -308,16 +363,27 @@
     }
 }
 
+static bool
+is_of_all (fault_kind_t kind)
+{
+  return kind == FAULT_BRITTLE || kind == FAULT_KILL_ALL;
+}
+
 /* Two process faults must not overlap on one gateway, nor two other faults on
-   one target: the end of one would undo the other.
+   one target, nor two of a kind that concerns all: the end of one would undo
+   the other.
    @return false if @p planned conflicts with an open fault  */
 static bool
 has_no_conflict (const fault_t *faults, const fault_t *planned)
 {
   for (unsigned i = 0; i < FAULTS_OPEN_MAX; i++)
     if (&faults[i] != planned && faults[i].ends_at != 0
-        && faults[i].target == planned->target
-        && (faults[i].kind <= FAULT_TERM) == (planned->kind <= FAULT_TERM))
+        && is_of_all (planned->kind) && faults[i].kind == planned->kind)
+      return false;
+    else if (&faults[i] != planned && faults[i].ends_at != 0
+             && faults[i].target == planned->target
+             && (faults[i].kind <= FAULT_TERM)
+                    == (planned->kind <= FAULT_TERM))
       return false;
   return true;
 }
@@ -354,6 +420,8 @@
           else
             gs_rng_next (&rng);
         }
+      if (soak->seed >= SEED_BRITTLE_MIN)
+        gw_replicas_restart (&soak->world);
       g_usleep (50000);
     }
   for (unsigned i = 0; i < FAULTS_OPEN_MAX; i++)
@@ -478,6 +546,11 @@
     pthread_join (threads[i], NULL);
   CU_ASSERT_EQUAL (count_violations (soak), 0);
   CU_ASSERT_EQUAL (gw_duty_violations_count (&soak->world), 0);
+  if (soak->brittle_times > 0)
+    printf ("  %u replicas fell over in %u times\n",
+            gw_falls_count (&soak->world), soak->brittle_times);
+  CU_ASSERT (gw_falls_count (&soak->world)
+             <= BRITTLE_FALLS_MAX * soak->brittle_times);
   CU_ASSERT (soak->requests->len > 0);
   gw_destroy (&soak->world);
   for (unsigned i = 0; i < REPLICA_COUNT; i++)
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -745,11 +745,21 @@
   g_usleep (EVENT_INTERVAL_USEC);
   raw_printf (conn,
               "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
-              "Content-Length: 4\r\n\r\ndone",
-              arrival->id, arrival->id);
+              "Content-Length: %zu\r\n\r\n%s",
+              arrival->id, arrival->id, strlen (arrival->id), arrival->id);
   return true;
 }
 
+static bool
+head_names (const char *head, const char *name)
+{
+  raw_message_t message = { NULL, (char *)head, NULL };
+  char *value = raw_message_header (&message, name);
+
+  g_free (value);
+  return value != NULL;
+}
+
 /* Responds with the behaviour that the last part of the path names.
    @return false to close the connection  */
 static bool
@@ -785,7 +795,8 @@
         arrival->closed_at = gs_clock_now ();
       keep_open = false;
     }
-  else if (g_str_has_prefix (behaviour, "torn-then-") && earlier > 0)
+  else if (g_str_has_prefix (behaviour, "torn-then-")
+           && head_names (arrival->head, "Last-Event-Id"))
     send_fixed_if_named (conn, arrival, behaviour + strlen ("torn-then-"),
                          &keep_open);
   else if (strcmp (behaviour, "torn") == 0
