--- a/tests/test_placer_brittle.c
+++ b/tests/test_placer_brittle.c
@@ -276,11 +276,14 @@
     {
       requests_advance (world, now);
       events_run (world, now);
-      for (due += per_step; due >= 1; due--)
+      due += per_step;
+      while (due >= 1)
         {
           unsigned node = (unsigned)gs_rng_below (&world->rng, play->nodes);
           unsigned sends = 0;
 
+          due -= 1;
+
           while (sends++ < SENDS_MAX && !request_send (world, now, node))
             ;
         }
