brittle replicas, membership: bounds on what others write

A bound of rejections near zero made an interval that does not fit its type, and a time of start or a number of restarts in a node's entry could overflow in the sum with this process's own. The parts of brittle replicas are computed anew only when the members change: with 372 nodes and 1,100 brittle replicas that were 400,000 hashes for each view, every 150 ms.

--- a/src/fleet/membership.c
+++ b/src/fleet/membership.c
@@ -31,10 +31,11 @@
   uint64_t entry_revision; /* 0 when none is known */
   bool busy;               /* a write or removal is open */
   bool leaving;            /* the entry is to be removed */
-  gs_time_t restart_window;
-  int64_t started_ms; /* of this process, by the wall clock */
-  unsigned restarts;  /* see peers_restarts_set() */
-  gs_time_t due;      /* earliest time of the next write or removal */
+  int64_t started_ms;      /* of this process, by the wall clock */
+  int64_t series_ms; /* a process that started before belongs to no series of
+                        restarts with this one */
+  unsigned restarts; /* see peers_restarts_set() */
+  gs_time_t due;     /* earliest time of the next write or removal */
 };
 
 static void
@@ -95,8 +96,9 @@
   membership->store = store;
   membership->peers = peers;
   membership->self = *self;
-  membership->restart_window = restart_window;
   membership->started_ms = gs_clock_wall () / GS_MSEC;
+  membership->series_ms
+      = membership->started_ms - (restart_window + CLOCK_STEP_MAX) / GS_MSEC;
   feed_create (&membership->feed, store, MEMBERSHIP_KIND, &listener, seed);
   *out = membership;
 }
@@ -128,7 +130,7 @@
 }
 
 /* Reads the entry of the process before this one, which may have ended just
-   now.  One of an earlier version says nothing of its start.  */
+   now.  An entry of an earlier version has no time of its start.  */
 static void
 predecessor_read (membership_t *membership, const json_t *value)
 {
@@ -137,9 +139,6 @@
   const json_t *started = json_object_get (value, "started_ms");
   json_int_t restarts
       = json_integer_value (json_object_get (value, "restarts"));
-  gs_time_t age
-      = (gs_time_t)(membership->started_ms - json_integer_value (started))
-        * GS_MSEC;
 
   if (incarnation != NULL
       && g_ascii_strtoull (incarnation, NULL, 16)
@@ -147,8 +146,8 @@
     return;
   membership->restarts = 1;
   if (json_is_integer (started)
-      && age < membership->restart_window + CLOCK_STEP_MAX)
-    membership->restarts = (unsigned)CLAMP (restarts + 1, 1, RESTARTS_MAX);
+      && json_integer_value (started) > membership->series_ms)
+    membership->restarts = 1 + (unsigned)CLAMP (restarts, 0, RESTARTS_MAX);
 }
 
 static void
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -1,9 +1,9 @@
 /**
  * @file membership.h
  * Keeps this node's entry in the store, by which nodes find each other, and
- * passes the entries of other nodes to peers.h.  The entry also tells the next
- * process of the node that there was one before it, and the how manyth in a
- * series of restarts.  Runs on the control thread.
+ * passes the entries of other nodes to peers.h.  The entry also records the
+ * place of its process in a series of restarts, for the next process of the
+ * node.  Runs on the control thread.
  */
 #ifndef GS_FLEET_MEMBERSHIP_H
 #define GS_FLEET_MEMBERSHIP_H
@@ -23,8 +23,8 @@
  * @param store borrowed; must outlive the membership
  * @param peers borrowed; gets the entries of other nodes
  * @param self address and incarnation of this node; copied
- * @param restart_window a process that started that long after the one before
- * it is no restart in a series
+ * @param restart_window processes that start within it of each other belong to
+ * one series of restarts
  * @param seed of the random part of retry delays
  */
 void membership_create (membership_t **out, const gs_object_store_t *store,
--- a/src/policy/brittle_replica.c
+++ b/src/policy/brittle_replica.c
@@ -1,6 +1,7 @@
 #include "policy/brittle_replica.h"
 
 #include <glib.h>
+#include <math.h>
 #include <xxhash.h>
 
 /* Nodes together spend at most this part of the rejections that a replica
@@ -41,10 +42,9 @@
 rejection_interval (const brittle_replica_t *brittle)
 {
   double per_sec = REJECTIONS_RATIO * brittle->rejections_max;
+  double interval = per_sec > 0 ? (double)GS_SEC / per_sec : INFINITY;
 
-  return per_sec > 0 ? MIN ((gs_time_t)((double)GS_SEC / per_sec),
-                            REJECTION_INTERVAL_MAX)
-                     : REJECTION_INTERVAL_MAX;
+  return (gs_time_t)MIN (interval, (double)REJECTION_INTERVAL_MAX);
 }
 
 static gs_time_t
@@ -78,7 +78,7 @@
 }
 
 static void
-brittle_set (brittle_replica_t *brittle, gs_time_t now, unsigned in_flight)
+brittle_begin (brittle_replica_t *brittle, gs_time_t now, unsigned in_flight)
 {
   window_set (brittle, in_flight);
   brittle->tried_at = 0;
@@ -98,7 +98,7 @@
       brittle->stated_at = now;
       brittle->rejections_max = rejections_max;
       if (!was_set)
-        brittle_set (brittle, now, in_flight);
+        brittle_begin (brittle, now, in_flight);
     }
   else if (sent_at > brittle->stated_at)
     brittle->stated_at = 0;
@@ -112,7 +112,7 @@
     return;
   brittle->stated_at = now;
   brittle->rejections_max = rejections_max;
-  brittle_set (brittle, now, in_flight);
+  brittle_begin (brittle, now, in_flight);
 }
 
 bool
--- a/src/policy/placer_brittle.c
+++ b/src/policy/placer_brittle.c
@@ -19,17 +19,10 @@
   gs_time_t rejected_at; /* last rejection for lack of room */
 } brittle_service_t;
 
-static void
-brittle_service_free (gpointer data)
-{
-  g_free (data);
-}
-
 GHashTable *
 placer_brittle_table_create (void)
 {
-  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                brittle_service_free);
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
 static bool
@@ -71,6 +64,12 @@
 placer_members_set (placer_t *placer, gs_time_t now, const uint64_t *members,
                     size_t count)
 {
+  if (placer->member_nodes->len == count
+      && (count == 0
+          || memcmp (placer->member_nodes->data, members,
+                     count * sizeof *members)
+                 == 0))
+    return;
   g_array_set_size (placer->member_nodes, 0);
   g_array_append_vals (placer->member_nodes, members, (guint)count);
   for (guint i = 0; i < placer->rows->len; i++)
@@ -89,7 +88,7 @@
   log_change (row, now, "service");
 }
 
-/* Records that a replica of a service is brittle, and with it the others.  */
+/* Records that a replica of a service is brittle; the others inherit it.  */
 static void
 service_set (placer_t *placer, gs_time_t now, const char *name,
              gs_time_t stated_at, double rejections_max)
--- a/src/policy/placer_private.h
+++ b/src/policy/placer_private.h
@@ -84,7 +84,7 @@
 /* Services whose replicas have said that they are brittle.  */
 GHashTable *placer_brittle_table_create (void);
 
-/* Lets a row that got a new process know what others of its service say.  */
+/* Lets a row that got a new process inherit what others of its service say. */
 void placer_brittle_process_set (placer_t *placer, gs_time_t now,
                                  replica_row_t *row);
 
--- a/src/policy/resend_budget.c
+++ b/src/policy/resend_budget.c
@@ -47,9 +47,9 @@
   budget->requests[budget->newest]++;
 }
 
-/* Until it is known, and the next process will know it, whether another
-   process was before this one, this one takes nothing.
-   @return part of this node's part of the slack that the process may take  */
+/* A process takes nothing until the store has its place in the series of
+   restarts, so that the next process is able to read it.
+   @return ratio of this node's part of the slack that the process takes  */
 static double
 slack_ratio (const resend_budget_t *budget, gs_time_t now,
              const resend_bounds_t *bounds)
