--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -137,11 +137,32 @@
   _exit (127);
 }
 
+/* The settings say bootstrap=true only when the system starts for the first
+   time.  */
+static void
+settings_set_later_start (const world_gateway_t *node)
+{
+  char *text = NULL;
+  GString *later;
+
+  if (!g_file_get_contents (node->settings_path, &text, NULL, NULL))
+    return;
+  later = g_string_new (text);
+  g_string_replace (later, "bootstrap=true", "bootstrap=false", 0);
+  g_file_set_contents (node->settings_path, later->str, -1, NULL);
+  g_string_free (later, TRUE);
+  g_free (text);
+}
+
 void
 stand_node_start (gateway_world_t *world, unsigned index)
 {
+  static bool started[WORLD_GATEWAYS_MAX];
   world_gateway_t *node = &world->gateways[index];
 
+  if (started[index])
+    settings_set_later_start (node);
+  started[index] = true;
   node->pid = fork ();
   if (node->pid == 0)
     node_exec (node);
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -44,7 +44,8 @@
 void stand_node_prepare (gateway_world_t *world, unsigned index,
                          const stand_machine_t *machine);
 
-/** Start the process of a node. */
+/** Start the process of a node.  Its settings say that the system starts for
+    the first time only at its first start. */
 void stand_node_start (gateway_world_t *world, unsigned index);
 
 /** Wait until a node is ready; ends the case as not run after 15 s. */
