streams: a node out of step does not take one version for the only one

Cause: the conclusion that one version alone has served was drawn from the node's own list of replicas and its copy of the store's record, whatever their age.

Change: the conclusion holds for a request only if the node was in step when it arrived: a read of the record that began later shows no other version, or, in a fleet of up to ten nodes, more than half of the nodes answered calls of this node without a later list of replicas shortly before. Only a request of unknown origin causes a read, at most one every 100 ms.

--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -324,6 +324,7 @@
                           .resignation = digest->resignation };
   aggregate_t aggregate;
 
+  peer->replicas_revision = digest->replicas_revision;
   schedule_call (peers, now, peer);
   for (guint i = 0; i < digest->members->len; i++)
     {
@@ -492,6 +493,18 @@
   return true;
 }
 
+/* Records whether a peer has answered without a later list of replicas.  Only
+   an answer shows when it was made: a message may come long after.  */
+static void
+record_step (const peers_t *peers, peer_t *peer, gs_time_t call_started_at)
+{
+  peers_state_t own;
+
+  peers->listener.get_state (peers->listener.context, &own);
+  if (peer->replicas_revision <= own.replicas_revision)
+    peer->in_step_at = call_started_at;
+}
+
 static void
 on_reply (void *context, gs_time_t now, const peers_reply_t *reply)
 {
@@ -521,7 +534,10 @@
                    : MAX (SILENT_PEER_INTERVAL,
                           peers_call_interval (peers, call->call)));
       if (call->call == CALL_DIGEST && accepted)
-        schedule_call (peers, now, peer);
+        {
+          schedule_call (peers, now, peer);
+          record_step (peers, peer, call->started_at);
+        }
     }
   g_free (call);
 }
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -195,6 +195,11 @@
     it. */
 bool peers_has_follower (const peers_t *peers, gs_time_t now);
 
+/** @return a time at which more than half of the nodes had no later list of
+    replicas than this one; 0 if none is known, as in a large fleet, where a
+    node does not exchange messages with the others */
+gs_time_t peers_in_step_at (const peers_t *peers, gs_time_t now);
+
 /** @return whether another node is live, by its name. */
 bool peers_name_is_live (const peers_t *peers, gs_time_t now,
                          const char *name);
--- a/src/fleet/peers_fleet.c
+++ b/src/fleet/peers_fleet.c
@@ -641,6 +641,7 @@
 
   view->source = (unsigned)peers->role;
   view->restarts = peers->restarts;
+  view->in_step_at = peers_in_step_at (peers, now);
   view->fleet.members = peers_member_count (peers, now);
   view->fleet.report_ttl
       = peers_fresh_ttl (peers, mesh ? CALL_DIGEST : CALL_REPORT);
--- a/src/fleet/peers_members.c
+++ b/src/fleet/peers_members.c
@@ -96,6 +96,38 @@
   return count;
 }
 
+static gint
+compare_latest_first (gconstpointer a, gconstpointer b)
+{
+  const gs_time_t *left = a;
+  const gs_time_t *right = b;
+
+  return (*left < *right) - (*left > *right);
+}
+
+gs_time_t
+peers_in_step_at (const peers_t *peers, gs_time_t now)
+{
+  GArray *times = g_array_new (FALSE, FALSE, sizeof (gs_time_t));
+  gs_time_t in_step_at = 0;
+  GHashTableIter iter;
+  gpointer value;
+  guint needed;
+
+  g_hash_table_iter_init (&iter, peers->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_member (peers, now, value))
+      g_array_append_val (times, ((const peer_t *)value)->in_step_at);
+  g_array_sort (times, compare_latest_first);
+  needed = (times->len + 1) / 2;
+  if (needed == 0)
+    in_step_at = now;
+  else if (peers->role == PEERS_ROLE_MESH)
+    in_step_at = g_array_index (times, gs_time_t, needed - 1);
+  g_array_unref (times);
+  return in_step_at;
+}
+
 void
 peers_members_hash (const peers_t *peers, gs_time_t now, GArray *out)
 {
--- a/src/fleet/peers_private.h
+++ b/src/fleet/peers_private.h
@@ -60,9 +60,12 @@
   gs_time_t last_mentioned_at; /* by the digest of another node */
   gs_time_t last_heard_at;     /* when its last message came; 0 for never */
   uint32_t flags;              /* in its last message */
+  uint64_t replicas_revision;  /* of its list of replicas, the same */
   peer_call_t call;
   gs_time_t next_call_at;
-  gs_time_t usage_due; /* when a report to it carries usage counts again */
+  gs_time_t usage_due;  /* when a report to it carries usage counts again */
+  gs_time_t in_step_at; /* start of the last call in whose answer the peer had
+                           no later list of replicas than this node */
   bool call_pending;
   bool unreachable; /* the last call failed, and no message has come since */
   bool silent;      /* no message has come yet, or its silence was logged */
--- a/src/fleet/report.h
+++ b/src/fleet/report.h
@@ -60,6 +60,8 @@
   GArray *statements;          /**< of statement_t */
   quarantine_rows_t quarantine;
   GArray *rollout_counts; /**< of rollout_count_t */
+  bool versions_wanted;   /**< requests wait for a new read of the store's
+                               record of versions */
 } traffic_report_t;
 
 /** @return an empty report, freed with traffic_report_free() */
@@ -108,6 +110,7 @@
                         first */
   GArray *origins; /**< of stream_origin_row_t: streams that this node has
                         learned of since the last view */
+  gs_time_t in_step_at; /**< see peers_in_step_at() */
 } traffic_peers_t;
 
 void traffic_peers_free (traffic_peers_t *peers);
--- a/src/fleet/service_versions.h
+++ b/src/fleet/service_versions.h
@@ -42,6 +42,7 @@
   gs_time_t stream_time;    /**< longest time that streams were seen to last
                                  at most; 0 if unknown */
   gs_time_t clock_skew_max; /**< by which its times may be too early */
+  gs_time_t read_at;        /**< when the last complete read of it began */
 } service_versions_record_t;
 
 void service_versions_record_init (service_versions_record_t *record);
--- a/src/fleet/version_history.c
+++ b/src/fleet/version_history.c
@@ -56,8 +56,11 @@
   bool busy;
   bool read; /* all objects of the store have been read in this era */
   bool has_list;
-  bool changed;           /* since the last export */
-  int64_t stream_time_ms; /* as this node knows, in whole seconds */
+  bool read_requested;
+  gs_time_t list_started_at; /* of the list that is being read */
+  gs_time_t read_at;         /* when the last complete list was started */
+  bool changed;              /* since the last export */
+  int64_t stream_time_ms;    /* as this node knows, in whole seconds */
   bool has_gap;     /* objects may have been lost with an era of the store */
   uint64_t era;     /* at the last list */
   char *after_name; /* of the list that is being read */
@@ -212,6 +215,7 @@
   if (result->status != GS_OK && result->status != GS_ENOTFOUND)
     {
       g_clear_pointer (&history->after_name, g_free);
+      history->read_requested = false;
       return;
     }
   for (unsigned i = 0; i < result->count; i++)
@@ -224,10 +228,15 @@
       return;
     }
   history->era = store_era (history);
-  history->has_gap = history->era > FIRST_ERA_MAX;
+  if (!history->read)
+    {
+      history->has_gap = history->era > FIRST_ERA_MAX;
+      log_read (history);
+    }
   history->read = true;
+  history->read_requested = false;
+  history->read_at = history->list_started_at;
   history->changed = true;
-  log_read (history);
 }
 
 /* Forgets which object the store has, so that it is read before the next
@@ -487,6 +496,12 @@
   return true;
 }
 
+void
+version_history_read_request (version_history_t *history)
+{
+  history->read_requested = true;
+}
+
 void
 version_history_tick (version_history_t *history, gs_time_t now,
                       int64_t wall_ms, bool writes)
@@ -501,9 +516,11 @@
     return;
   if (history->read && !is_same_era (store_era (history), history->era))
     history->read = false;
-  if (!history->read)
+  if (!history->read || history->read_requested)
     {
       history->busy = true;
+      if (history->after_name == NULL)
+        history->list_started_at = now;
       store->list (store->context, VERSION_HISTORY_KIND, history->after_name,
                    now + STORE_TIMEOUT, on_listed, history);
       return;
@@ -551,6 +568,7 @@
   history->changed = false;
   service_versions_record_init (out);
   out->has_gap = history->has_gap;
+  out->read_at = history->read_at;
   out->clock_skew_max = VERSION_HISTORY_SKEW_MAX;
   g_hash_table_iter_init (&iter, history->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/src/fleet/version_history.h
+++ b/src/fleet/version_history.h
@@ -2,9 +2,9 @@
  * @file version_history.h
  * Keeps in the store which software versions each service had, from when to
  * when, so that nodes still know them after all have been killed.  Each
- * process reads the record at startup, and again while it lists a version that
- * the record lacks; the holder of the lease writes it when the set of versions
- * changes.  Runs on the control thread.
+ * process reads the record at startup, while it lists a version that the
+ * record lacks, and on request; the holder of the lease writes it when the set
+ * of versions changes.  Runs on the control thread.
  */
 #ifndef GS_FLEET_VERSION_HISTORY_H
 #define GS_FLEET_VERSION_HISTORY_H
@@ -41,6 +41,10 @@
 void version_history_stream_time_set (version_history_t *history,
                                       gs_time_t stream_time);
 
+/** Read the record again, for service_versions_record_t.read_at.  If that
+    fails, it is not repeated. */
+void version_history_read_request (version_history_t *history);
+
 /** Make the calls to the store that are due.  To be called often.
     @param writes whether this node writes changes for all */
 void version_history_tick (version_history_t *history, gs_time_t now,
--- a/src/gateway/relay_origin.c
+++ b/src/gateway/relay_origin.c
@@ -17,8 +17,16 @@
   traffic->stream_time_max = MAX (traffic->stream_time_max,
                                   MIN (request->timeout, STREAM_TIME_MAX));
   relay->resumed = request->resume_after != 0 || request->resumes[0] != '\0';
-  relay->origin_deadline
-      = request->resumes[0] != '\0' ? now + ORIGIN_WAIT_MAX : now;
+  relay->origin_deadline = now + ORIGIN_WAIT_MAX;
+}
+
+/* Has the control thread read the store's record of versions.  */
+static void
+request_versions (traffic_t *traffic, gs_time_t now)
+{
+  if (!traffic->versions_wanted)
+    traffic->report_due = now;
+  traffic->versions_wanted = true;
 }
 
 bool
@@ -28,15 +36,29 @@
   const char *begun = relay->request.resumes[0] != '\0'
                           ? relay->request.resumes
                           : relay->request.id;
+  uint64_t single;
 
   if (!relay->resumed || relay->version != 0)
     return true;
   if (stream_origins_find (traffic->origins, now, stream_origins_hash (begun),
                            &relay->version))
     return true;
-  return service_versions_get_single (
-      traffic->versions, now, relay->service->name,
-      traffic_stream_lookback (traffic), &relay->version);
+  if (!service_versions_get_single (
+          traffic->versions, now, relay->service->name,
+          traffic_stream_lookback (traffic), &single))
+    {
+      /* No other node can tell where it began.  */
+      if (relay->request.resumes[0] == '\0')
+        relay->origin_deadline = now;
+      return false;
+    }
+  if (relay->arrived_at > traffic->versions_known_until)
+    {
+      request_versions (traffic, now);
+      return false;
+    }
+  relay->version = single;
+  return true;
 }
 
 /* A stream that is sent again before its first event stays at the version that
--- a/src/gateway/store_records.c
+++ b/src/gateway/store_records.c
@@ -4,6 +4,9 @@
 #include "fleet/quarantine_store.h"
 #include "fleet/version_history.h"
 
+/* Minimum time between two reads for requests that wait for them.  */
+#define VERSIONS_READ_INTERVAL (100 * GS_MSEC)
+
 struct store_records
 {
   peers_t *peers;
@@ -11,6 +14,7 @@
   version_history_t *versions;
   origin_store_t *origins;
   gs_replica_list_t *list; /* not given to the versions yet; NULL for none */
+  gs_time_t versions_read_due; /* earliest time of the next request */
 };
 
 void
@@ -63,6 +67,12 @@
     }
   if (report != NULL)
     version_history_stream_time_set (records->versions, report->stream_time);
+  if (report != NULL && report->versions_wanted
+      && now >= records->versions_read_due)
+    {
+      records->versions_read_due = now + VERSIONS_READ_INTERVAL;
+      version_history_read_request (records->versions);
+    }
   quarantine_store_tick (records->quarantine, now, writes);
   version_history_tick (records->versions, now, wall_ms, writes);
   if (version_history_export (records->versions, &record))
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -27,6 +27,10 @@
 #define IDLE_SLACK_SECONDS 5
 /* Applies until a configuration sets the idle timeout.  */
 #define IDLE_SECONDS_DEFAULT 60
+/* Streams begin at a new version at least this long after the first node of
+   any majority has listed it: it is recorded VERSION_HISTORY_DELAY after the
+   leader has listed it, and all have within two exchanges.  */
+#define VERSION_BEGIN_DELAY_MIN (300 * GS_MSEC)
 /* The platform tolerates some excess over a limit, and the nodes use this
    fraction of it.  The rest covers the excess caused by the loss of nodes and
    of the usage that they had counted (simulated in tests/test_quota.c).  */
@@ -102,6 +106,7 @@
   report->can_serve = traffic->table != NULL && traffic->replicas != NULL;
   report->cut = traffic->reach.cut;
   report->stream_time = traffic_stream_lookback (traffic);
+  report->versions_wanted = traffic->versions_wanted;
   report->open_exchanges = gs_server_open_count (traffic->server);
   report->read_tokens_per_msec = placer_read_speed (traffic->placer);
   placer_loads_export (traffic->placer, TRAFFIC_LOADS_MAX, report->loads);
@@ -386,6 +391,9 @@
 
   traffic->stream_time_max
       = MAX (traffic->stream_time_max, message->versions.stream_time);
+  traffic->versions_known_until
+      = MAX (traffic->versions_known_until, message->versions.read_at);
+  traffic->versions_wanted = false;
   service_versions_record_set (traffic->versions, gs_clock_now (),
                                gs_clock_monotonic_wall () / GS_MSEC,
                                &message->versions);
@@ -407,6 +415,9 @@
   traffic->restarts = peers->restarts;
   traffic->members = peers->fleet.members;
   traffic->peers_updated_at = now;
+  traffic->versions_known_until
+      = MAX (traffic->versions_known_until,
+             peers->in_step_at + VERSION_BEGIN_DELAY_MIN);
   quota_fleet_set (traffic->quota, now, &peers->fleet);
   if (peers->source != traffic->peers_source)
     quota_reports_clear (traffic->quota);
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -52,6 +52,10 @@
   gs_time_t last_contact_at; /* when the last byte of a replica came */
   GArray *detours;           /* of traffic_detour_t */
   service_versions_t *versions;
+  /* A version that this node does not know of has begun no stream that was
+     resumed by then.  */
+  gs_time_t versions_known_until;
+  bool versions_wanted; /* see traffic_report_t */
   stream_origins_t *origins;
   relay_rollouts_t *rollouts;
   uint64_t origins_sent_to_control; /* last row given to on_origins() */
--- a/tests/test_process_gateway_versions.c
+++ b/tests/test_process_gateway_versions.c
@@ -96,28 +96,27 @@
          && g_str_has_suffix (answer->str, "0\r\n\r\n");
 }
 
-/* Resumes all streams at once, each at a gateway other than its first one if
-   there are several.  */
+static void
+send_resume (raw_conn_t *conn, unsigned stream, unsigned gateway)
+{
+  char headers[96];
+  char id[32];
+
+  CU_ASSERT_TRUE_FATAL (gw_connect (conn, &world, gateway));
+  g_snprintf (id, sizeof id, "resumed-%u", stream);
+  g_snprintf (headers, sizeof headers,
+              "Last-Event-Id: %u\r\nResumes: begun-%u\r\n", EVENTS_READ,
+              stream);
+  send_stream_request (conn, "good", id, headers);
+}
+
 static outcome_t
-resume_streams (unsigned gateways)
+read_resumed (raw_conn_t conns[STREAMS])
 {
-  raw_conn_t conns[STREAMS];
   outcome_t out = { 0, 0, 0 };
   char begun[32];
   char id[32];
 
-  for (unsigned i = 0; i < STREAMS; i++)
-    {
-      char headers[96];
-
-      CU_ASSERT_TRUE_FATAL (
-          gw_connect (&conns[i], &world, (i + 1) % gateways));
-      g_snprintf (begun, sizeof begun, "begun-%u", i);
-      g_snprintf (id, sizeof id, "resumed-%u", i);
-      g_snprintf (headers, sizeof headers,
-                  "Last-Event-Id: %u\r\nResumes: %s\r\n", EVENTS_READ, begun);
-      send_stream_request (&conns[i], "good", id, headers);
-    }
   for (unsigned i = 0; i < STREAMS; i++)
     {
       GString *answer = raw_read_until (&conns[i], 4 * GS_SEC, NULL);
@@ -137,6 +136,18 @@
   return out;
 }
 
+/* Resumes all streams at once, each at a gateway other than its first one if
+   there are several.  */
+static outcome_t
+resume_streams (unsigned gateways)
+{
+  raw_conn_t conns[STREAMS];
+
+  for (unsigned i = 0; i < STREAMS; i++)
+    send_resume (&conns[i], i, (i + 1) % gateways);
+  return read_resumed (conns);
+}
+
 static void
 a_stream_is_resumed_at_its_version_at_any_node (void)
 {
@@ -680,7 +691,101 @@
   end_world ();
 }
 
+/* A second version joins while the last of the gateways stands still, and
+   streams begin at the others.  */
+static void
+start_release_beside_stopped_node (unsigned gateways)
+{
+  start_world (WORLD_REPLICAS_DEFAULT);
+  gw_replicas_age_set (&world, OLD_AGE);
+  gw_object_remove (&world, "servers", "i-2");
+  gw_object_remove (&world, "servers", "i-3");
+  write_old_record ();
+  gw_configure (&world, 1, "/a/", WORLD_API_KEY);
+  for (unsigned i = 0; i < gateways; i++)
+    gw_start (&world, i, true);
+  g_usleep ((gulong)KNOWN_TIMEOUT);
+  gw_signal (&world, gateways - 1, SIGSTOP);
+  gw_replica_version_set (&world, 2, "v2");
+  gw_replica_version_set (&world, 3, "v2");
+  CU_ASSERT_TRUE (gw_wait_until (is_recorded, "v2", RECORD_TIMEOUT));
+  g_usleep ((gulong)KNOWN_TIMEOUT);
+  begin_streams (gateways - 1);
+  CU_ASSERT (count_begun_at ("v2") > 0);
+}
+
+/* The requests wait in the node's sockets when it goes on.  */
+static void
+a_node_that_stood_still_while_a_version_joined_joins_no_streams (void)
+{
+  for (unsigned gateways = 2; gateways <= 3; gateways++)
+    {
+      raw_conn_t conns[STREAMS];
+      outcome_t outcome;
+
+      start_release_beside_stopped_node (gateways);
+      for (unsigned i = 0; i < STREAMS; i++)
+        send_resume (&conns[i], i, gateways - 1);
+      gw_signal (&world, gateways - 1, SIGCONT);
+      outcome = read_resumed (conns);
+      CU_ASSERT_EQUAL (outcome.elsewhere, 0);
+      CU_ASSERT (outcome.complete >= CONTINUED_MIN (STREAMS));
+      CU_ASSERT_EQUAL (outcome.complete + outcome.refused, STREAMS);
+      end_world ();
+    }
+}
+
+/* The others stand still in turn, so that the node hears nothing of them.  */
+static void
+a_node_that_is_cut_off_while_a_version_joins_joins_no_streams (void)
+{
+  raw_conn_t conns[STREAMS];
+  outcome_t outcome;
+
+  start_release_beside_stopped_node (2);
+  gw_store_set_mode_for (&world, 1, STORE_SILENT);
+  gw_signal (&world, 0, SIGSTOP);
+  gw_signal (&world, 1, SIGCONT);
+  for (unsigned i = 0; i < STREAMS; i++)
+    send_resume (&conns[i], i, 1);
+  outcome = read_resumed (conns);
+  CU_ASSERT_EQUAL (outcome.elsewhere, 0);
+  CU_ASSERT_EQUAL (outcome.refused, STREAMS);
+  gw_signal (&world, 0, SIGCONT);
+  end_world ();
+}
+
+/* Guards against nodes that refuse what they may resume because they cannot
+   ask the store.  */
+static void
+streams_go_on_while_the_store_is_away_and_one_version_serves (void)
+{
+  raw_conn_t conns[STREAMS];
+  outcome_t outcome;
+
+  start_world (WORLD_REPLICAS_DEFAULT);
+  gw_replicas_age_set (&world, OLD_AGE);
+  gw_configure (&world, 1, "/a/", WORLD_API_KEY);
+  for (unsigned i = 0; i < 3; i++)
+    gw_start (&world, i, true);
+  g_usleep ((gulong)KNOWN_TIMEOUT);
+  begin_streams (3);
+  gw_store_set_mode (&world, STORE_SILENT);
+  gw_signal (&world, 0, SIGKILL);
+  for (unsigned i = 0; i < STREAMS; i++)
+    send_resume (&conns[i], i, 1 + i % 2);
+  outcome = read_resumed (conns);
+  CU_ASSERT_EQUAL (outcome.complete, STREAMS);
+  end_world ();
+}
+
 static const check_case_t cases[] = {
+  { "a node that stood still while a version joined joins no streams",
+    a_node_that_stood_still_while_a_version_joined_joins_no_streams },
+  { "a node that is cut off while a version joins joins no streams",
+    a_node_that_is_cut_off_while_a_version_joins_joins_no_streams },
+  { "streams go on while the store is away and one version serves",
+    streams_go_on_while_the_store_is_away_and_one_version_serves },
   { "a version that is not recorded begins no stream",
     a_version_that_is_not_recorded_begins_no_stream },
   { "streams of a version that was never recorded are not joined",
