loop: a response that ends within its head is not received

Cause: libcurl takes a connection that is closed within the head for the end of the response and reports success. Answers of replicas were safe here, as relay_on_done() asks for the end of the head; all other calls of the loop were not: to the store, the provider, peers and engines of the node daemon.

Change: the loop itself notes the end of the final head; a call that ends without it has the status of a lost response.

--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -23,6 +23,8 @@
    Servers commonly limit a head to a fraction of this.  */
 #define HEAD_BYTES_MAX ((size_t)64 << 10)
 #define VERSION_BYTES 32
+/* Responses with lower statuses come before the final one.  */
+#define HTTP_STATUS_FINAL_MIN 200
 /* TCP keepalive: the first probe is sent after one idle second, and two
    unanswered probes close the connection.  */
 #define KEEPALIVE_INTERVAL_SECONDS 1
@@ -72,6 +74,8 @@
   GString *body;
   size_t body_bytes_max;
   size_t head_bytes;
+  bool connect_only;
+  bool head_complete; /* of the final response */
   char version[VERSION_BYTES];
   bool no_resend;
   bool send_started; /* libcurl has begun to send the request at least once */
@@ -282,8 +286,12 @@
 {
   long sent = 0;
 
-  if (code == CURLE_OK)
+  if (code == CURLE_OK && (call->connect_only || call->head_complete))
     return GS_OK;
+  /* libcurl takes a connection that is closed within the head for the end of
+     the response.  */
+  if (code == CURLE_OK)
+    return gs_error_set (GS_EUNKNOWN, "response ended within its head");
   curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent);
   if (sent == 0)
     return gs_error_set (GS_EUNREACHABLE, "%s", curl_easy_strerror (code));
@@ -535,11 +543,17 @@
   static const char header_name[] = "X-Version:";
   gs_http_call_t *call = context;
   size_t length = size * count;
+  long status = 0;
 
   g_hash_table_remove (call->loop->awaiting, call);
   call->head_bytes += length;
   if (call->head_bytes > HEAD_BYTES_MAX)
     return 0;
+  if (data[0] == '\r' || data[0] == '\n')
+    {
+      curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+      call->head_complete |= status >= HTTP_STATUS_FINAL_MIN;
+    }
   if (call->on_line != NULL && !call->on_line (call->context, data, length))
     return 0;
   if (length > sizeof header_name - 1
@@ -663,6 +677,7 @@
   call->body_bytes_max = request->body_bytes_max != 0 ? request->body_bytes_max
                                                       : BODY_BYTES_MAX_DEFAULT;
   call->no_resend = request->no_resend;
+  call->connect_only = request->connect_only;
   call->on_line = request->on_line;
   call->on_data = request->on_data;
   call->on_done = request->on_done;
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -282,6 +282,47 @@
     }
 }
 
+typedef struct
+{
+  const char *text;
+  size_t length;
+} cut_response_t;
+
+static void
+respond_cut (void *context, raw_conn_t *conn)
+{
+  const cut_response_t *response = context;
+  raw_message_t request;
+
+  if (!raw_read_request (conn, &request))
+    return;
+  raw_send (conn, response->text, response->length);
+  raw_message_clear (&request);
+}
+
+/* Guards against a call that succeeds with an empty body.  */
+static void
+a_response_that_ends_within_its_head_is_not_received (void)
+{
+  static const char text[] = "HTTP/1.1 103 Early Hints\r\nX-More: 1\r\n\r\n"
+                             "HTTP/1.1 200 OK\r\nX-Version: 1\r\n"
+                             "Content-Type: text/plain\r\n\r\n";
+
+  for (size_t length = 0; length < sizeof text; length++)
+    {
+      cut_response_t response = { text, length };
+      fetch_t fetch = { 0 };
+      raw_server_t *server;
+
+      raw_server_create (&server, respond_cut, &response);
+      fetch_path (&fetch, raw_server_port (server), "/");
+      CU_ASSERT_EQUAL (fetch.status,
+                       length < sizeof text - 1 ? GS_EUNKNOWN : GS_OK);
+      raw_server_destroy (server);
+      g_string_free (fetch.body, TRUE);
+    }
+}
+
 #define RESPONSE_DEADLINE_MS 400
 
 /* Times after the request, in milliseconds.  */
@@ -460,6 +501,8 @@
       a_hangup_is_not_reported_to_the_next_connection_of_its_descriptor },
     { "request_status_tells_how_the_response_ended",
       request_status_tells_how_the_response_ended },
+    { "a response that ends within its head is not received",
+      a_response_that_ends_within_its_head_is_not_received },
     { "a response that has begun may take longer",
       a_response_that_has_begun_may_take_longer },
   };
--- a/tests/test_process_gateway_replica.c
+++ b/tests/test_process_gateway_replica.c
@@ -310,7 +310,70 @@
   end_world ();
 }
 
+/* Shorter than the head of a response that world_replica.c cuts.  */
+#define HEAD_BYTES_MAX 110
+
+/* A replica closes after each number of bytes within the head of its answer.
+   @return number of answers with status 200  */
+static unsigned
+count_answers_to_cut_heads (const char *route, const char *kind)
+{
+  unsigned answered = 0;
+
+  for (unsigned length = 0; length < HEAD_BYTES_MAX; length++)
+    {
+      char *id = g_strdup_printf ("cut-%s%u", kind, length);
+      char *target = g_strdup_printf ("/a/%s/cut-%s%u", route, kind, length);
+      char *answer = gw_request (&world, 0, "POST", target, id, "", id);
+
+      answered += status_of (answer) == 200;
+      CU_ASSERT (status_of (answer) >= 500);
+      g_free (answer);
+      g_free (target);
+      g_free (id);
+    }
+  return answered;
+}
+
+static void
+a_response_that_ends_within_its_head_is_no_success (void)
+{
+  start_gateway (WORLD_REPLICAS_DEFAULT);
+  CU_ASSERT_EQUAL (count_answers_to_cut_heads ("never", ""), 0);
+  CU_ASSERT_EQUAL (count_answers_to_cut_heads ("never", "unframed-"), 0);
+  CU_ASSERT_EQUAL (count_answers_to_cut_heads ("stream/once", "stream-"), 0);
+  end_world ();
+}
+
+/* The rest of the stream comes from another replica or not at all.  */
+static void
+a_stream_whose_continuation_ends_within_its_head_is_not_complete (void)
+{
+  unsigned wrong = 0;
+
+  start_gateway (WORLD_REPLICAS_DEFAULT);
+  for (unsigned length = 0; length < HEAD_BYTES_MAX; length += 3)
+    {
+      char *id = g_strdup_printf ("torn-%u", length);
+      char *target = g_strdup_printf (
+          "/a/stream/resume/torn-then-cut-stream-%u", length);
+      char *answer = gw_request (&world, 0, "POST", target, id, "", id);
+
+      wrong += g_str_has_suffix (answer, "0\r\n\r\n")
+               && !is_complete_stream (answer, 6);
+      g_free (answer);
+      g_free (target);
+      g_free (id);
+    }
+  CU_ASSERT_EQUAL (wrong, 0);
+  end_world ();
+}
+
 static const check_case_t cases[] = {
+  { "a response that ends within its head is no success",
+    a_response_that_ends_within_its_head_is_no_success },
+  { "a stream whose continuation ends within its head is not complete",
+    a_stream_whose_continuation_ends_within_its_head_is_not_complete },
   { "brittle replicas do not fall over while callers ask for more",
     brittle_replicas_do_not_fall_over_while_callers_ask_for_more },
   { "a caller that leaves the queue after a refusal takes no room",
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -531,6 +531,7 @@
 };
 
 #define CRASH_DELAY_USEC 50000
+#define CUT_DELAY_USEC 2000
 
 /* Crashes, after the begin of a response if @p responds.  */
 static void
@@ -619,6 +620,34 @@
   return i < G_N_ELEMENTS (endless_responses);
 }
 
+/* Sends the first bytes of a response, as many as the end of the name says, in
+   two parts.  "cut-" is of a plain response, "cut-unframed-" of one that ends
+   with its connection, "cut-stream-" of a stream.
+   @return false if @p behaviour is another one  */
+static bool
+send_cut_if_named (raw_conn_t *conn, const arrival_t *arrival,
+                   const char *behaviour)
+{
+  bool unframed = g_str_has_prefix (behaviour, "cut-unframed-");
+  bool stream = g_str_has_prefix (behaviour, "cut-stream-");
+  size_t length;
+  char *text;
+
+  if (!g_str_has_prefix (behaviour, "cut-"))
+    return false;
+  length = strtoul (strrchr (behaviour, '-') + 1, NULL, 10);
+  text = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_FORMAT "Content-Type: %s\r\n%s\r\n",
+      arrival->id, arrival->id, stream ? "text/event-stream" : "text/plain",
+      unframed ? "" : "Content-Length: 4\r\n");
+  length = MIN (length, strlen (text));
+  raw_send (conn, text, length / 2);
+  g_usleep (CUT_DELAY_USEC);
+  raw_send (conn, text + length / 2, length - length / 2);
+  g_free (text);
+  return true;
+}
+
 /* @return false if @p behaviour names no fixed response  */
 static bool
 send_fixed_if_named (raw_conn_t *conn, const arrival_t *arrival,
@@ -773,7 +802,8 @@
            || send_rejection_again (conn, arrival, behaviour)
            || send_fixed_if_named (conn, arrival, behaviour, &keep_open))
     ;
-  else if (send_endless_if_named (conn, arrival, behaviour))
+  else if (send_endless_if_named (conn, arrival, behaviour)
+           || send_cut_if_named (conn, arrival, behaviour))
     keep_open = false;
   else if (strcmp (behaviour, "extra") == 0)
     {
@@ -796,8 +826,14 @@
     }
   else if (g_str_has_prefix (behaviour, "torn-then-")
            && head_names (arrival->head, "Last-Event-Id"))
-    send_fixed_if_named (conn, arrival, behaviour + strlen ("torn-then-"),
-                         &keep_open);
+    {
+      const char *then = behaviour + strlen ("torn-then-");
+
+      if (send_cut_if_named (conn, arrival, then))
+        keep_open = false;
+      else
+        send_fixed_if_named (conn, arrival, then, &keep_open);
+    }
   else if (strcmp (behaviour, "torn") == 0
            || g_str_has_prefix (behaviour, "torn-then-"))
     {
