planned stops: requests that end with the grace period get an answer

Cause: a leaving node accepted requests for 2.5 s whatever its grace period, sent what waited in its queue at any time, and aborted what was open at the end.

Change: requests are accepted for 2.5 s or a third of the grace period; what still waits then is rejected.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -13,6 +13,8 @@
    twice the time that they cache the list of addresses.  Callers that cache it
    longer find the port closed and use another address.  */
 #define LEAVE_TIME_MIN (2 * GATEWAY_ADDRESSES_TTL)
+/* Time to send the last answers of a leaving node.  */
+#define LEAVE_FLUSH_TIME (100 * GS_MSEC)
 /* Interval at which a leaving node checks whether all responses are sent.  */
 #define LEAVE_POLL_INTERVAL_NSEC 20000000
 /* In fleets of up to this many nodes, every node follows the store.  */
@@ -486,7 +488,7 @@
 
   if (gs_loop_post (gateway->loop, start_leaving, gateway) != GS_OK)
     gs_log (GS_LOG_ERROR, "message_dropped", "reason=queue_full");
-  traffic_leave (gateway->traffic);
+  traffic_leave (gateway->traffic, deadline - LEAVE_FLUSH_TIME);
   do
     {
       nanosleep (&pause, NULL);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -5,8 +5,10 @@
 #include <string.h>
 
 /* A leaving node accepts requests for this long while callers learn that it
-   is leaving.  It then tells callers to use another node.  */
+   is leaving, or for a part of a short grace period, so that they can end
+   within it.  It then tells callers to use another node.  */
 #define LEAVE_ACCEPT_PERIOD (2500 * GS_MSEC)
+#define LEAVE_ACCEPT_DIVISOR 3
 /* A starting node receives its configuration some tenths of a second after it
    has reached a peer or the store.  */
 #define UNCONFIGURED_RETRY_DELAY (500 * GS_MSEC)
@@ -136,6 +138,27 @@
   g_list_free (relays);
 }
 
+void
+relay_end_all (traffic_t *traffic, gs_time_t now)
+{
+  GList *relays = g_hash_table_get_keys (traffic->relays);
+
+  for (GList *link = relays; link != NULL; link = link->next)
+    {
+      relay_t *relay = link->data;
+
+      if (relay->call != NULL)
+        gs_loop_http_cancel (relay->call);
+      relay->call = NULL;
+      relay_attempt_end (relay, now, PLACER_CANCELLED);
+      if (relay->possible_runs == 0)
+        relay_end_with_error (relay, 503, "node_leaving", LEAVING_RETRY_DELAY);
+      else
+        relay_end_with_error (relay, 502, "node_stopped", 0);
+    }
+  g_list_free (relays);
+}
+
 static relay_t *
 relay_new (traffic_t *traffic, gs_exchange_t *exchange)
 {
@@ -156,12 +179,19 @@
   return relay;
 }
 
-/* A leaving node rejects requests that it may not be able to finish.  */
-static bool
-is_past_leave_period (const traffic_t *traffic, gs_time_t now)
+bool
+relay_reject_if_leaving (relay_t *relay, gs_time_t now)
 {
-  return traffic->leave_started_at != 0
-         && now > traffic->leave_started_at + LEAVE_ACCEPT_PERIOD;
+  const traffic_t *traffic = relay->traffic;
+  gs_time_t period
+      = MIN (LEAVE_ACCEPT_PERIOD,
+             traffic->options.deployment->grace_period / LEAVE_ACCEPT_DIVISOR);
+
+  if (traffic->leave_started_at == 0 || relay->possible_runs > 0
+      || now <= traffic->leave_started_at + period)
+    return false;
+  relay_end_with_error (relay, 503, "node_leaving", LEAVING_RETRY_DELAY);
+  return true;
 }
 
 void
@@ -194,9 +224,8 @@
   /* The node that passes a request on has counted it.  */
   if (!relay->request.from_node)
     resend_budget_request_record (&relay->service->budget, now);
-  if (is_past_leave_period (traffic, now))
-    relay_end_with_error (relay, 503, "node_leaving", LEAVING_RETRY_DELAY);
-  else if (relay_reject_if_quarantined (relay, now))
+  if (relay_reject_if_leaving (relay, now)
+      || relay_reject_if_quarantined (relay, now))
     ;
   else if (!relay_account_admit (relay, now, &retry_after))
     relay_end_with_error (relay, 429, "account_limit", retry_after);
--- a/src/gateway/relay_dispatch.c
+++ b/src/gateway/relay_dispatch.c
@@ -211,7 +211,8 @@
 static bool
 handle_special_cases (relay_t *relay, gs_time_t now)
 {
-  if (relay_reject_if_quarantined (relay, now)
+  if (relay_reject_if_leaving (relay, now)
+      || relay_reject_if_quarantined (relay, now)
       || relay_detour_reject (relay, now))
     return true;
   if (relay_detour_applies (relay))
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -110,6 +110,11 @@
     request that no attempt may have run is queued. */
 void relay_dispatch (relay_t *relay, gs_time_t now);
 
+/** End a request that has not run and comes, or still waits, when this node
+    leaves and may not be able to finish it.
+    @return false, without ending it, if it may be sent */
+bool relay_reject_if_leaving (relay_t *relay, gs_time_t now);
+
 /** End a request that is likely to make a replica crash.
     @return false, without ending it, if nothing is known against it */
 bool relay_reject_if_quarantined (relay_t *relay, gs_time_t now);
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -164,6 +164,8 @@
                       (double)(now - traffic->last_tick_at - TICK_INTERVAL)
                           / GS_SEC);
   traffic->last_tick_at = now;
+  if (traffic->leave_started_at != 0 && now >= traffic->leave_deadline)
+    relay_end_all (traffic, now);
   quarantine_update (traffic->quarantine, now);
   relay_probes_send (traffic, now);
   relay_queues_serve (traffic, now);
@@ -303,7 +305,8 @@
   gs_replica_list_t *list;
   traffic_peers_t *peers;
   service_versions_record_t versions;
-  GArray *rollouts; /* of traffic_rollout_t */
+  GArray *rollouts;   /* of traffic_rollout_t */
+  gs_time_t deadline; /* of open requests at a node that leaves */
 } control_message_t;
 
 /* @return the limit of an account over a quota window, for all nodes together,
@@ -476,6 +479,7 @@
   control_message_t *message = context;
 
   message->traffic->leave_started_at = gs_clock_now ();
+  message->traffic->leave_deadline = message->deadline;
   g_free (message);
 }
 
@@ -532,7 +536,8 @@
 }
 
 void
-traffic_leave (traffic_t *traffic)
+traffic_leave (traffic_t *traffic, gs_time_t deadline)
 {
-  post_message (traffic, start_leaving, &(control_message_t){ .table = NULL });
+  post_message (traffic, start_leaving,
+                &(control_message_t){ .deadline = deadline });
 }
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -76,7 +76,8 @@
     @param rollouts array of traffic_rollout_t; takes ownership */
 void traffic_rollouts_set (traffic_t *traffic, GArray *rollouts);
 
-/** Start to leave: direct callers to other nodes and finish open requests. */
-void traffic_leave (traffic_t *traffic);
+/** Start to leave: direct callers to other nodes and finish open requests.
+    @param deadline when requests that are still open end with an error */
+void traffic_leave (traffic_t *traffic, gs_time_t deadline);
 
 #endif
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -79,6 +79,7 @@
   gs_time_t report_due;
   gs_time_t server_tick_due;  /* next gs_server_tick() */
   gs_time_t leave_started_at; /* when this node started to leave, else 0 */
+  gs_time_t leave_deadline;   /* when requests that are still open end */
 };
 
 /** @return the state of a service, created if there is none; owned by
@@ -123,4 +124,8 @@
 /** Abort all open requests without a response. */
 void relay_abort_all (traffic_t *traffic);
 
+/** End all open requests with answers that are true of them, as the process is
+    about to end. */
+void relay_end_all (traffic_t *traffic, gs_time_t now);
+
 #endif
