server: a head that is not read whole is refused

Cause: libmicrohttpd joins a continuation line to the header's name, drops what follows a line without a name, and keeps heads as C strings. The check of the framing looked at the headers that the library reports, by their exact names, and not whether they are all of the head.

Change: request_head.c checks that each byte of the head belongs to the request line or to a reported header, on a line of its own that ends with CR LF and has no control characters. Anything else is answered 400, and the connection is closed.

--- a/src/util/server.c
+++ b/src/util/server.c
@@ -2,6 +2,7 @@
 
 #include "garnetstack/clock.h"
 #include "util/listen_address.h"
+#include "util/request_head.h"
 
 #include <poll.h>
 #include <string.h>
@@ -15,11 +16,6 @@
 /* Limit of consecutive runs of a daemon that always has work, so that the
    loop gets to its other descriptors.  */
 #define DAEMON_RUNS_MAX 16
-/* Characters allowed in a header name (RFC 9110, 5.6.2).  */
-#define TOKEN_CHARACTERS                                                      \
-  "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZ"                       \
-  "abcdefghijklmnopqrstuvwxyz"
-
 /* The client has closed the connection or shut down its sending side.  Both
    count as a disconnect, because clients that wait for a response do not
    close half of a connection.  */
@@ -154,6 +150,7 @@
   exchange->server = server;
   exchange->connection = connection;
   exchange->target = g_strdup (target);
+  exchange->raw_target = target;
   exchange->received_at = gs_clock_now ();
   exchange->watched_fd = -1;
   exchange->body = g_string_new (NULL);
@@ -233,7 +230,7 @@
   else if (exchange->rejection_status == HTTP_BAD_REQUEST)
     {
       type = "bad_request";
-      message = "the length of the body is not clear";
+      message = "the head cannot be read in one way only";
       headers = close;
     }
   text = g_strdup_printf ("{\"error\":{\"type\":\"%s\",\"message\":\"%s\","
@@ -245,60 +242,21 @@
   g_free (text);
 }
 
-typedef struct
-{
-  unsigned content_lengths;
-  unsigned transfer_encodings;
-  bool ambiguous;
-} framing_t;
-
-static void
-check_framing_header (void *context, const char *name, const char *value)
-{
-  framing_t *framing = context;
-
-  /* Some implementations accept a space between the name and the colon, others
-     do not recognize the header.  */
-  if (name[strspn (name, TOKEN_CHARACTERS)] != '\0')
-    framing->ambiguous = true;
-  if (g_ascii_strcasecmp (name, "Content-Length") == 0)
-    {
-      framing->content_lengths++;
-      framing->ambiguous
-          |= *value == '\0' || strspn (value, "0123456789") != strlen (value);
-    }
-  else if (g_ascii_strcasecmp (name, "Transfer-Encoding") == 0)
-    {
-      framing->transfer_encodings++;
-      framing->ambiguous |= g_ascii_strcasecmp (value, "chunked") != 0;
-    }
-}
-
-/* A request whose body length can be read in two ways is rejected: when a
-   proxy and a server disagree on where the body ends, part of one request is
-   taken for another (request smuggling).  */
-static bool
-is_framing_unambiguous (const gs_exchange_t *exchange)
-{
-  framing_t framing = { 0 };
-
-  gs_exchange_each_header (exchange, check_framing_header, &framing);
-  return !framing.ambiguous
-         && framing.content_lengths + framing.transfer_encodings <= 1;
-}
-
 /* Checks the headers.  A body that is too long by its Content-Length is
    rejected before it is received.  */
 static enum MHD_Result
-check_headers (gs_exchange_t *exchange, const char *url, const char *method)
+check_headers (gs_exchange_t *exchange, const char *url, const char *method,
+               const char *version)
 {
   const char *length = gs_exchange_header (exchange, "Content-Length");
+  gs_request_line_t line = { exchange->connection, method, exchange->target,
+                             exchange->raw_target, version };
   enum MHD_Result result;
 
   exchange->headers_checked = true;
   exchange->method = g_strdup (method);
   exchange->path = g_strdup (url);
-  if (!is_framing_unambiguous (exchange))
+  if (!gs_request_head_is_sound (&line))
     exchange->rejection_status = HTTP_BAD_REQUEST;
   else if (length != NULL
            && g_ascii_strtoull (length, NULL, 10)
@@ -349,7 +307,7 @@
     MHD_set_connection_option (connection, MHD_CONNECTION_OPTION_TIMEOUT,
                                atomic_load (&server->idle_seconds));
   if (!exchange->headers_checked)
-    return check_headers (exchange, url, method);
+    return check_headers (exchange, url, method, version);
   if (*upload_size > 0)
     {
       result = receive_body (exchange, upload, *upload_size);
--- a/src/util/server_private.h
+++ b/src/util/server_private.h
@@ -41,9 +41,11 @@
   pthread_mutex_t lock;
   struct MHD_Connection *connection; /* NULL once closed */
   char *method;
-  char *path;           /* decoded */
-  char *target;         /* path and query as sent */
-  bool headers_checked; /* method and path are set */
+  char *path;             /* decoded */
+  char *target;           /* path and query as sent */
+  const char *raw_target; /* the same in the buffer of libmicrohttpd, until
+                             the headers are checked */
+  bool headers_checked;   /* method and path are set */
   GString *body;
   size_t body_bytes_received; /* including discarded bytes */
   size_t body_bytes_reserved; /* this exchange's part of the server's sum */
