server: uploads on an idle loop are read to their end

Cause: run_daemon() stops after 16 runs of libmicrohttpd so that the loop gets to its other descriptors, and nothing called it again: the descriptor of the library's epoll does not become readable for bytes that arrived before.

Change: what is left after the last run is done in a task of the loop, behind its other descriptors.

--- a/src/util/server.c
+++ b/src/util/server.c
@@ -377,7 +377,8 @@
 }
 
 /* Runs the daemon until it has no work that is ready.  Its descriptor does not
-   become readable for such work, so waiting for it would delay the work.  */
+   become readable for such work, so what is left after DAEMON_RUNS_MAX runs
+   is done in a task of its own.  */
 static void
 run_daemon (void *context, int fd, short events)
 {
@@ -391,8 +392,9 @@
       MHD_run (server->daemon);
       if (MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES
           || timeout_ms > 0)
-        break;
+        return;
     }
+  gs_server_run_post (server);
 }
 
 static void
