readiness: a node waits until its place in the series of restarts is stored

Cause: a process takes nothing of the slack before the store has its place in the series of restarts, but counted as ready before that.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -15,6 +15,10 @@
 #define LEAVE_TIME_MIN (2 * GATEWAY_ADDRESSES_TTL)
 /* Time to send the last answers of a leaving node.  */
 #define LEAVE_FLUSH_TIME (100 * GS_MSEC)
+/* Until the store has a node's place in its series of restarts, the node sends
+   nothing again by the slack of the budget.  It is ready without that if the
+   store does not answer for this long.  */
+#define FLEET_WAIT_MAX GS_SEC
 /* Interval at which a leaving node checks whether all responses are sent.  */
 #define LEAVE_POLL_INTERVAL_NSEC 20000000
 /* In fleets of up to this many nodes, every node follows the store.  */
@@ -34,7 +38,9 @@
   const traffic_report_t *report = duties_report (gateway->duties);
 
   return gateway->has_replicas && !gateway->leaving && report != NULL
-         && report->can_serve;
+         && report->can_serve
+         && (gateway->view_has_fleet
+             || gs_clock_now () >= gateway->fleet_deadline);
 }
 
 static void
@@ -443,6 +449,7 @@
      the wall clock do not move usage windows.  */
   gs_clock_monotonic_wall ();
   gateway->incarnation = gs_rng_entropy ();
+  gateway->fleet_deadline = gs_clock_now () + FLEET_WAIT_MAX;
   gateway->self.incarnation = gateway->incarnation;
   gateway->self.callers = settings->caller_endpoint;
   gateway->self.peers = settings->peer_endpoint;
--- a/src/gateway/gateway_private.h
+++ b/src/gateway/gateway_private.h
@@ -70,7 +70,8 @@
   bool has_replicas;   /* the first list of replicas is complete */
   bool notify_pending; /* peers may not know of all leaving replicas */
   gs_time_t notify_due;
-  bool view_has_fleet; /* see peers_is_fleet_known() */
+  bool view_has_fleet;      /* see peers_is_fleet_known() */
+  gs_time_t fleet_deadline; /* when this node is ready without that */
   gs_time_t view_due;
   gs_time_t server_tick_due;
   gateway_copy_t copies[COPY_COUNT];
--- a/tests/test_process_gateway_restart.c
+++ b/tests/test_process_gateway_restart.c
@@ -99,7 +99,64 @@
   end_world ();
 }
 
+#define STARTS 5
+#define LOCK_TIME (150 * GS_MSEC)
+
+static bool
+is_first_ready (void *context)
+{
+  (void)context;
+  return gw_is_ready (&world, 0);
+}
+
+/* Guards against a node that is ready before it may send requests again: the
+   store refuses its entry for a while.  */
+static void
+the_first_request_after_a_start_is_sent_again (void)
+{
+  for (unsigned i = 0; i < STARTS; i++)
+    {
+      char *answer;
+
+      start_world (WORLD_REPLICAS_DEFAULT);
+      gw_configure (&world, 1, "/a/", WORLD_API_KEY);
+      gw_store_lock_kind (&world, "gateway-nodes");
+      gw_start (&world, 0, false);
+      if (!gw_wait_until (is_first_ready, NULL, LOCK_TIME))
+        gw_store_lock_kind (&world, NULL);
+      CU_ASSERT_TRUE_FATAL (
+          gw_wait_until (is_first_ready, NULL, READY_TIMEOUT));
+      answer = gw_request (&world, 0, "POST", "/a/free/fails-once", "first",
+                           "", "x");
+      CU_ASSERT_EQUAL (status_of (answer), 200);
+      g_free (answer);
+      end_world ();
+    }
+}
+
+/* The store does not answer its writes at all.  */
+static void
+a_node_whose_entry_is_not_stored_is_ready_after_a_second (void)
+{
+  gs_time_t start;
+
+  start_world (WORLD_REPLICAS_DEFAULT);
+  gw_configure (&world, 1, "/a/", WORLD_API_KEY);
+  gw_store_lock_kind (&world, "gateway-nodes");
+  start = gs_clock_now ();
+  gw_start (&world, 0, false);
+  CU_ASSERT_TRUE (gw_wait_until (is_first_ready, NULL, READY_TIMEOUT));
+  printf ("\n  ready after %lld ms ",
+          (long long)((gs_clock_now () - start) / GS_MSEC));
+  CU_ASSERT (gs_clock_now () < start + 3 * GS_SEC);
+  end_world ();
+}
+
 static const check_case_t cases[] = {
+  { "the first request after a start is sent again",
+    the_first_request_after_a_start_is_sent_again },
+  { "a node whose entry is not stored is ready after a second",
+    a_node_whose_entry_is_not_stored_is_ready_after_a_second },
   { "requests are served soon after all nodes were killed",
     requests_are_served_soon_after_all_nodes_were_killed },
 };
