--- a/tests/test_process_gateway_repeats.c
+++ b/tests/test_process_gateway_repeats.c
@@ -17,6 +17,12 @@
 #define DOWN_TIME (300 * GS_MSEC)
 #define CUT_FROM (3 * GS_SEC)
 #define CUT_UNTIL (9 * GS_SEC)
+/* Nodes that stop as planned run on for four seconds, so that several stops
+   take a longer window.  */
+#define PLANNED_WINDOW (12 * GS_SEC)
+#define PLANNED_PLAY_TIME (20 * GS_SEC)
+#define PLANNED_INTERVAL (700 * GS_MSEC)
+#define EXIT_TIMEOUT (10 * GS_SEC)
 /* One in so many answers of the replicas is a failure.  */
 #define FAILS_EVERY 2
 
@@ -26,6 +32,7 @@
   unsigned kills; /* nodes at a time */
   unsigned cut;   /* nodes that reach no replica from CUT_FROM to CUT_UNTIL */
   unsigned interval_usec;
+  bool planned; /* all nodes are stopped as planned instead of killed */
 } play_t;
 
 typedef struct
@@ -54,22 +61,22 @@
    @return by how many repeats the worst window exceeds what is allowed;
    negative if none does  */
 static double
-find_worst_window (const play_result_t *result, unsigned *repeats_out,
-                   double *allowed_out)
+find_worst_window (const play_result_t *result, gs_time_t window,
+                   unsigned *repeats_out, double *allowed_out)
 {
   double worst = -1e9;
 
   for (guint i = 0; i < result->repeats->len; i++)
     {
       gs_time_t from = g_array_index (result->repeats, gs_time_t, i);
-      unsigned repeats = count_between (result->repeats, from, from + WINDOW);
+      unsigned repeats = count_between (result->repeats, from, from + window);
       unsigned requests = 0;
       double allowed;
 
       for (unsigned shift = 0; shift <= 2; shift++)
         requests = MAX (requests,
-                        count_between (result->sent, from - shift * WINDOW / 2,
-                                       from - shift * WINDOW / 2 + WINDOW));
+                        count_between (result->sent, from - shift * window / 2,
+                                       from - shift * window / 2 + window));
       allowed = RATIO * requests + SLACK;
       if (repeats - allowed <= worst)
         continue;
@@ -93,6 +100,21 @@
     *next += play->kills;
 }
 
+/* Stops all nodes as planned, and starts each one that has exited.  */
+static void
+stop_and_start_as_planned (void)
+{
+  gs_time_t deadline = gs_clock_now () + EXIT_TIMEOUT;
+
+  for (unsigned i = 0; i < GATEWAYS; i++)
+    gw_signal (&world, i, SIGTERM);
+  for (unsigned i = 0; i < GATEWAYS; i++)
+    {
+      CU_ASSERT_FATAL (gw_wait_exit (&world, i, deadline));
+      gw_start (&world, i, false);
+    }
+}
+
 static void
 set_cut (const play_t *play, gs_time_t since_start)
 {
@@ -108,7 +130,9 @@
   start_world (REPLICAS);
   if (play->cut > 0)
     gw_paths_create (&world);
-  world.settings = "bounds.budget_window_s=4\nbounds.budget_ratio=0.2\n";
+  world.settings = play->planned
+                       ? "bounds.budget_window_s=12\nbounds.budget_ratio=0.2\n"
+                       : "bounds.budget_window_s=4\nbounds.budget_ratio=0.2\n";
   gw_configure (&world, 1, "/a/", WORLD_API_KEY);
   for (unsigned i = 0; i < GATEWAYS; i++)
     gw_start (&world, i, true);
@@ -122,6 +146,7 @@
   static raw_conn_t conns[REQUESTS_MAX];
   bool down = false;
   unsigned next = 0;
+  gs_time_t play_time = play->planned ? PLANNED_PLAY_TIME : PLAY_TIME;
   gs_time_t start;
   gs_time_t due;
 
@@ -129,13 +154,18 @@
   start = gs_clock_now ();
   due = start + play->kill_interval;
   for (unsigned i = 0;
-       gs_clock_now () < start + PLAY_TIME && result->sent->len < REQUESTS_MAX;
+       gs_clock_now () < start + play_time && result->sent->len < REQUESTS_MAX;
        i++)
     {
       char *id = g_strdup_printf ("repeat-%u", i);
       gs_time_t now = gs_clock_now ();
 
-      if (play->kills > 0 && now >= due)
+      if (play->planned && now >= due)
+        {
+          stop_and_start_as_planned ();
+          due = gs_clock_now () + play->kill_interval;
+        }
+      else if (play->kills > 0 && now >= due)
         {
           down = !down;
           due = now + (down ? DOWN_TIME : play->kill_interval - DOWN_TIME);
@@ -175,7 +205,8 @@
   double excess;
 
   play_run (play, &result);
-  excess = find_worst_window (&result, &repeats, &allowed);
+  excess = find_worst_window (&result, play->planned ? PLANNED_WINDOW : WINDOW,
+                              &repeats, &allowed);
   printf ("\n  %u repeats in the worst window, %.0f allowed; %u in all, %u of"
           " %u answered ",
           repeats, allowed, result.repeats->len, result.answered,
@@ -234,9 +265,21 @@
   play_check (&play);
 }
 
+static void
+repeats_stay_within_the_bound_while_all_nodes_stop_as_planned_in_series (void)
+{
+  static const play_t play = { .kill_interval = PLANNED_INTERVAL,
+                               .planned = true,
+                               .interval_usec = 5000 };
+
+  play_check (&play);
+}
+
 static const check_case_t cases[] = {
   { "repeats stay within the bound while all nodes are killed again and again",
     repeats_stay_within_the_bound_while_all_nodes_are_killed_again_and_again },
+  { "repeats stay within the bound while all nodes stop as planned in series",
+    repeats_stay_within_the_bound_while_all_nodes_stop_as_planned_in_series },
   { "repeats stay within the bound while all nodes start often under load",
     repeats_stay_within_the_bound_while_all_nodes_start_often_under_load },
   { "repeats stay within the bound while nodes pass requests on",
