--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -27,9 +27,9 @@
 #define IDLE_SLACK_SECONDS 5
 /* Applies until a configuration sets the idle timeout.  */
 #define IDLE_SECONDS_DEFAULT 60
-/* Streams begin at a new version at least this long after the first node of
-   any majority has listed it: it is recorded VERSION_HISTORY_DELAY after the
-   leader has listed it, and all have within two exchanges.  */
+/* Part of VERSION_HISTORY_DELAY, from the listing of a version by the leader
+   to its first stream, that is left when other nodes list it: they do so
+   within an exchange of the leader.  */
 #define VERSION_BEGIN_DELAY_MIN (300 * GS_MSEC)
 /* The platform tolerates some excess over a limit, and the nodes use this
    fraction of it.  The rest covers the excess caused by the loss of nodes and
--- a/src/util/request_head.c
+++ b/src/util/request_head.c
@@ -15,6 +15,7 @@
      a head in one buffer, where it overwrites colons and line ends with zero
      bytes.  */
   const char *next;
+  const char *limit; /* end of the head */
   unsigned content_lengths;
   unsigned transfer_encodings;
   bool sound;
@@ -65,12 +66,6 @@
   return at + LINE_END_LENGTH;
 }
 
-typedef struct
-{
-  head_check_t check;
-  const char *limit;
-} head_walk_t;
-
 static void
 check_framing (head_check_t *check, const char *name, const char *value)
 {
@@ -91,14 +86,13 @@
 check_header (void *context, enum MHD_ValueKind kind, const char *name,
               size_t name_length, const char *value, size_t value_length)
 {
-  head_walk_t *walk = context;
-  head_check_t *check = &walk->check;
+  head_check_t *check = context;
   const char *at;
 
   (void)kind;
   check->sound = check->sound && value != NULL && name == check->next
                  && is_token (name, name_length) && value > name + name_length
-                 && value + value_length <= walk->limit;
+                 && value + value_length <= check->limit;
   if (!check->sound)
     return MHD_NO;
   /* A space before the colon is read in different ways.  */
@@ -107,7 +101,7 @@
   for (at++; at < value; at++)
     check->sound &= is_blank (*at);
   check->sound &= is_value_valid (value, value_length);
-  check->next = skip_line_end (value + value_length, walk->limit);
+  check->next = skip_line_end (value + value_length, check->limit);
   check->sound &= check->next != NULL;
   check_framing (check, name, value);
   return check->sound ? MHD_YES : MHD_NO;
@@ -119,8 +113,7 @@
   size_t size = MHD_get_connection_info (
                     line->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
                     ->header_size;
-  head_walk_t walk = { .limit = line->method + size };
-  head_check_t *check = &walk.check;
+  head_check_t check = { .limit = line->method + size };
 
   /* One space separates the parts of the request line.  */
   if (!is_token (line->method, strlen (line->method))
@@ -128,12 +121,12 @@
       || line->version != line->raw_target_begin + strlen (line->target) + 1
       || !is_target_valid (line->target, strlen (line->target)))
     return false;
-  check->next
-      = skip_line_end (line->version + strlen (line->version), walk.limit);
-  check->sound = check->next != NULL;
-  if (check->sound)
+  check.next
+      = skip_line_end (line->version + strlen (line->version), check.limit);
+  check.sound = check.next != NULL;
+  if (check.sound)
     MHD_get_connection_values_n (line->connection, MHD_HEADER_KIND,
-                                 check_header, &walk);
-  return check->sound && skip_line_end (check->next, walk.limit) == walk.limit
-         && check->content_lengths + check->transfer_encodings <= 1;
+                                 check_header, &check);
+  return check.sound && skip_line_end (check.next, check.limit) == check.limit
+         && check.content_lengths + check.transfer_encodings <= 1;
 }
