configuration: a part that cannot be used costs only itself

Cause: the services of a route stood in a table of eight, and a route, service or account that could not be used made the whole configuration refused.

Change: the services of a route are an array of any length. What cannot be used is left out, logged and counted; a route without a usable service stays in the table and is answered 503, so that its requests do not fall to a shorter prefix, and accounts that cannot be used leave keys required.

--- a/include/garnetstack/route_table.h
+++ b/include/garnetstack/route_table.h
@@ -28,12 +28,10 @@
 /** A service that receives a part of a route's requests. */
 typedef struct
 {
-  uint16_t service; /**< index into the table's services */
-  uint32_t weight;  /**< relative to the other services of the route */
+  unsigned service; /**< index into the table's services */
+  double weight;    /**< positive; relative to the route's other services */
 } gs_route_split_t;
 
-#define GS_ROUTE_SPLITS_MAX 8
-
 /** A route: requests to a host and a prefix of the path. */
 typedef struct
 {
@@ -47,8 +45,8 @@
   int priority;      /**< 0 is the highest */
   gs_time_t timeout; /**< longest time to the end of the answer */
   gs_time_t goal;    /**< target time to the answer, or to its first event */
-  unsigned split_count;
-  gs_route_split_t splits[GS_ROUTE_SPLITS_MAX];
+  GArray *splits;    /**< of gs_route_split_t; empty if no service of the
+                          route can be used */
 } gs_path_route_t;
 
 /** Bounds on the replicas that may be ordered in one data centre. */
@@ -118,7 +116,8 @@
 void gs_route_table_account_add (gs_route_table_t *table,
                                  const gs_client_account_t *account);
 
-/** Add a route.  The table takes ownership of its strings, even on failure.
+/** Add a route.  The table takes ownership of its strings and splits, even on
+    failure.
     @return GS_OK, or GS_EINVAL if another route has the same host and prefix
  */
 gs_status_t gs_route_table_route_add (gs_route_table_t *table,
@@ -127,6 +126,15 @@
 /** Add a key of the account that was added last.  The key is copied. */
 void gs_route_table_key_add (gs_route_table_t *table, const char *key);
 
+/** Require keys for routes that are not anonymous, as tables with accounts
+    do. */
+void gs_route_table_keys_require (gs_route_table_t *table);
+bool gs_route_table_requires_keys (const gs_route_table_t *table);
+
+/** Count a part of the configuration that cannot be used. */
+void gs_route_table_part_refuse (gs_route_table_t *table);
+unsigned gs_route_table_parts_refused (const gs_route_table_t *table);
+
 void gs_route_table_limits_set (gs_route_table_t *table,
                                 const gs_caller_limits_t *limits);
 const gs_caller_limits_t *
--- a/src/gateway/gateway_listeners.c
+++ b/src/gateway/gateway_listeners.c
@@ -182,6 +182,8 @@
                     (double)gs_route_table_version (gateway->table));
       gs_meter_set ("config_age_seconds", "",
                     seconds_since (now, gateway->table_adopted_at));
+      gs_meter_set ("config_parts_refused", "",
+                    gs_route_table_parts_refused (gateway->table));
       if (report != NULL)
         gauges_accounts_set (gateway->table, report);
     }
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -212,7 +212,8 @@
   status = relay_route_find (relay, &reason);
   if (status != 0)
     {
-      relay_end_with_error (relay, status, reason, 0);
+      relay_end_with_error (relay, status, reason,
+                            status == 503 ? UNCONFIGURED_RETRY_DELAY : 0);
       return;
     }
   relay_fingerprint_set (relay);
--- a/src/gateway/relay_admit.c
+++ b/src/gateway/relay_admit.c
@@ -3,20 +3,22 @@
 const gs_path_service_t *
 relay_service_choose (const relay_t *relay)
 {
-  const gs_path_route_t *route = relay->route;
-  uint64_t sum = 0;
-  uint64_t drawn;
+  const GArray *splits = relay->route->splits;
+  const gs_route_split_t *split = NULL;
+  double sum = 0;
+  double drawn;
 
-  for (unsigned i = 0; i < route->split_count; i++)
-    sum += route->splits[i].weight;
-  drawn = gs_rng_below (&relay->traffic->rng, sum);
-  for (unsigned i = 0; i < route->split_count; i++)
+  for (guint i = 0; i < splits->len; i++)
+    sum += g_array_index (splits, gs_route_split_t, i).weight;
+  drawn = gs_rng_unit (&relay->traffic->rng) * sum;
+  for (guint i = 0; i < splits->len; i++)
     {
-      if (drawn < route->splits[i].weight)
-        return gs_route_table_service (relay->table, route->splits[i].service);
-      drawn -= route->splits[i].weight;
+      split = &g_array_index (splits, gs_route_split_t, i);
+      if (drawn < split->weight)
+        break;
+      drawn -= split->weight;
     }
-  return gs_route_table_service (relay->table, route->splits[0].service);
+  return gs_route_table_service (relay->table, split->service);
 }
 
 /* @return how long before this attempt the caller's first one was.  Times
@@ -93,8 +95,7 @@
   if (relay->route == NULL)
     return 404;
   *reason = "unknown_key";
-  if (!relay->route->anonymous
-      && gs_route_table_account_count (relay->table) > 0)
+  if (!relay->route->anonymous && gs_route_table_requires_keys (relay->table))
     {
       account = gs_route_table_key_find (relay->table, relay->request.key);
       if (account < 0)
@@ -105,5 +106,6 @@
   *reason = "body_too_large";
   if (bounds->body_bytes_max > 0 && length > bounds->body_bytes_max)
     return 413;
-  return 0;
+  *reason = "route_unusable";
+  return relay->route->splits->len > 0 ? 0 : 503;
 }
--- a/src/gateway/route_table.c
+++ b/src/gateway/route_table.c
@@ -14,6 +14,8 @@
   GArray *accounts;       /* of gs_client_account_t */
   GHashTable *by_key;     /* key -> index + 1 */
   gs_caller_limits_t limits;
+  bool requires_keys;
+  unsigned parts_refused;
   gs_time_t stream_time; /* longest timeout of streams that may be resumed */
 };
 
@@ -25,6 +27,7 @@
   g_free (route->name);
   g_free (route->host);
   g_free (route->prefix);
+  g_array_unref (route->splits);
   g_free (route);
 }
 
@@ -115,6 +118,31 @@
                             const gs_client_account_t *account)
 {
   g_array_append_vals (table->accounts, account, 1);
+  table->requires_keys = true;
+}
+
+void
+gs_route_table_keys_require (gs_route_table_t *table)
+{
+  table->requires_keys = true;
+}
+
+bool
+gs_route_table_requires_keys (const gs_route_table_t *table)
+{
+  return table->requires_keys;
+}
+
+void
+gs_route_table_part_refuse (gs_route_table_t *table)
+{
+  table->parts_refused++;
+}
+
+unsigned
+gs_route_table_parts_refused (const gs_route_table_t *table)
+{
+  return table->parts_refused;
 }
 
 /* @return host and prefix as one key.  A host contains no slash, so different
