server, loop: uploads do not rest on what the library reports

Cause: the server stopped with work left and waited for an edge that had passed. The same class was left in three places: the server believed the library that nothing was pending, a long head left a run 1.3 KB to read into, and a server that always had work posted its next run so that the loop did not get to its descriptors and timers.

Evidence: test_server with the report of the library hidden: 6 of 6 uploads without an answer before. test_loop: a task that posts itself kept the tick from running in 100,000 tasks.

Change: the server runs the library again while the body of a request has parts to come; a read takes 8 KB; the loop runs the tasks that are queued, and then its descriptors and timers.

--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -246,12 +246,16 @@
                &entry);
 }
 
+/* Runs the tasks that are queued now.  A task that posts another one must not
+   keep the loop from its descriptors and timers.  */
 static void
 run_tasks (gs_loop_t *loop)
 {
+  unsigned count = ck_ring_size (&loop->ring);
   loop_task_t *task;
 
-  while (ck_ring_dequeue_mpsc (&loop->ring, loop->slots, &task))
+  for (; count > 0 && ck_ring_dequeue_mpsc (&loop->ring, loop->slots, &task);
+       count--)
     {
       GS_TSAN_ACQUIRE (loop->slots);
       task->callback (task->context);
--- a/src/util/server.c
+++ b/src/util/server.c
@@ -16,6 +16,10 @@
 /* Limit of consecutive runs of a daemon that always has work, so that the
    loop gets to its other descriptors.  */
 #define DAEMON_RUNS_MAX 16
+/* Each run of a daemon reads once from a connection, so what a long head
+   leaves of the connection's memory must not bound the bytes that a run reads.
+ */
+#define READ_BYTES_MIN 8192
 /* The client has closed the connection or shut down its sending side.  Both
    count as a disconnect, because clients that wait for a response do not
    close half of a connection.  */
@@ -201,6 +205,9 @@
   size_t limit = exchange->server->body_bytes_max;
 
   exchange->body_bytes_received += length;
+  if (exchange->server->loop != NULL)
+    exchange->server->body_expected
+        |= exchange->body_bytes_received < exchange->body_bytes_announced;
   if (exchange->body_bytes_received > limit)
     exchange->rejection_status = HTTP_CONTENT_TOO_LARGE;
   else if (exchange->rejection_status == 0 && !reserve_body (exchange, length))
@@ -249,18 +256,19 @@
                const char *version)
 {
   const char *length = gs_exchange_header (exchange, "Content-Length");
+  uint64_t announced
+      = length != NULL ? g_ascii_strtoull (length, NULL, 10) : UINT64_MAX;
   gs_request_line_t line = { exchange->connection, method, exchange->target,
                              exchange->raw_target, version };
   enum MHD_Result result;
 
   exchange->headers_checked = true;
+  exchange->body_bytes_announced = announced;
   exchange->method = g_strdup (method);
   exchange->path = g_strdup (url);
   if (!gs_request_head_is_sound (&line))
     exchange->rejection_status = HTTP_BAD_REQUEST;
-  else if (length != NULL
-           && g_ascii_strtoull (length, NULL, 10)
-                  > exchange->server->body_bytes_max)
+  else if (length != NULL && announced > exchange->server->body_bytes_max)
     exchange->rejection_status = HTTP_CONTENT_TOO_LARGE;
   else
     return MHD_YES;
@@ -378,7 +386,8 @@
 
 /* Runs the daemon until it has no work that is ready.  Its descriptor does not
    become readable for such work, so what is left after DAEMON_RUNS_MAX runs
-   is done in a task of its own.  */
+   is done in a task of its own.  The rest of a body may have arrived although
+   the daemon does not report it.  */
 static void
 run_daemon (void *context, int fd, short events)
 {
@@ -389,9 +398,11 @@
   (void)events;
   for (unsigned runs = 0; runs < DAEMON_RUNS_MAX; runs++)
     {
+      server->body_expected = false;
       MHD_run (server->daemon);
-      if (MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES
-          || timeout_ms > 0)
+      if (!server->body_expected
+          && (MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES
+              || timeout_ms > 0))
         return;
     }
   gs_server_run_post (server);
@@ -475,6 +486,8 @@
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, options->connection_bytes,
       MHD_OPTION_CONNECTION_TIMEOUT, options->idle_seconds,
       MHD_OPTION_THREAD_POOL_SIZE, options->threads > 1 ? options->threads : 0,
+      MHD_OPTION_CONNECTION_MEMORY_INCREMENT,
+      MIN ((size_t)READ_BYTES_MIN, options->connection_bytes / 4),
       MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
   if (server->daemon == NULL)
     status = gs_error_set (GS_EIO, "cannot listen on %s port %u",
--- a/src/util/server_private.h
+++ b/src/util/server_private.h
@@ -25,9 +25,10 @@
                                         exchanges */
   atomic_uint open_count;            /* number of open exchanges */
   gs_sweep_t *sweep;
-  gs_loop_t *loop;  /* NULL when the daemon has its own threads */
-  int ready_fd;     /* epoll descriptor of a daemon on a loop */
-  bool run_pending; /* a run of the daemon is already posted to the loop */
+  gs_loop_t *loop;    /* NULL when the daemon has its own threads */
+  int ready_fd;       /* epoll descriptor of a daemon on a loop */
+  bool run_pending;   /* a run of the daemon is already posted to the loop */
+  bool body_expected; /* the last run read a part of a body, but not its end */
   atomic_uint idle_seconds;
   pthread_mutex_t lock;
   GHashTable *exchanges; /* set of the open exchanges */
@@ -47,9 +48,10 @@
                              the headers are checked */
   bool headers_checked;   /* method and path are set */
   GString *body;
-  size_t body_bytes_received; /* including discarded bytes */
-  size_t body_bytes_reserved; /* this exchange's part of the server's sum */
-  unsigned rejection_status;  /* HTTP status of a rejection, 0 for none */
+  size_t body_bytes_received;    /* including discarded bytes */
+  uint64_t body_bytes_announced; /* UINT64_MAX if unknown */
+  size_t body_bytes_reserved;    /* this exchange's part of the server's sum */
+  unsigned rejection_status;     /* HTTP status of a rejection, 0 for none */
   bool handled;   /* the handler was called, or the request was rejected */
   bool suspended; /* libmicrohttpd has suspended the connection */
   gs_time_t received_at;
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -60,6 +60,48 @@
   gs_loop_destroy (posting.loop);
 }
 
+#define REPOSTS_MAX 100000
+
+typedef struct
+{
+  gs_loop_t *loop;
+  unsigned posts;
+  unsigned ticks;
+} reposting_t;
+
+static void
+post_again (void *context)
+{
+  reposting_t *reposting = context;
+
+  if (reposting->ticks > 0 || ++reposting->posts == REPOSTS_MAX)
+    gs_loop_stop (reposting->loop);
+  else
+    gs_loop_post (reposting->loop, post_again, reposting);
+}
+
+static void
+count_tick (void *context)
+{
+  ((reposting_t *)context)->ticks++;
+}
+
+/* Guards against a server with work left that keeps the loop from its timers
+   and other descriptors.  */
+static void
+a_task_that_posts_itself_leaves_the_loop_its_ticks (void)
+{
+  reposting_t reposting = { 0 };
+
+  gs_loop_create (&reposting.loop);
+  gs_loop_tick_set (reposting.loop, 0, count_tick, &reposting);
+  gs_loop_post (reposting.loop, post_again, &reposting);
+  gs_loop_run (reposting.loop);
+  CU_ASSERT (reposting.ticks > 0);
+  CU_ASSERT (reposting.posts < REPOSTS_MAX);
+  gs_loop_destroy (reposting.loop);
+}
+
 #define PIPES 5
 
 typedef struct
@@ -496,6 +538,8 @@
       a_server_that_takes_no_bytes_loses_its_connection },
     { "tasks_posted_by_many_threads_all_run",
       tasks_posted_by_many_threads_all_run },
+    { "a task that posts itself leaves the loop its ticks",
+      a_task_that_posts_itself_leaves_the_loop_its_ticks },
     { "no_callback_after_unwatch", no_callback_after_unwatch },
     { "a hang-up is not reported to the next connection of its descriptor",
       a_hangup_is_not_reported_to_the_next_connection_of_its_descriptor },
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -3,7 +3,10 @@
 
 #include "garnetstack/server.h"
 
+#include <dlfcn.h>
+#include <microhttpd.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -14,6 +17,18 @@
 #define HEAD_BYTES 15000
 #define BODY_BYTES_MAX ((size_t)4 << 20)
 
+static atomic_bool pending_work_hidden;
+
+/* Stands before the function of the library.  */
+enum MHD_Result
+MHD_get_timeout (struct MHD_Daemon *daemon, MHD_UNSIGNED_LONG_LONG *timeout)
+{
+  enum MHD_Result (*next) (struct MHD_Daemon *, MHD_UNSIGNED_LONG_LONG *);
+
+  *(void **)&next = dlsym (RTLD_NEXT, "MHD_get_timeout");
+  return atomic_load (&pending_work_hidden) ? MHD_NO : next (daemon, timeout);
+}
+
 typedef struct
 {
   gs_loop_t *loop;
@@ -80,7 +95,7 @@
 }
 
 static void
-an_idle_server_reads_uploads_at_once (void)
+check_uploads_are_answered (void)
 {
   static const struct
   {
@@ -119,9 +134,26 @@
   idle_server_stop (&idle);
 }
 
+static void
+an_idle_server_reads_uploads_at_once (void)
+{
+  check_uploads_are_answered ();
+}
+
+/* Guards against relying on the library to report unread bytes.  */
+static void
+an_idle_server_reads_uploads_that_the_library_does_not_report (void)
+{
+  atomic_store (&pending_work_hidden, true);
+  check_uploads_are_answered ();
+  atomic_store (&pending_work_hidden, false);
+}
+
 static const check_case_t cases[] = {
   { "an idle server reads uploads at once",
     an_idle_server_reads_uploads_at_once },
+  { "an idle server reads uploads that the library does not report",
+    an_idle_server_reads_uploads_that_the_library_does_not_report },
 };
 
 int
