soak: callers that keep and pipeline connections, long bodies, resumed streams

The plays so far had a connection for each request. Seeds from 600 on keep connections until the process at the other end is gone, pipeline up to three requests, send bodies of up to 60,000 bytes, take broken streams up at any node, and draw a new fault: a replica of another version at the address of one that ended. Replicas also answer before they have read a body, and repeat rejections without an id. Checked besides: no request that was answered 408 or 421 ran, and replicas receive no bytes but those of the request's body.

--- a/tests/test_process_soak.c
+++ b/tests/test_process_soak.c
@@ -2,6 +2,7 @@
 #include "garnetstack/rng.h"
 #include "gateway_world.h"
 #include "raw_proxy.h"
+#include "soak_client.h"
 
 #include <signal.h>
 #include <stdatomic.h>
@@ -27,8 +28,8 @@
 /* Seeds 1 and 2 have no special reason; each of the others once failed, all
    for the same one: a reload signal that was sent while a node was paused was
    delivered to the thread that writes the log, and ended the process.  */
-static const uint64_t seeds[]
-    = { 1, 2, 5, 9, 10, 15, 16, 17, 101, 102, 103, 301, 302, 401, 402 };
+static const uint64_t seeds[] = { 1,   2,   5,   9,   10,  15,  16,  17, 101,
+                                  102, 103, 301, 302, 401, 402, 601, 602 };
 /* Seeds from this one on draw all kinds of faults; those below draw the kinds
    that there were when they were chosen.  */
 #define SEED_ALL_KINDS_MIN 100
@@ -66,6 +67,11 @@
   { "free/again-anonymous", false, false, true },
   { "stream/resume/torn-then-error-event", false, true, true },
   { "stream/resume/torn-then-error-head", false, true, true },
+  { "never/early", true, false, true },
+  { "never/again-anonymous", true, false, true },
+  { "stream/resume/good", false, true, true },
+  { "never/misdirected", true, false, true },
+  { "never/timed-out", true, false, true },
 };
 
 /* Seeds below this one draw the kinds of requests and faults that there were
@@ -74,6 +80,12 @@
 #define REQUEST_KINDS_BEFORE 14
 #define SEED_BRITTLE_MIN 400
 #define REQUEST_KINDS_CRASHES 19
+#define REQUEST_KINDS_BRITTLE 24
+/* Seeds from this one on keep and pipeline connections.  */
+#define SEED_KEPT_MIN 600
+#define PIPELINED_MAX 3
+#define BODY_BYTES_MAX 60000
+#define STREAM_EVENTS 6
 /* Rejections that brittle replicas bear, and requests that they run.  */
 #define BRITTLE_REJECTIONS 8
 #define BRITTLE_ROOM 1
@@ -87,6 +99,11 @@
   const request_kind_t *kind;
   unsigned status; /* 0: no response */
   char *answer;
+  bool ended;       /* a stream was received to its regular end */
+  unsigned after;   /* the event after which a stream is resumed */
+  char fill;        /* of the body */
+  unsigned length;  /* of the body */
+  char resumes[32]; /* attempt that began the stream; "" if it begins one */
 } request_t;
 
 typedef struct
@@ -120,11 +137,120 @@
 static size_t
 request_kind_count (const soak_t *soak)
 {
-  return soak->seed >= SEED_BRITTLE_MIN   ? G_N_ELEMENTS (request_kinds)
+  return soak->seed >= SEED_KEPT_MIN      ? G_N_ELEMENTS (request_kinds)
+         : soak->seed >= SEED_BRITTLE_MIN ? REQUEST_KINDS_BRITTLE
          : soak->seed >= SEED_CRASHES_MIN ? REQUEST_KINDS_CRASHES
                                           : REQUEST_KINDS_BEFORE;
 }
 
+static void
+record_answer (soak_t *soak, request_t *request)
+{
+  if (g_str_has_prefix (request->answer, "HTTP/1.1 "))
+    request->status
+        = (unsigned)strtoul (request->answer + strlen ("HTTP/1.1 "), NULL, 10);
+  pthread_mutex_lock (&soak->lock);
+  g_ptr_array_add (soak->requests, request);
+  pthread_mutex_unlock (&soak->lock);
+}
+
+/* A request that resumes the stream of another one, if that broke within it,
+   and one of any kind else.  Replicas answer a resumed request of a kind
+   "torn-then-" with an error, which is theirs to give.  */
+static request_t *
+request_next (soak_t *soak, gs_rng_t *rng, const request_t *last)
+{
+  request_t *request = g_new0 (request_t, 1);
+  unsigned event
+      = last != NULL ? soak_client_last_event (last->answer, last->after) : 0;
+
+  request->kind
+      = &request_kinds[gs_rng_below (rng, request_kind_count (soak))];
+  request->fill = (char)('a' + gs_rng_below (rng, 26));
+  request->length = gs_rng_below (rng, 4) == 0
+                        ? (unsigned)gs_rng_below (rng, BODY_BYTES_MAX) + 1
+                        : 20;
+  if (last != NULL && !last->ended && last->status == 200
+      && g_str_has_prefix (last->kind->path, "stream/resume/")
+      && strstr (last->kind->path, "torn-then-") == NULL
+      && event < STREAM_EVENTS && event > 0)
+    {
+      request->kind = last->kind;
+      request->after = event;
+      g_strlcpy (request->resumes,
+                 last->resumes[0] != '\0' ? last->resumes : last->id,
+                 sizeof request->resumes);
+    }
+  return request;
+}
+
+static void
+send_requests (soak_t *soak, soak_client_t *client, unsigned gateway,
+               request_t **requests, unsigned count)
+{
+  soak_exchange_t rows[PIPELINED_MAX];
+  char *targets[PIPELINED_MAX];
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      const request_t *request = requests[i];
+
+      targets[i] = g_strconcat ("/a/", request->kind->path, NULL);
+      rows[i] = (soak_exchange_t){ .id = request->id,
+                                   .target = targets[i],
+                                   .fill = request->fill,
+                                   .body_bytes = request->length,
+                                   .resumes = request->resumes[0] != '\0'
+                                                  ? request->resumes
+                                                  : NULL,
+                                   .resume_after = request->after };
+    }
+  soak_client_exchange (client, gateway, rows, count);
+  for (unsigned i = 0; i < count; i++)
+    {
+      requests[i]->answer = rows[i].answer;
+      requests[i]->ended = rows[i].ended;
+      record_answer (soak, requests[i]);
+      g_free (targets[i]);
+    }
+}
+
+static void *
+keeping_caller_run (void *context)
+{
+  soak_caller_t *caller = context;
+  soak_t *soak = caller->soak;
+  request_t *requests[PIPELINED_MAX] = { NULL };
+  unsigned number = 0;
+  unsigned count = 0;
+  soak_client_t *client;
+  gs_rng_t rng;
+
+  gs_rng_seed (&rng, soak->seed * 100 + caller->number);
+  soak_client_create (&client, &soak->world);
+  while (!atomic_load (&soak->stopping))
+    {
+      const request_t *last = count > 0 ? requests[count - 1] : NULL;
+
+      count = gs_rng_below (&rng, 4) == 0
+                  ? 1 + (unsigned)gs_rng_below (&rng, PIPELINED_MAX)
+                  : 1;
+      for (unsigned i = 0; i < count; i++)
+        {
+          requests[i] = request_next (soak, &rng, i == 0 ? last : NULL);
+          g_snprintf (requests[i]->id, sizeof requests[i]->id, "s%llu-%u-%u",
+                      (unsigned long long)soak->seed, caller->number,
+                      number++);
+        }
+      send_requests (soak, client,
+                     (unsigned)gs_rng_below (&rng, GATEWAY_COUNT), requests,
+                     count);
+      g_usleep (10000 + gs_rng_below (&rng, 20000));
+    }
+  soak_client_destroy (client);
+  return NULL;
+}
+
 static void *
 caller_run (void *context)
 {
@@ -146,13 +272,11 @@
       request->answer = gw_request (
           &soak->world, (unsigned)gs_rng_below (&rng, GATEWAY_COUNT), "POST",
           target, request->id, "", "x");
-      if (g_str_has_prefix (request->answer, "HTTP/1.1 "))
-        request->status = (unsigned)strtoul (
-            request->answer + strlen ("HTTP/1.1 "), NULL, 10);
+      request->ended = strstr (request->answer, "\r\n0\r\n\r\n") != NULL;
+      request->fill = 'x';
+      request->length = 1;
       g_free (target);
-      pthread_mutex_lock (&soak->lock);
-      g_ptr_array_add (soak->requests, request);
-      pthread_mutex_unlock (&soak->lock);
+      record_answer (soak, request);
       g_usleep (10000 + gs_rng_below (&rng, 20000));
     }
   return NULL;
@@ -177,6 +301,7 @@
   FAULT_BRITTLE,  /* replicas are brittle, with little room */
   FAULT_ENTRY,    /* an entry that cannot be read is among the replicas' */
   FAULT_KILL_ALL, /* all nodes are killed */
+  FAULT_VERSION,  /* another version of a replica takes its address */
   FAULT_KIND_COUNT
 } fault_kind_t;
 
@@ -194,14 +319,15 @@
 }
 
 static const char *const fault_names[FAULT_KIND_COUNT]
-    = { "pause",    "kill",  "term",    "hup",   "store",   "store_of_one",
-        "compact",  "proxy", "config",  "drain", "limit",   "refuse",
-        "set_back", "crash", "brittle", "entry", "kill_all" };
+    = { "pause",    "kill",  "term",    "hup",   "store",    "store_of_one",
+        "compact",  "proxy", "config",  "drain", "limit",    "refuse",
+        "set_back", "crash", "brittle", "entry", "kill_all", "version" };
 
 static unsigned
 fault_kind_count (const soak_t *soak)
 {
-  return soak->seed >= SEED_BRITTLE_MIN     ? FAULT_KIND_COUNT
+  return soak->seed >= SEED_KEPT_MIN        ? FAULT_KIND_COUNT
+         : soak->seed >= SEED_BRITTLE_MIN   ? FAULT_VERSION
          : soak->seed >= SEED_CRASHES_MIN   ? FAULT_BRITTLE
          : soak->seed >= SEED_ALL_KINDS_MIN ? FAULT_CRASH
                                             : FAULT_LIMIT;
@@ -294,6 +420,10 @@
           gw_signal (world, i, SIGKILL);
         }
       break;
+    case FAULT_VERSION:
+      gw_replica_version_set (world, fault->target,
+                              soak->faults % 2 == 0 ? "v1" : "v2");
+      break;
     case FAULT_DRAIN:
     case FAULT_KIND_COUNT:
       gw_replica_publish (world, fault->target, "draining");
@@ -429,40 +559,29 @@
       end_fault (soak, &faults[i]);
 }
 
-static bool
-is_complete_stream (const char *answer)
-{
-  const char *at = answer;
-  unsigned events = 0;
-
-  while ((at = strstr (at, "data: event ")) != NULL)
-    {
-      at += strlen ("data: event ");
-      if (strtoul (at, NULL, 10) != ++events)
-        return false;
-    }
-  return events == 6;
-}
-
 /* @return the guarantee that the request's result violates, NULL if none  */
 static const char *
 find_violation (soak_t *soak, const request_t *request)
 {
   unsigned arrivals = gw_arrivals_count (&soak->world, request->id);
   const char *body = strstr (request->answer, "\r\n\r\n");
-  bool ended = strstr (request->answer, "\r\n0\r\n\r\n") != NULL;
 
   if (request->kind->at_most_once && request->kind->is_executed
       && arrivals > 1)
     return "executed more than once";
-  if ((request->status == 503 || request->status == 429)
+  if ((request->status == 503 || request->status == 429
+       || request->status == 408 || request->status == 421)
       && request->kind->is_executed && arrivals > 0)
     return "rejected although it was executed";
   if (request->status == 401 || request->status == 403
       || request->status == 404)
     return "denied although it is valid";
-  if (request->status == 200 && request->kind->is_stream && ended
-      && !is_complete_stream (request->answer))
+  if (!soak_client_body_is_own (&soak->world, request->id, request->fill,
+                                request->length))
+    return "a replica received another body";
+  if (request->status == 200 && request->kind->is_stream && request->ended
+      && soak_client_last_event (request->answer, request->after)
+             != STREAM_EVENTS)
     return "an incomplete stream ends regularly";
   if (request->status == 200 && !request->kind->is_stream
       && (body == NULL || strcmp (body + 4, request->id) != 0))
@@ -537,7 +656,9 @@
   for (unsigned i = 0; i < CALLER_COUNT; i++)
     {
       callers[i] = (soak_caller_t){ soak, i };
-      pthread_create (&threads[i], NULL, caller_run, &callers[i]);
+      pthread_create (&threads[i], NULL,
+                      seed >= SEED_KEPT_MIN ? keeping_caller_run : caller_run,
+                      &callers[i]);
     }
   run_faults (soak, gs_clock_now () + (gs_time_t)seconds * GS_SEC);
   CU_ASSERT_TRUE (gw_wait_until (all_are_ready, soak, RECOVERY_TIMEOUT));
