streams: received as fast as their callers take them, within one account

Cause: each stream kept up to 4 MB that its caller had not received, with no bound on the sum; nothing slowed its replica down; a buffer that was never empty grew with all that had passed through it.

Change: a stream whose caller is 64 KB behind is paused until half of that is sent. What callers have not received is accounted for with the responses that are buffered whole; a stream that exceeds its share is broken off, and new requests are rejected while the account is full. Buffers are compacted and freed, and a whole response is handed to the library without a copy.

--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -151,6 +151,11 @@
     carried other requests */
 bool gs_loop_http_is_kept (const gs_http_call_t *call);
 
+/** Stop receiving a response, or go on.  May be called by on_data.  Some data
+    that has arrived may still be passed on after a pause, and is passed on
+    by the call that ends it. */
+void gs_loop_http_pause (gs_http_call_t *call, bool paused);
+
 /** End a request without calling on_done or context_free. */
 void gs_loop_http_cancel (gs_http_call_t *call);
 
--- a/include/garnetstack/server.h
+++ b/include/garnetstack/server.h
@@ -39,6 +39,9 @@
                                     all open exchanges */
   size_t pending_bytes_max;    /**< an exchange is aborted when more unsent
                                     response data than this is queued */
+  /** Accounts for the unsent data of all responses; NULL for none.  Only with
+      loop.  A streamed response that the account rejects is aborted. */
+  struct response_memory *response_memory;
   unsigned idle_seconds;       /**< idle time after which a connection is
                                     closed */
   unsigned receive_seconds;    /**< timeout for receiving a complete request */
@@ -161,10 +164,14 @@
                         const char *content_type, const char *const *headers);
 
 /** Append data to a streamed response.  Aborts the exchange when the data not
-    yet sent would exceed pending_bytes_max. */
-void gs_exchange_write (gs_exchange_t *exchange, const char *data,
+    yet sent would exceed pending_bytes_max or its share of response_memory.
+    @return false if this call has aborted the exchange */
+bool gs_exchange_write (gs_exchange_t *exchange, const char *data,
                         size_t length);
 
+/** @return bytes of a streamed response that are not sent yet */
+size_t gs_exchange_unsent_bytes (gs_exchange_t *exchange);
+
 /** End a streamed response. */
 void gs_exchange_finish (gs_exchange_t *exchange);
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -14,6 +14,9 @@
 #define UNCONFIGURED_RETRY_DELAY (500 * GS_MSEC)
 /* Callers of a leaving node retry at another node.  */
 #define LEAVING_RETRY_DELAY (100 * GS_MSEC)
+/* Responses that hold the memory of the node end, or are broken off, within
+   some tenths of a second.  */
+#define MEMORY_RETRY_DELAY (500 * GS_MSEC)
 /* Timers of libcurl count whole milliseconds.  */
 #define DEADLINE_SLACK (5 * GS_MSEC)
 
@@ -23,6 +26,7 @@
   traffic_t *traffic = relay->traffic;
 
   relay_queue_remove (relay);
+  relay_flow_end (relay);
   response_memory_return (&traffic->response_memory, relay->buffered);
   if (relay->charged > 0 && relay->possible_runs == 0)
     quota_cancel (traffic->quota, gs_clock_now (), relay->account_hash,
@@ -116,7 +120,9 @@
     gs_loop_http_cancel (relay->call);
   relay->call = NULL;
   relay_attempt_end (relay, now, PLACER_CANCELLED);
-  relay_log_end (relay, now, "left", 0, "caller_closed");
+  relay_log_end (relay, now, "left", 0,
+                 relay->response_too_large ? "answer_too_large"
+                                           : "caller_closed");
   gs_exchange_abort (relay->exchange);
   relay_free (relay);
 }
@@ -216,6 +222,11 @@
                             status == 503 ? UNCONFIGURED_RETRY_DELAY : 0);
       return;
     }
+  if (response_memory_is_full (&traffic->response_memory))
+    {
+      relay_end_with_error (relay, 503, "memory_full", MEMORY_RETRY_DELAY);
+      return;
+    }
   relay_fingerprint_set (relay);
   relay_deadlines_set (relay);
   relay_origin_set (relay, now);
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -199,7 +199,9 @@
     {
       record_response (relay);
       start_stream (relay);
-      gs_exchange_write (relay->exchange, complete->str, complete->len);
+      relay->response_too_large |= !gs_exchange_write (
+          relay->exchange, complete->str, complete->len);
+      relay_flow_check (relay);
     }
   g_string_free (complete, TRUE);
   return relay_buffered_set (relay, relay->events.partial->len) && continues;
@@ -390,6 +392,7 @@
   const gs_response_head_t *head = &relay->head;
 
   relay->call = NULL;
+  relay_flow_end (relay);
   relay->kept_connection = result->kept_connection;
   if (result->status != GS_OK || !head->complete || relay->response_mismatched)
     handle_lost_attempt (relay, now, result);
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -6,7 +6,8 @@
  * relay_detour.c and relay_probe.c (nodes that are
  * cut from replicas), relay_quarantine.c, relay_admit.c (routing and
  * admission), relay_origin.c (versions of streams),
- * relay_rollout.c (versions of other requests), relay_queue.c (queueing),
+ * relay_rollout.c (versions of other requests), relay_flow.c (streams whose
+ * callers are behind), relay_queue.c (queueing),
  * relay_return.c (times to retry) and relay_log.c (logs and metrics).
  */
 #ifndef GS_GATEWAY_RELAY_PRIVATE_H
@@ -56,6 +57,7 @@
   gs_response_head_t head;
   bool response_mismatched; /* the response answers another attempt */
   bool response_too_large;
+  bool paused;            /* receives nothing until the caller has caught up */
   bool detoured;          /* the attempt goes to another node */
   bool kept_connection;   /* the attempt went over one that was open before */
   size_t buffered;        /* bytes taken from the memory for responses */
@@ -89,6 +91,12 @@
   gs_time_t first_response_at;
 };
 
+/** Pause a stream whose caller is far behind. */
+void relay_flow_check (relay_t *relay);
+
+/** Forget that a stream is paused, as its attempt has ended. */
+void relay_flow_end (relay_t *relay);
+
 /** Free a request whose exchange has ended. */
 void relay_free (relay_t *relay);
 
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -15,8 +15,9 @@
 /* The bodies of open requests may use the memory of the node divided by this.
    Buffered responses, tables and the log share the rest.  */
 #define BODIES_MEMORY_DIVISOR 4
-/* The same for responses that are buffered until they are whole; a buffer may
-   be twice as large as what is in it.  */
+/* The same for responses: those that are buffered until they are whole, and
+   what callers have not received yet.  A buffer may be twice as large as what
+   is in it.  */
 #define RESPONSES_MEMORY_DIVISOR 8
 /* File descriptors reserved for files, peers and replicas.  The smallest node
    of the known deployments has 4096.  */
@@ -167,6 +168,7 @@
   if (traffic->leave_started_at != 0 && now >= traffic->leave_deadline)
     relay_end_all (traffic, now);
   quarantine_update (traffic->quarantine, now);
+  relay_flows_resume (traffic);
   relay_probes_send (traffic, now);
   relay_queues_serve (traffic, now);
   send_origins (traffic, now);
@@ -211,6 +213,7 @@
   options.body_bytes_max = BODY_BYTES_MAX;
   options.bodies_bytes_max
       = ((size_t)deployment->memory_mb << 20) / BODIES_MEMORY_DIVISOR;
+  options.response_memory = &traffic->response_memory;
   options.connections_max
       = deployment->descriptors_max > 2 * DESCRIPTORS_RESERVED
             ? deployment->descriptors_max - DESCRIPTORS_RESERVED
@@ -253,6 +256,7 @@
   traffic->ages
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   traffic->relays = g_hash_table_new (NULL, NULL);
+  traffic->paused = g_hash_table_new (NULL, NULL);
   usage_count_create (&traffic->usage, options->deployment->usage_window,
                       TRAFFIC_USAGE_WINDOWS);
   gs_loop_create (&traffic->loop);
@@ -282,6 +286,7 @@
   relay_abort_all (traffic);
   gs_server_destroy (traffic->server);
   gs_loop_destroy (traffic->loop);
+  g_hash_table_unref (traffic->paused);
   g_hash_table_unref (traffic->relays);
   g_hash_table_unref (traffic->services);
   g_hash_table_unref (traffic->ages);
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -14,10 +14,10 @@
 #include "policy/resend_budget.h"
 #include "policy/return_schedule.h"
 #include "policy/replica_reach.h"
-#include "gateway/response_memory.h"
 #include "fleet/service_versions.h"
 #include "gateway/traffic.h"
 #include "gateway/usage_count.h"
+#include "util/response_memory.h"
 
 typedef struct relay relay_t;
 typedef struct relay_rollouts relay_rollouts_t;
@@ -62,6 +62,7 @@
   gs_time_t stream_time_max; /* longest time that a caller of a stream that
                                 may be resumed was seen to wait */
   response_memory_t response_memory;
+  GHashTable *paused;   /* set of relays, see relay_flow_check() */
   GHashTable *services; /* service name -> traffic_service_t */
   GHashTable *ages;     /* route name -> request_age_t */
   usage_count_t *usage;
@@ -105,6 +106,9 @@
     centres. */
 void traffic_crossing_update (traffic_t *traffic, gs_time_t now);
 
+/** Let paused streams go on whose callers have caught up. */
+void relay_flows_resume (traffic_t *traffic);
+
 /** Ask replicas whether this node reaches them, if that is in doubt. */
 void relay_probes_send (traffic_t *traffic, gs_time_t now);
 
--- a/src/util/exchange.c
+++ b/src/util/exchange.c
@@ -1,5 +1,8 @@
 #include "util/server_private.h"
 
+/* A larger buffer is freed when all of it is sent.  */
+#define KEPT_BUFFER_BYTES_MAX 4096
+
 gs_exchange_t *
 gs_exchange_ref (gs_exchange_t *exchange)
 {
@@ -133,6 +136,34 @@
   return exchange->body->str;
 }
 
+/* The server may be gone when nothing is accounted for.  */
+static void
+account_locked (gs_exchange_t *exchange, size_t length)
+{
+  size_t accounted = exchange->response_bytes_accounted;
+
+  if (length > accounted)
+    response_memory_add (exchange->server->response_memory,
+                         length - accounted);
+  else if (length < accounted)
+    response_memory_return (exchange->server->response_memory,
+                            accounted - length);
+  exchange->response_bytes_accounted = length;
+}
+
+void
+gs_exchange_response_release (gs_exchange_t *exchange)
+{
+  if (exchange->response_body->allocated_len > KEPT_BUFFER_BYTES_MAX)
+    {
+      g_string_free (exchange->response_body, TRUE);
+      exchange->response_body = g_string_new (NULL);
+    }
+  g_string_truncate (exchange->response_body, 0);
+  exchange->response_body_read = 0;
+  account_locked (exchange, 0);
+}
+
 static void
 start_locked (gs_exchange_t *exchange, unsigned status,
               const char *content_type, const char *const *headers)
@@ -153,6 +184,9 @@
     {
       start_locked (exchange, status, content_type, headers);
       g_string_append_len (exchange->response_body, body, (gssize)length);
+      if (exchange->connection != NULL
+          && exchange->server->response_memory != NULL)
+        account_locked (exchange, length);
       exchange->ended = true;
       resume_locked (exchange);
     }
@@ -173,28 +207,77 @@
   pthread_mutex_unlock (&exchange->lock);
 }
 
+/* Moves unsent data to the begin of the buffer when at least half of it is
+   sent, so that a buffer that never gets empty does not grow without bound. */
+static void
+compact_locked (gs_exchange_t *exchange)
+{
+  size_t sent = exchange->response_body_read;
+
+  if (sent < exchange->response_body->len - sent)
+    return;
+  g_string_erase (exchange->response_body, 0, (gssize)sent);
+  exchange->response_body_read = 0;
+  if (exchange->server->response_memory != NULL)
+    account_locked (exchange, exchange->response_body->len);
+}
+
+/* @return false if the response holds too much  */
+static bool
+append_locked (gs_exchange_t *exchange, const char *data, size_t length)
+{
+  response_memory_t *memory = exchange->server->response_memory;
+
+  compact_locked (exchange);
+  if (exchange->response_body->len - exchange->response_body_read + length
+      > exchange->server->pending_bytes_max)
+    return false;
+  if (memory != NULL)
+    {
+      if (!response_memory_take (memory, exchange->response_bytes_accounted,
+                                 length))
+        return false;
+      exchange->response_bytes_accounted += length;
+    }
+  g_string_append_len (exchange->response_body, data, (gssize)length);
+  return true;
+}
+
 static void
 abort_locked (gs_exchange_t *exchange)
 {
+  gs_exchange_response_release (exchange);
   exchange->started = true;
   exchange->aborted = true;
   exchange->ended = true;
 }
 
-void
+bool
 gs_exchange_write (gs_exchange_t *exchange, const char *data, size_t length)
 {
+  bool accepted = true;
+
   pthread_mutex_lock (&exchange->lock);
   if (exchange->connection != NULL && !exchange->ended)
     {
-      if (exchange->response_body->len - exchange->response_body_read + length
-          > exchange->server->pending_bytes_max)
+      accepted = append_locked (exchange, data, length);
+      if (!accepted)
         abort_locked (exchange);
-      else
-        g_string_append_len (exchange->response_body, data, (gssize)length);
       resume_locked (exchange);
     }
   pthread_mutex_unlock (&exchange->lock);
+  return accepted;
+}
+
+size_t
+gs_exchange_unsent_bytes (gs_exchange_t *exchange)
+{
+  size_t unsent;
+
+  pthread_mutex_lock (&exchange->lock);
+  unsent = exchange->response_body->len - exchange->response_body_read;
+  pthread_mutex_unlock (&exchange->lock);
+  return unsent;
 }
 
 void
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -725,6 +725,12 @@
   return GS_OK;
 }
 
+void
+gs_loop_http_pause (gs_http_call_t *call, bool paused)
+{
+  curl_easy_pause (call->easy, paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+}
+
 void
 gs_loop_http_cancel (gs_http_call_t *call)
 {
--- a/src/gateway/response_memory.c
+++ b/src/util/response_memory.c
@@ -1,4 +1,4 @@
-#include "gateway/response_memory.h"
+#include "util/response_memory.h"
 
 bool
 response_memory_take (response_memory_t *memory, size_t own, size_t length)
@@ -12,6 +12,18 @@
   return true;
 }
 
+void
+response_memory_add (response_memory_t *memory, size_t length)
+{
+  memory->used += length;
+}
+
+bool
+response_memory_is_full (const response_memory_t *memory)
+{
+  return memory->used >= memory->limit;
+}
+
 void
 response_memory_return (response_memory_t *memory, size_t length)
 {
--- a/src/util/server.c
+++ b/src/util/server.c
@@ -83,10 +83,7 @@
               count);
       exchange->response_body_read += count;
       if (exchange->response_body_read == exchange->response_body->len)
-        {
-          g_string_truncate (exchange->response_body, 0);
-          exchange->response_body_read = 0;
-        }
+        gs_exchange_response_release (exchange);
       result = (ssize_t)count;
     }
   else if (exchange->ended)
@@ -116,9 +113,16 @@
         MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream,
         gs_exchange_ref (exchange), release_stream);
   else
-    response = MHD_create_response_from_buffer (exchange->response_body->len,
-                                                exchange->response_body->str,
-                                                MHD_RESPMEM_MUST_COPY);
+    {
+      /* The library frees the body.  It is accounted for until the exchange
+         ends.  */
+      size_t length = exchange->response_body->len;
+      char *body = g_string_free (exchange->response_body, FALSE);
+
+      exchange->response_body = g_string_new (NULL);
+      response = MHD_create_response_from_buffer (length, body,
+                                                  MHD_RESPMEM_MUST_FREE);
+    }
   if (exchange->content_type != NULL)
     MHD_add_response_header (response, "Content-Type", exchange->content_type);
   for (char **header = exchange->headers;
@@ -357,6 +361,7 @@
   gs_sweep_timeout_start (sweep_connection_of (connection));
   pthread_mutex_lock (&exchange->lock);
   exchange->connection = NULL;
+  gs_exchange_response_release (exchange);
   pthread_mutex_unlock (&exchange->lock);
   if (exchange->on_disconnect != NULL
       && code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
@@ -469,6 +474,7 @@
   server->context = options->context;
   server->body_bytes_max = options->body_bytes_max;
   server->pending_bytes_max = options->pending_bytes_max;
+  server->response_memory = options->response_memory;
   server->body_bytes_reserved_max = options->bodies_bytes_max;
   pthread_mutex_init (&server->lock, NULL);
   server->exchanges = g_hash_table_new (NULL, NULL);
--- a/src/util/server_private.h
+++ b/src/util/server_private.h
@@ -6,6 +6,7 @@
 #define GS_UTIL_SERVER_PRIVATE_H
 
 #include "garnetstack/server.h"
+#include "util/response_memory.h"
 #include "util/sweep.h"
 
 #include <glib.h>
@@ -20,7 +21,8 @@
   void *context;
   size_t body_bytes_max;
   size_t pending_bytes_max;
-  size_t body_bytes_reserved_max;    /* limit of body_bytes_reserved */
+  response_memory_t *response_memory; /* NULL for none */
+  size_t body_bytes_reserved_max;     /* limit of body_bytes_reserved */
   atomic_size_t body_bytes_reserved; /* bytes of the request bodies of all open
                                         exchanges */
   atomic_uint open_count;            /* number of open exchanges */
@@ -69,8 +71,12 @@
   char **headers;
   GString *response_body;
   size_t response_body_read; /* bytes that libmicrohttpd has read */
+  size_t response_bytes_accounted;
 };
 
+/** Free the unsent data of a response, whose lock the caller holds. */
+void gs_exchange_response_release (gs_exchange_t *exchange);
+
 /** Post a run of the daemon to the loop, because a connection was resumed.
     Does nothing for a server with its own threads. */
 void gs_server_run_post (gs_server_t *server);
--- a/tests/test_process_gateway_endless.c
+++ b/tests/test_process_gateway_endless.c
@@ -1,7 +1,9 @@
 #include "check.h"
 #include "gateway_steps.h"
 
+#include <pthread.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* Guards against replicas whose answers have no end: bytes that are buffered
    until the node is out of memory, or scanned again and again so that other
@@ -112,7 +114,105 @@
     }
 }
 
+#define STREAMS 88
+#define READING_TIME (3 * GS_SEC)
+
+typedef struct
+{
+  raw_conn_t conn;
+  gs_time_t deadline;
+} reader_t;
+
+static void *
+read_stream (void *context)
+{
+  reader_t *reader = context;
+  char block[65536];
+
+  while (gs_clock_now () < reader->deadline
+         && recv (reader->conn.fd, block, sizeof block, 0) > 0)
+    ;
+  return NULL;
+}
+
+/* @return whether a stream of a sound replica was received whole within the
+   deadline of its request  */
+static bool
+good_stream_is_whole (unsigned number)
+{
+  gs_time_t start = gs_clock_now ();
+  char *id = g_strdup_printf ("stream-%u", number);
+  char *answer
+      = gw_request (&world, 0, "POST", "/a/stream/once/good", id, "", "x");
+  bool whole
+      = is_complete_stream (answer, 6) && gs_clock_now () - start < DEADLINE;
+
+  g_free (answer);
+  g_free (id);
+  return whole;
+}
+
+/* Opens streams without end, which their callers read as fast as they can or
+   not at all, and sends good requests meanwhile.  */
+static void
+check_streams (bool callers_read)
+{
+  reader_t readers[STREAMS];
+  pthread_t threads[STREAMS];
+  gs_time_t deadline = gs_clock_now () + READING_TIME;
+  gs_time_t slowest_good = 0;
+  unsigned streams = 0;
+  unsigned whole = 0;
+
+  start_gateway (WORLD_REPLICAS_MAX);
+  for (unsigned i = 0; i < STREAMS; i++)
+    {
+      char *id = g_strdup_printf ("endless-%u", i);
+
+      readers[i].deadline = deadline;
+      CU_ASSERT_TRUE_FATAL (gw_connect (&readers[i].conn, &world, 0));
+      gw_send (&readers[i].conn, "POST", "/a/stream/once/endless-events", id,
+               "", "x");
+      if (callers_read)
+        pthread_create (&threads[i], NULL, read_stream, &readers[i]);
+      g_free (id);
+    }
+  for (unsigned i = 0; gs_clock_now () < deadline; i++)
+    {
+      slowest_good = MAX (slowest_good, time_good_request (i));
+      whole += good_stream_is_whole (i);
+      streams++;
+    }
+  for (unsigned i = 0; i < STREAMS; i++)
+    {
+      shutdown (readers[i].conn.fd, SHUT_RDWR);
+      if (callers_read)
+        pthread_join (threads[i], NULL);
+      raw_close (&readers[i].conn);
+    }
+  printf ("\n  callers %s: others answered within %lld ms, %u of %u streams"
+          " whole in time, %u MiB ",
+          callers_read ? "read" : "do not read",
+          (long long)(slowest_good / GS_MSEC), whole, streams,
+          gw_peak_memory_mb (&world, 0));
+  CU_ASSERT (slowest_good <= ANSWER_TIMEOUT);
+  CU_ASSERT_EQUAL (whole, streams);
+  CU_ASSERT (gw_peak_memory_mb (&world, 0) < MEMORY_MB);
+  end_world ();
+}
+
+/* Guards against a node that keeps the events of all streams that are behind
+   until it is out of memory.  */
+static void
+events_without_end_cost_a_bounded_amount (void)
+{
+  check_streams (false);
+  check_streams (true);
+}
+
 static const check_case_t cases[] = {
+  { "events without end cost a bounded amount",
+    events_without_end_cost_a_bounded_amount },
   { "answers without end cost a bounded amount",
     answers_without_end_cost_a_bounded_amount },
 };
--- a/tests/test_response_memory.c
+++ b/tests/test_response_memory.c
@@ -1,5 +1,5 @@
 #include "check.h"
-#include "gateway/response_memory.h"
+#include "util/response_memory.h"
 
 /* Guards against a node that runs out of memory, or rejects small responses,
    because a few others do not end.  */
@@ -42,7 +42,22 @@
   CU_ASSERT_EQUAL (memory.used, LIMIT);
 }
 
+static void
+memory_is_full_when_responses_hold_the_limit (void)
+{
+  response_memory_t memory = { .limit = LIMIT };
+
+  response_memory_add (&memory, LIMIT - 1);
+  CU_ASSERT_FALSE (response_memory_is_full (&memory));
+  response_memory_add (&memory, BLOCK);
+  CU_ASSERT_TRUE (response_memory_is_full (&memory));
+  response_memory_return (&memory, BLOCK);
+  CU_ASSERT_FALSE (response_memory_is_full (&memory));
+}
+
 static const check_case_t cases[] = {
+  { "memory is full when responses hold the limit",
+    memory_is_full_when_responses_hold_the_limit },
   { "responses without end leave room for others",
     responses_without_end_leave_room_for_others },
   { "small responses are buffered when nothing is free",
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -584,6 +584,10 @@
     "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT
     "Content-Type: text/event-stream\r\n\r\ndata: ",
     "0123456789" },
+  { "endless-events",
+    "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT
+    "Content-Type: text/event-stream\r\n\r\n",
+    "engine: block table checksum mismatch, retrying\n\n" },
   { "endless-trailer",
     "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT
     "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
