streams: a request that waits for its origin makes its node ask the others

Cause: only the answer to a call of its own shows a node that it is in step, and each message of a peer puts off the call to that peer. With two nodes left one of them could be put off for as long as a request waits.

--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -200,6 +200,10 @@
     node does not exchange messages with the others */
 gs_time_t peers_in_step_at (const peers_t *peers, gs_time_t now);
 
+/** Call the other nodes at once, whose answers show whether this one is in
+    step; calls of theirs do not show it, and put off this node's own. */
+void peers_in_step_request (peers_t *peers, gs_time_t now);
+
 /** @return whether another node is live, by its name. */
 bool peers_name_is_live (const peers_t *peers, gs_time_t now,
                          const char *name);
--- a/src/fleet/peers_members.c
+++ b/src/fleet/peers_members.c
@@ -128,6 +128,13 @@
   return in_step_at;
 }
 
+void
+peers_in_step_request (peers_t *peers, gs_time_t now)
+{
+  if (peers->role == PEERS_ROLE_MESH)
+    peers_notify_all (peers, now);
+}
+
 void
 peers_members_hash (const peers_t *peers, gs_time_t now, GArray *out)
 {
--- a/src/gateway/store_records.c
+++ b/src/gateway/store_records.c
@@ -72,6 +72,7 @@
     {
       records->versions_read_due = now + VERSIONS_READ_INTERVAL;
       version_history_read_request (records->versions);
+      peers_in_step_request (records->peers, now);
     }
   quarantine_store_tick (records->quarantine, now, writes);
   version_history_tick (records->versions, now, wall_ms, writes);
