duties: a store without a record is new only at the first start

Cause: stores may count eras from 0 or from 1, so the second era is that of a new store or of one that was set back. A process that started in it and found no record took the store for a new one.

Change: a store in its second era without a record counts as new only if the settings say that the system starts for the first time.

--- a/include/garnetstack/server.h
+++ b/include/garnetstack/server.h
@@ -32,13 +32,13 @@
       thread. */
   gs_loop_t *loop;
   unsigned connections_max;
-  size_t connection_bytes;     /**< memory per connection, which also limits
-                                    the size of request line and headers */
-  size_t body_bytes_max;       /**< largest request body */
-  size_t bodies_bytes_max;     /**< limit on the sum of the request bodies of
-                                    all open exchanges */
-  size_t pending_bytes_max;    /**< an exchange is aborted when more unsent
-                                    response data than this is queued */
+  size_t connection_bytes;  /**< memory per connection, which also limits
+                                 the size of request line and headers */
+  size_t body_bytes_max;    /**< largest request body */
+  size_t bodies_bytes_max;  /**< limit on the sum of the request bodies of
+                                 all open exchanges */
+  size_t pending_bytes_max; /**< an exchange is aborted when more unsent
+                                 response data than this is queued */
   /** Accounts for the unsent data of all responses; NULL for none.  Only with
       loop.  A streamed response that the account rejects is aborted. */
   struct response_memory *response_memory;
--- a/src/gateway/duties.c
+++ b/src/gateway/duties.c
@@ -173,6 +173,16 @@
   duties->replicas = gs_replica_list_ref (list);
 }
 
+/* A store in its second era counts from 1 and is new, or from 0 and has come
+   back from an older copy, before which only an earlier process can have
+   written.
+   @return whether a store without a record has never had one  */
+static bool
+absent_is_new (const duties_t *duties, uint64_t era)
+{
+  return era <= ERA_FIRST_MAX && duties->options.deployment->first_start;
+}
+
 /* A store that came back from an older copy may have lost the lease and the
    record of usage.  Tokens of an era are higher than those of earlier ones,
    which the store may have lost as well.  */
@@ -199,7 +209,7 @@
       gs_log (GS_LOG_INFO, "lease_reset_assumed", "era=%llu",
               (unsigned long long)era);
       gs_lease_reset_assume (&duties->lease, now, era << ERA_TOKEN_SHIFT,
-                             era <= ERA_FIRST_MAX);
+                             absent_is_new (duties, era));
       duties->doubts_record = true;
     }
   else
@@ -432,7 +442,7 @@
   /* A holder that was killed may have sent windows of which the store has lost
      the record.  */
   if (duties->ledger.record_era != duties->era
-      && (object != NULL || duties->era > ERA_FIRST_MAX))
+      && (object != NULL || !absent_is_new (duties, duties->era)))
     usage_ledger_assume_sent (&duties->ledger, gs_clock_monotonic_wall ());
   duties->doubts_record = false;
 }
--- a/src/gateway/relay_admit.c
+++ b/src/gateway/relay_admit.c
@@ -4,7 +4,7 @@
 relay_service_choose (const relay_t *relay)
 {
   const GArray *splits = relay->route->splits;
-  const gs_route_split_t *split = NULL;
+  const gs_route_split_t *split = &g_array_index (splits, gs_route_split_t, 0);
   double sum = 0;
   double drawn;
 
--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -258,15 +258,17 @@
       "bind.ready=127.0.0.%u:%u\nbind.directory=127.0.0.%u:%u\n"
       "bind.control=127.0.0.%u:%u\n%splatform.address=127.0.0.1:%u\n"
       "provider.address=127.0.0.1:%u\nlimits.max_fds=3000\n"
-      "bounds.window_s=1\nbounds.usage_late_s=10\nbounds.lease_ms=%u\n"
+      "bounds.window_s=%u\nbounds.usage_late_s=10\nbounds.lease_ms=%u\n"
       "bounds.grace_s=8\nbounds.drain_ms=2000\nbounds.retry_slack=50\n"
-      "bootstrap=true\nunknown.key=1\n%s",
+      "bootstrap=%s\nunknown.key=1\n%s",
       gateway->name, gateway->data_centre != NULL ? gateway->data_centre : "a",
       host, gateway->caller_port.port, host, gateway->readiness_port.port,
       host, gateway->address_port.port, host, gateway->peer_port.port, seeds,
       raw_server_port (world->stores[index].server),
       raw_server_port (world->provider),
+      world->window_s != 0 ? world->window_s : 1,
       world->lease_ms != 0 ? world->lease_ms : 500,
+      world->started_before ? "false" : "true",
       world->settings != NULL ? world->settings : "");
 
   g_file_set_contents (gateway->settings_path, text, -1, NULL);
@@ -311,6 +313,8 @@
           = g_strdup_printf ("%s/%s.log", world->directory, gateway->name);
       settings_write (world, index);
     }
+  else if (world->started_before)
+    settings_write (world, index);
   gateway->pid = fork ();
   if (gateway->pid == 0)
     gateway_exec (gateway);
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -131,6 +131,8 @@
   unsigned store_calls;
   unsigned connections; /* to replicas, so far */
   unsigned lease_ms;    /* of nodes that start; 0 for 500 */
+  unsigned window_s;    /* of usage, for nodes that start; 0 for 1 */
+  bool started_before;  /* what the settings of nodes that start say */
   world_store_t stores[WORLD_GATEWAYS_MAX];
   raw_server_t *provider;
   world_replica_t replicas[WORLD_REPLICAS_MAX];
--- a/tests/test_process_gateway_store.c
+++ b/tests/test_process_gateway_store.c
@@ -2,6 +2,7 @@
 #include "gateway_steps.h"
 
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Guards against beliefs taken from the store that outlive it: it may come
@@ -168,6 +169,19 @@
   end_world ();
 }
 
+/* Kills both nodes and starts them again on a store that came back from its
+   copy.  */
+static void
+lose_power (bool started_before)
+{
+  for (unsigned i = 0; i < 2; i++)
+    gw_signal (&world, i, SIGKILL);
+  gw_store_set_back (&world);
+  world.started_before = started_before;
+  for (unsigned i = 0; i < 2; i++)
+    gw_start (&world, i, true);
+}
+
 /* All nodes lose power with what they had counted, and the store comes back
    without the record of windows that were sent.  Its header counts from 1 or
    from 0.  */
@@ -186,12 +200,58 @@
       gw_store_copy (&world);
       request_for (40, 2);
       CU_ASSERT (json_array_size (world.usage_reports) > 3);
-      for (unsigned i = 0; i < 2; i++)
-        gw_signal (&world, i, SIGKILL);
-      gw_store_set_back (&world);
+      lose_power (false);
+      request_for (60, 2);
+      CU_ASSERT_EQUAL (gw_duty_violations_count (&world), 0);
+      end_world ();
+    }
+}
+
+/* A node that starts reports the window before its start.  */
+#define LONG_WINDOW_SECONDS 5
+
+static bool
+is_window_with_requests_sent (void)
+{
+  bool sent = false;
+  json_t *report;
+  size_t i;
+
+  pthread_mutex_lock (&world.lock);
+  json_array_foreach (world.usage_reports, i, report)
+  {
+    char *text = json_dumps (report, JSON_COMPACT);
+
+    sent |= strstr (text, "\"" WORLD_ACCOUNT "\":") != NULL
+            && strstr (text, "\"" WORLD_ACCOUNT "\":0") == NULL;
+    free (text);
+  }
+  pthread_mutex_unlock (&world.lock);
+  return sent;
+}
+
+/* Guards against a process that takes the second era of a store, which names
+   the first one 0, for the first era of a new store.  */
+static void
+windows_sent_since_the_first_start_are_not_reported_anew (void)
+{
+  for (unsigned offset = 0; offset < 2; offset++)
+    {
+      start_world (1);
+      world.era_offset = offset;
+      world.era = 1;
+      world.window_s = LONG_WINDOW_SECONDS;
+      gw_configure (&world, 1, "/a/", WORLD_API_KEY);
+      gw_store_copy (&world);
       for (unsigned i = 0; i < 2; i++)
         gw_start (&world, i, true);
-      request_for (60, 2);
+      for (unsigned i = 0;
+           i < 30 * LONG_WINDOW_SECONDS && !is_window_with_requests_sent ();
+           i++)
+        request_for (1, 2);
+      CU_ASSERT_TRUE (is_window_with_requests_sent ());
+      lose_power (true);
+      request_for (20 * LONG_WINDOW_SECONDS, 2);
       CU_ASSERT_EQUAL (gw_duty_violations_count (&world), 0);
       end_world ();
     }
@@ -200,6 +260,8 @@
 static const check_case_t cases[] = {
   { "windows sent before all nodes were killed are not reported anew",
     windows_sent_before_all_nodes_were_killed_are_not_reported_anew },
+  { "windows sent since the first start are not reported anew",
+    windows_sent_since_the_first_start_are_not_reported_anew },
   { "a configuration never reverts when the store comes back older",
     a_configuration_never_reverts_when_the_store_comes_back_older },
   { "changes under revisions given out again are seen",
