--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -71,6 +71,7 @@
                                  is one */
   bool kept_connection;     /**< the request was sent on a connection that an
                                  earlier one had opened */
+  bool send_started;        /**< a connection was there to send it on */
 } gs_http_result_t;
 
 /** Receives a part of the response body.
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -404,6 +404,7 @@
   relay->call = NULL;
   relay_flow_end (relay);
   relay->kept_connection = result->kept_connection;
+  relay->send_started = result->send_started;
   if (result->status != GS_OK || !head->complete || relay->response_mismatched)
     handle_lost_attempt (relay, now, result);
   else if (relay->detoured && !head->is_signed && !is_success (head))
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -58,6 +58,7 @@
   bool paused;            /* receives nothing until the caller has caught up */
   bool detoured;          /* the attempt goes to another node */
   bool kept_connection;   /* the attempt went over one that was open before */
+  bool send_started;      /* the attempt had a connection to be sent on */
   size_t buffered;        /* bytes taken from the memory for responses */
   bool attempt_responded; /* the first event or the whole response is here */
   GString *body;
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -328,6 +328,7 @@
   char *content_type = NULL;
 
   result.kept_connection = gs_loop_http_is_kept (call);
+  result.send_started = call->send_started;
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
   curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &content_type);
   if (content_type != NULL)
@@ -651,11 +652,8 @@
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
   if (request->connect_only)
     curl_easy_setopt (easy, CURLOPT_CONNECT_ONLY, 1L);
-  if (request->no_resend)
-    {
-      curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_request_send);
-      curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
-    }
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_request_send);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   if (request->tcp_keepalive)
     curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, enable_keepalive);
   if (request->accepts_gzip)
