--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -4,10 +4,12 @@
 #include "garnetstack/loop.h"
 #include "garnetstack/server.h"
 
+#include <errno.h>
 #include <poll.h>
 #include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #define POSTERS 4
@@ -528,6 +530,142 @@
   CU_ASSERT (transfer.ended_at < start + DEAD_TIMEOUT);
 }
 
+#define SENDS_MAX 4
+#define SEND_WHOLE 0
+#define SEND_NO_ROOM (-1)
+#define SEND_RESET (-2)
+
+/* What the next calls of send() on this thread do: send everything, fail, or
+   send as many bytes as the number says.  */
+static __thread const int *send_plan;
+static __thread unsigned sends_left;
+
+/* Takes the place of the C library's function, in libcurl too.  */
+ssize_t
+send (int fd, const void *data, size_t length, int flags)
+{
+  int planned = SEND_WHOLE;
+
+  if (sends_left > 0)
+    {
+      planned = *send_plan++;
+      sends_left--;
+    }
+  if (planned < 0)
+    {
+      errno = planned == SEND_NO_ROOM ? EAGAIN : ECONNRESET;
+      return -1;
+    }
+  if (planned > 0)
+    length = MIN (length, (size_t)planned);
+  return syscall (SYS_sendto, fd, data, length, flags, NULL, 0);
+}
+
+typedef struct
+{
+  raw_server_t *server;
+  bool answers_first; /* the first request on a connection is answered */
+  bool resets;
+  bool refuses;  /* new connections, from the first lost request on */
+  unsigned lost; /* requests that arrived and were not answered */
+} losing_server_t;
+
+static void
+lose_requests (void *context, raw_conn_t *conn)
+{
+  losing_server_t *losing = context;
+  raw_message_t request;
+
+  if (losing->answers_first)
+    {
+      if (!raw_read_request (conn, &request))
+        return;
+      raw_message_clear (&request);
+      raw_printf (conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  if (!raw_read_head (conn, &request))
+    return;
+  losing->lost++;
+  if (losing->refuses)
+    raw_server_refuse (losing->server);
+  if (losing->resets)
+    raw_reset_on_close (conn);
+  raw_message_clear (&request);
+}
+
+static void
+fetch_with_plan (fetch_t *fetch, const losing_server_t *losing,
+                 size_t body_length, const int plan[SENDS_MAX])
+{
+  gs_http_request_t request = GS_HTTP_REQUEST_INIT;
+  char *url = g_strdup_printf ("http://127.0.0.1:%u/",
+                               raw_server_port (losing->server));
+  char *body = g_strnfill (body_length, 'x');
+
+  request.method = "POST";
+  request.url = url;
+  request.body = body;
+  request.body_length = body_length;
+  request.no_resend = true;
+  request.on_done = on_fetched;
+  request.context = fetch;
+  request.deadline = gs_clock_now () + 30 * GS_SEC;
+  gs_loop_http (NULL, fetch->loop, &request);
+  send_plan = plan;
+  sends_left = plan != NULL ? SENDS_MAX : 0;
+  gs_loop_run (fetch->loop);
+  sends_left = 0;
+  g_free (body);
+  g_free (url);
+}
+
+/* Guards against a request that has run and is taken for one that was not
+   sent, as its first bytes had to wait for room in the socket.  */
+static void
+a_request_that_a_server_received_is_never_called_unsent (void)
+{
+  static const size_t body_lengths[] = { 20, 60000, 200000 };
+  static const int plans[][SENDS_MAX]
+      = { { SEND_WHOLE },
+          { SEND_NO_ROOM },
+          { SEND_NO_ROOM, SEND_NO_ROOM },
+          { SEND_NO_ROOM, 10 },
+          { SEND_NO_ROOM, 10, SEND_RESET },
+          { SEND_NO_ROOM, 500, SEND_NO_ROOM, SEND_RESET },
+          { SEND_NO_ROOM, SEND_RESET },
+          { 10 },
+          { 10, SEND_NO_ROOM },
+          { 500, SEND_RESET },
+          { SEND_RESET } };
+  unsigned called_unsent = 0;
+  unsigned lost = 0;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (plans) * 3 * 8; i++)
+    {
+      losing_server_t losing = { .answers_first = (i & 1) != 0,
+                                 .resets = (i & 2) != 0,
+                                 .refuses = (i & 4) != 0 };
+      size_t body_length = body_lengths[i / 8 % 3];
+      fetch_t fetch = { .body = g_string_new (NULL) };
+
+      raw_server_create (&losing.server, lose_requests, &losing);
+      gs_loop_create (&fetch.loop);
+      if (losing.answers_first)
+        fetch_with_plan (&fetch, &losing, body_length, NULL);
+      fetch_with_plan (&fetch, &losing, body_length, plans[i / 24]);
+      gs_loop_destroy (fetch.loop);
+      raw_server_destroy (losing.server);
+      CU_ASSERT_NOT_EQUAL (fetch.status, GS_OK);
+      lost += losing.lost;
+      called_unsent += losing.lost > 0 && fetch.status == GS_EUNREACHABLE;
+      g_string_free (fetch.body, TRUE);
+    }
+  printf ("\n  %u of %u requests that arrived are called unsent ",
+          called_unsent, lost);
+  CU_ASSERT (lost > 0);
+  CU_ASSERT_EQUAL (called_unsent, 0);
+}
+
 int
 main (void)
 {
@@ -547,6 +685,8 @@
       request_status_tells_how_the_response_ended },
     { "a response that ends within its head is not received",
       a_response_that_ends_within_its_head_is_not_received },
+    { "a request that a server received is never called unsent",
+      a_request_that_a_server_received_is_never_called_unsent },
     { "a response that has begun may take longer",
       a_response_that_has_begun_may_take_longer },
   };
