loop: a request is called unsent only if it never had a connection

Cause: the loop took a request for unsent when libcurl reported that it had sent no bytes (CURLINFO_REQUEST_SIZE). libcurl counts only what the first write takes. If that finds no room in the socket (EAGAIN), all of the request goes out later and counts as nothing, so whenever its answer was then lost, the relay lowered its count of possible runs.

--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -58,9 +58,9 @@
 /** Result of an HTTP request. */
 typedef struct
 {
-  /** GS_OK when a complete response was received; GS_EUNREACHABLE when nothing
-      was sent; GS_ETIMEOUT or GS_EUNKNOWN when the request may have reached
-      the server. */
+  /** GS_OK when a complete response was received; GS_EUNREACHABLE when there
+      was no connection to send the request on; GS_ETIMEOUT or GS_EUNKNOWN when
+      it may have reached the server. */
   gs_status_t status;
   long http_status;
   const char *body; /**< NUL-terminated; empty if on_data was given */
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -288,16 +288,15 @@
 static gs_status_t
 transfer_status (gs_http_call_t *call, CURLcode code)
 {
-  long sent = 0;
-
   if (code == CURLE_OK && (call->connect_only || call->head_complete))
     return GS_OK;
   /* libcurl takes a connection that is closed within the head for the end of
      the response.  */
   if (code == CURLE_OK)
     return gs_error_set (GS_EUNKNOWN, "response ended within its head");
-  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent);
-  if (sent == 0)
+  /* CURLINFO_REQUEST_SIZE leaves out what follows a first write that found no
+     room in the socket.  */
+  if (!call->send_started)
     return gs_error_set (GS_EUNREACHABLE, "%s", curl_easy_strerror (code));
   if (code == CURLE_OPERATION_TIMEDOUT)
     return gs_error_set (GS_ETIMEOUT, "%s", curl_easy_strerror (code));
