--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -178,6 +178,9 @@
   world->usage_reports = json_array ();
   world->orders = json_array ();
   world->arrivals = g_ptr_array_new_with_free_func (arrival_free);
+  world->arrivals_of = g_hash_table_new_full (
+      g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+  world->path_gateways = WORLD_PATHS_DEFAULT;
   world->crashes = g_array_new (FALSE, FALSE, sizeof (gs_time_t));
   world->directory = g_dir_make_tmp ("gateway-XXXXXX", NULL);
   for (unsigned i = 0; i < WORLD_GATEWAYS_MAX; i++)
@@ -205,7 +208,7 @@
 void
 gw_paths_create (gateway_world_t *world)
 {
-  for (unsigned i = 0; i < WORLD_GATEWAYS_MAX; i++)
+  for (unsigned i = 0; i < world->path_gateways; i++)
     for (unsigned j = 0; j < world->replica_count; j++)
       raw_proxy_create (&world->paths[i][j], world->replicas[j].port);
 }
@@ -277,7 +280,7 @@
 }
 
 static void
-gateway_exec (const world_gateway_t *gateway)
+gateway_exec (const world_gateway_t *gateway, const char *preload)
 {
   const char *binary = getenv ("GS_BINARY");
   char metrics[8];
@@ -288,6 +291,8 @@
   int log = open (gateway->log_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
   prctl (PR_SET_PDEATHSIG, SIGKILL);
+  if (preload != NULL)
+    setenv ("LD_PRELOAD", preload, true);
   dup2 (log, STDOUT_FILENO);
   dup2 (log, STDERR_FILENO);
   execl (binary, binary, "gateway", "--config", gateway->settings_path,
@@ -317,7 +322,7 @@
     settings_write (world, index);
   gateway->pid = fork ();
   if (gateway->pid == 0)
-    gateway_exec (gateway);
+    gateway_exec (gateway, world->preload);
   while (ready && !gw_is_ready (world, index))
     {
       if (gs_clock_now () > deadline)
@@ -522,15 +527,13 @@
 unsigned
 gw_arrivals_count (gateway_world_t *world, const char *id)
 {
+  const GPtrArray *arrivals;
   unsigned count = 0;
 
   pthread_mutex_lock (&world->lock);
-  for (guint i = 0; i < world->arrivals->len; i++)
-    {
-      const arrival_t *arrival = world->arrivals->pdata[i];
-
-      count += !arrival->refused && strcmp (arrival->id, id) == 0;
-    }
+  arrivals = world_arrivals_locked (world, id);
+  for (guint i = 0; arrivals != NULL && i < arrivals->len; i++)
+    count += !((const arrival_t *)arrivals->pdata[i])->refused;
   pthread_mutex_unlock (&world->lock);
   return count;
 }
@@ -592,6 +595,7 @@
   json_decref (world->history);
   json_decref (world->usage_reports);
   json_decref (world->orders);
+  g_hash_table_unref (world->arrivals_of);
   g_ptr_array_unref (world->arrivals);
   g_array_unref (world->crashes);
   g_free (world->directory);
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -15,7 +15,9 @@
 #include <pthread.h>
 #include <sys/types.h>
 
-#define WORLD_GATEWAYS_MAX 6
+#define WORLD_GATEWAYS_MAX 32
+/* Gateways that have paths of their own, unless more are set.  */
+#define WORLD_PATHS_DEFAULT 6
 #define WORLD_REPLICAS_MAX 8
 #define WORLD_REPLICAS_DEFAULT 4
 #define WORLD_SLOTS 8 /* of each replica */
@@ -80,6 +82,7 @@
   unsigned starts;         /* processes of this replica so far */
   gs_time_t crashed_at;    /* 0 while it runs */
   unsigned running;        /* requests at present */
+  unsigned open;           /* connections at present */
   gs_time_t rejections[WORLD_BRITTLE_MAX + 1]; /* the last ones, in a ring */
   unsigned rejection_count;
 } world_replica_t;
@@ -92,6 +95,17 @@
   unsigned gateway;
 } world_store_t;
 
+/** How replicas treat requests of the behaviour "desk"; 0 for never. */
+typedef struct
+{
+  unsigned lost_percent;    /* requests that run and are not answered */
+  unsigned again_percent;   /* answers and rejections that are written twice */
+  unsigned work_ms_max;     /* run time */
+  unsigned slots;           /* of a replica; others are rejected */
+  unsigned connections_max; /* to a replica; others are reset */
+  unsigned slow_percent;    /* answers that arrive in parts over a second */
+} world_desk_t;
+
 typedef struct
 {
   pid_t pid;
@@ -125,8 +139,10 @@
   GHashTable *copy;    /* of objects, by gw_store_copy(); NULL for none */
   unsigned era_offset; /* the header names the era less this */
   uint64_t copy_revision;
-  json_t *history;       /* watch events with revision and kind */
-  GPtrArray *arrivals;   /* of arrival_t */
+  json_t *history;         /* watch events with revision and kind */
+  GPtrArray *arrivals;     /* of arrival_t */
+  GHashTable *arrivals_of; /* id -> GPtrArray of arrival_t */
+  world_desk_t desk;
   json_t *usage_reports; /* usage reports that the provider received */
   json_t *orders;        /* orders that the provider received */
   unsigned store_calls;
@@ -141,6 +157,8 @@
   /* Between a gateway and a replica; NULL unless gw_paths_create() was called.
    */
   raw_proxy_t *paths[WORLD_GATEWAYS_MAX][WORLD_REPLICAS_MAX];
+  unsigned path_gateways;  /* that gw_paths_create() is for */
+  const char *preload;     /* library that gateways load first, or NULL */
   bool brittle;            /* see gw_brittle_set() */
   unsigned rejections_max; /* see gw_brittle_bounds_set() */
   unsigned room;
--- a/tests/gateway_world_private.h
+++ b/tests/gateway_world_private.h
@@ -25,4 +25,13 @@
 /** Serve a connection to a replica; @p context is a world_replica_t. */
 void world_serve_replica (void *context, raw_conn_t *conn);
 
+/** @return arrivals of an attempt, borrowed, while the caller holds the
+    world's lock; NULL if there are none */
+const GPtrArray *world_arrivals_locked (const gateway_world_t *world,
+                                        const char *id);
+
+/** Treat a request of the behaviour "desk" as world_desk_t says.
+    @return false to close the connection */
+bool world_desk_respond (raw_conn_t *conn, arrival_t *arrival);
+
 #endif
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -7,6 +7,26 @@
 #define EVENT_COUNT 6
 #define EVENT_INTERVAL_USEC 60000
 
+const GPtrArray *
+world_arrivals_locked (const gateway_world_t *world, const char *id)
+{
+  return g_hash_table_lookup (world->arrivals_of, id);
+}
+
+static void
+arrival_add_locked (gateway_world_t *world, arrival_t *arrival)
+{
+  GPtrArray *arrivals = g_hash_table_lookup (world->arrivals_of, arrival->id);
+
+  if (arrivals == NULL)
+    {
+      arrivals = g_ptr_array_new ();
+      g_hash_table_insert (world->arrivals_of, arrival->id, arrivals);
+    }
+  g_ptr_array_add (arrivals, arrival);
+  g_ptr_array_add (world->arrivals, arrival);
+}
+
 static arrival_t *
 arrival_record (world_replica_t *replica, const raw_message_t *request,
                 bool on_kept_connection, unsigned *earlier)
@@ -14,8 +34,8 @@
   gateway_world_t *world = replica->world;
   arrival_t *arrival = g_new0 (arrival_t, 1);
   char *id = raw_message_header (request, "X-Attempt-Id");
+  const GPtrArray *same;
 
-  *earlier = 0;
   g_strlcpy (arrival->id, id != NULL ? id : "", sizeof arrival->id);
   arrival->head = g_strdup (request->head);
   arrival->first_line = g_strdup (request->first_line);
@@ -27,11 +47,9 @@
   arrival->arrived_at = gs_clock_now ();
   pthread_mutex_lock (&world->lock);
   arrival->version = replica->version;
-  for (guint i = 0; i < world->arrivals->len; i++)
-    *earlier
-        += strcmp (((arrival_t *)world->arrivals->pdata[i])->id, arrival->id)
-           == 0;
-  g_ptr_array_add (world->arrivals, arrival);
+  same = world_arrivals_locked (world, arrival->id);
+  *earlier = same != NULL ? same->len : 0;
+  arrival_add_locked (world, arrival);
   pthread_mutex_unlock (&world->lock);
   g_free (id);
   return arrival;
@@ -738,17 +756,18 @@
 has_rejected (const arrival_t *arrival, unsigned connection)
 {
   gateway_world_t *world = arrival->replica_state->world;
+  const GPtrArray *same;
   bool found = false;
 
   pthread_mutex_lock (&world->lock);
-  for (guint i = 0; i < world->arrivals->len; i++)
+  same = world_arrivals_locked (world, arrival->id);
+  for (guint i = 0; i < same->len; i++)
     {
-      const arrival_t *other = world->arrivals->pdata[i];
+      const arrival_t *other = same->pdata[i];
 
       found |= other != arrival && other->refused
                && other->replica == arrival->replica
-               && (connection == 0 || other->connection == connection)
-               && strcmp (other->id, arrival->id) == 0;
+               && (connection == 0 || other->connection == connection);
     }
   pthread_mutex_unlock (&world->lock);
   return found;
@@ -806,7 +825,9 @@
   char *behaviour = behaviour_of (arrival, earlier);
   bool keep_open = true;
 
-  if (apply_faults (arrival->replica_state))
+  if (strcmp (behaviour, "desk") == 0)
+    keep_open = world_desk_respond (conn, arrival);
+  else if (apply_faults (arrival->replica_state))
     send_plain (conn, arrival, 500);
   else if (send_refusal (conn, arrival)
            || send_rejection_again (conn, arrival, behaviour)
@@ -947,17 +968,25 @@
 {
   world_replica_t *replica = context;
   raw_message_t request;
-  bool keep_open = true;
+  bool keep_open;
   unsigned served = 0;
   unsigned connection;
 
   pthread_mutex_lock (&replica->world->lock);
   connection = ++replica->world->connections;
+  keep_open = replica->world->desk.connections_max == 0
+              || replica->open < replica->world->desk.connections_max;
+  replica->open++;
   pthread_mutex_unlock (&replica->world->lock);
+  if (!keep_open)
+    raw_reset_on_close (conn);
   while (keep_open && raw_read_head (conn, &request))
     {
       keep_open
           = serve_request (replica, conn, connection, &request, served++ > 0);
       raw_message_clear (&request);
     }
+  pthread_mutex_lock (&replica->world->lock);
+  replica->open--;
+  pthread_mutex_unlock (&replica->world->lock);
 }
