send history: a request is sent once on each connection, whichever node passes it on

Cause: keeps a request that goes to a process again from a connection that has carried it, but remembered the sends in the relay. A node that is cut from replicas can pass a request to the same node twice; there it is a second relay, and an earlier rejection that its replica writes once more on a kept connection bears its id.

--- a/src/gateway/relay_dispatch.c
+++ b/src/gateway/relay_dispatch.c
@@ -109,23 +109,6 @@
   g_strfreev (headers);
 }
 
-/* Records the process that the request is sent to.  If it was sent there
-   before, what the replica has answered then bears the same id, and could be
-   taken for the answer to this send on the same connection.
-   @return whether it was sent there before  */
-static bool
-record_process (relay_t *relay)
-{
-  unsigned count = MIN (relay->attempts, RELAY_SENDS_MAX);
-  bool found = false;
-
-  for (unsigned i = 0; i < count; i++)
-    found |= relay->sent_to[i] == relay->process;
-  if (count < RELAY_SENDS_MAX)
-    relay->sent_to[count] = relay->process;
-  return found;
-}
-
 static void
 send_request (relay_t *relay, gs_time_t now, const placer_query_t *query)
 {
@@ -153,7 +136,9 @@
   g_strlcpy (relay->replica_version, replica->version,
              sizeof relay->replica_version);
   relay->process = placer_process_hash (replica);
-  request.unused_connection = record_process (relay);
+  request.unused_connection
+      = send_history_add (relay->traffic->sends, now, relay->request.id,
+                          relay->process, relay->deadline);
   relay_crossing_begin (relay, replica);
   relay_origin_record (relay, now);
   relay->detoured = false;
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -81,7 +81,6 @@
   char replica_id[GS_NAME_BYTES];
   char replica_version[GS_NAME_BYTES]; /* of its software */
   uint64_t process;                    /* of the replica */
-  uint64_t sent_to[RELAY_SENDS_MAX];   /* processes, 0 for another node */
   char replica_data_centre[GS_NAME_BYTES];
   bool crossing_drawn; /* whether the request belongs to the share that
                           crosses has been drawn */
--- a/tests/test_process_gateway_rejections.c
+++ b/tests/test_process_gateway_rejections.c
@@ -100,11 +100,52 @@
   end_world ();
 }
 
+/* Guards against an earlier rejection that is taken for the answer to the same
+   request, which another node has passed on a second time.  */
+static void
+a_request_that_is_passed_on_again_runs_once (void)
+{
+  unsigned answered = 0;
+
+  start_gateway (1);
+  world.desk = (world_desk_t){ .work_ms_max = 1 };
+  for (unsigned i = 0; i < REQUESTS; i++)
+    {
+      char *id = g_strdup_printf ("passed-%u", i);
+      char *first = g_strdup_printf ("first-%u", i);
+      char *answer;
+
+      g_free (gw_request (&world, 0, "POST", "/a/never/desk", first, "", "x"));
+      gw_replica_refuse (&world, 0, "0.1");
+      answer = gw_request (&world, 0, "POST", "/a/never/again-own", id,
+                           "Garnetstack-From-Node: 1\r\n", "x");
+      CU_ASSERT_EQUAL (status_of (answer), 503);
+      CU_ASSERT_EQUAL (gw_arrivals_count (&world, id), 0);
+      g_free (answer);
+      gw_replica_refuse (&world, 0, NULL);
+      g_usleep (300000);
+      answer = gw_request (&world, 0, "POST", "/a/never/again-own", id,
+                           "Garnetstack-From-Node: 1\r\n", "x");
+      answered += status_of (answer) == 200;
+      CU_ASSERT (gw_arrivals_count (&world, id) <= 1);
+      CU_ASSERT (status_of (answer) != 503
+                 || gw_arrivals_count (&world, id) == 0);
+      g_free (answer);
+      g_free (first);
+      g_free (id);
+    }
+  printf ("\n  %u of %u answered ", answered, REQUESTS);
+  CU_ASSERT_EQUAL (answered, REQUESTS);
+  end_world ();
+}
+
 static const check_case_t cases[] = {
   { "a rejection that is written again is not the answer to a later request",
     a_rejection_that_is_written_again_is_not_the_answer_to_a_later_request },
   { "a request that is sent to a replica again is answered",
     a_request_that_is_sent_to_a_replica_again_is_answered },
+  { "a request that is passed on again runs once",
+    a_request_that_is_passed_on_again_runs_once },
 };
 
 int
