relay: only what a node states is a promise of a request that was passed on

A node now states in its answer to another node which request has not run (Garnetstack-Not-Run with the request's id), and without that a request that was passed on may have run. The header of another answer is not forwarded.

Evidence: process_gateway_cut/"an answer that no node has written is no promise" failed before for all five answers (503, 429, 404, signed 421 and 503); 502 now. While a fleet is upgraded, a request that an old node rejects ends with 502 at a new one, as does one that a node rejects before it has read its headers.

--- a/include/garnetstack/header_codec.h
+++ b/include/garnetstack/header_codec.h
@@ -68,12 +68,14 @@
 /** Status line and headers of a replica's response. */
 typedef struct
 {
-  unsigned status;        /**< HTTP status */
-  bool complete;          /**< the empty line after the headers was read */
-  bool not_run;           /**< the replica states that it did not run the
-                               request */
-  bool is_signed;         /**< a signature header is present; it is not
-                               verified */
+  unsigned status; /**< HTTP status */
+  bool complete;   /**< the empty line after the headers was read */
+  bool not_run;    /**< the replica states that it did not run the
+                        request */
+  char not_run_id[GS_NAME_BYTES]; /**< id of the request that a node states
+                                       it has not run; "" if none */
+  bool is_signed;                 /**< a signature header is present; it is not
+                                       verified */
   bool framed;            /**< the body has a length or is chunked; otherwise
                                it ends with the connection */
   bool encoded;           /**< the body has a content encoding, such as gzip */
@@ -103,6 +105,9 @@
 /** Callbacks of the adapter that knows the names of the headers. */
 typedef struct
 {
+  /** Header in which a node tells another one the id of a request that has not
+      run. */
+  const char *not_run_name;
   /** Read the headers of a caller's request. */
   void (*read_request) (gs_request_headers_t *out,
                         const gs_exchange_t *exchange);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -54,7 +54,7 @@
   char *text = g_strdup_printf (
       "{\"error\":{\"type\":\"%s\",\"outcome\":\"%s\"}}", reason,
       not_run || status < 500 ? "not_run" : "unknown");
-  const char *headers[5] = { NULL };
+  const char *headers[7] = { NULL };
   unsigned count = 0;
 
   if (retry_after > 0)
@@ -70,6 +70,11 @@
       headers[count++] = "Connection";
       headers[count++] = "close";
     }
+  if (relay->request.from_node && relay->possible_runs == 0)
+    {
+      headers[count++] = relay->traffic->options.header_codec->not_run_name;
+      headers[count++] = relay->request.id;
+    }
   relay_log_end (relay, now,
                  not_run        ? "refused"
                  : status < 500 ? "denied"
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -290,15 +290,19 @@
   return is_stream (relay) && relay->events.partial->len > 0;
 }
 
-/* These statuses tell a caller that its request has not run.  If the replica
-   does not state that, it may have run the request.
+/* @return whether a status tells a caller that its request has not run  */
+static bool
+is_promise (unsigned status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/* If the replica does not state that it has not run the request, it may have.
    @return whether forwarding the response would promise too much  */
 static bool
 is_unstated_refusal (const gs_response_head_t *head)
 {
-  return !head->not_run
-         && (head->status == 408 || head->status == 421 || head->status == 429
-             || head->status == 503);
+  return !head->not_run && is_promise (head->status);
 }
 
 /* Handles an attempt without a response to forward.  Unless its replica could
@@ -369,12 +373,13 @@
 }
 
 /* Ends or resends a request that another node has ended with an answer of its
-   own, whose statuses promise as much as those of this node.  */
+   own.  What answers at the address of a node may be another process, so its
+   status is no proof that the request has not run.  */
 static void
 handle_node_answer (relay_t *relay, gs_time_t now)
 {
   unsigned status = relay->head.status;
-  bool not_run = status < 500 || status == 503;
+  bool not_run = strcmp (relay->head.not_run_id, relay->request.id) == 0;
   bool may_try_again
       = status >= 500 && relay->head.retry_after == 0
         && relay->detours < relay->traffic->options.deployment->detours_max;
@@ -407,7 +412,8 @@
   relay->send_started = result->send_started;
   if (result->status != GS_OK || !head->complete || relay->response_mismatched)
     handle_lost_attempt (relay, now, result);
-  else if (relay->detoured && !head->is_signed && !is_success (head))
+  else if (relay->detoured && !is_success (head)
+           && (!head->is_signed || is_promise (head->status)))
     handle_node_answer (relay, now);
   else if (head->not_run)
     handle_not_run (relay, now);
--- a/tests/raw_http.c
+++ b/tests/raw_http.c
@@ -20,6 +20,7 @@
 struct raw_server
 {
   int fd;
+  uint32_t address; /* in host byte order */
   uint16_t port;
   raw_handler_t handler;
   void *context;
@@ -280,7 +281,7 @@
   int on = 1;
 
   server->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_addr.s_addr = htonl (server->address);
   /* Connections from before a crash may still use the port.  */
   setsockopt (server->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (bind (server->fd, (struct sockaddr *)&address, sizeof address) != 0
@@ -296,6 +297,13 @@
 
 void
 raw_server_create (raw_server_t **out, raw_handler_t handler, void *context)
+{
+  raw_server_create_at (out, INADDR_LOOPBACK, 0, handler, context);
+}
+
+void
+raw_server_create_at (raw_server_t **out, uint32_t address, uint16_t port,
+                      raw_handler_t handler, void *context)
 {
   raw_server_t *server = g_new0 (raw_server_t, 1);
 
@@ -305,7 +313,8 @@
   pthread_mutex_init (&server->lock, NULL);
   pthread_cond_init (&server->conn_ended, NULL);
   pthread_cond_init (&server->unhung, NULL);
-  server_listen (server, 0);
+  server->address = address;
+  server_listen (server, port);
   *out = server;
 }
 
@@ -365,7 +374,7 @@
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_port = htons (server->port) };
 
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_addr.s_addr = htonl (server->address);
   listen (server->fd, 0);
   for (unsigned i = 0; i < FILLERS_COUNT; i++)
     {
--- a/tests/raw_http.h
+++ b/tests/raw_http.h
@@ -70,6 +70,12 @@
     @param handler runs in a thread of its own for each connection */
 void raw_server_create (raw_server_t **out, raw_handler_t handler,
                         void *context);
+
+/** Listen as raw_server_create() does, on a port of an address.
+    @param address in host byte order
+    @param port 0 for a free one */
+void raw_server_create_at (raw_server_t **out, uint32_t address, uint16_t port,
+                           raw_handler_t handler, void *context);
 uint16_t raw_server_port (const raw_server_t *server);
 
 /** End as a process that crashes: close the listener and reset all
--- a/tests/test_process_gateway_cut.c
+++ b/tests/test_process_gateway_cut.c
@@ -1,6 +1,8 @@
 #include "check.h"
 #include "gateway_steps.h"
 
+#include <netinet/in.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
@@ -324,6 +326,54 @@
   end_world ();
 }
 
+/* Answers any request with a head, as a process that a node's address has been
+   given to.  */
+static void
+answer_with_head (void *context, raw_conn_t *conn)
+{
+  const char *const *head = context;
+  raw_message_t request;
+
+  if (!raw_read_request (conn, &request))
+    return;
+  raw_message_clear (&request);
+  raw_printf (conn,
+              "HTTP/1.1 %s\r\nRetry-After: 0.1\r\nContent-Length: 0\r\n\r\n",
+              *head);
+}
+
+/* Guards against a caller that is told that its request has not run, on the
+   word of a process that is no node.  */
+static void
+an_answer_that_no_node_has_written_is_no_promise (void)
+{
+  static const char *const heads[]
+      = { "503 X", "429 X", "404 X",
+          "421 X\r\nX-Not-Executed: 1\r\nX-Response-Seal: s",
+          "503 X\r\nX-Not-Executed: 1\r\nX-Response-Seal: s\r\n"
+          "X-Attempt-Id: no-node" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      const char *head = heads[i];
+      raw_server_t *server;
+      char *answer;
+
+      start_gateways (2);
+      cut_second_gateway ();
+      gw_signal (&world, 0, SIGKILL);
+      raw_server_create_at (&server, INADDR_LOOPBACK + 1,
+                            world.gateways[0].caller_port.port,
+                            answer_with_head, &head);
+      answer = gw_request (&world, 1, "POST", "/a/never/good", "no-node", "",
+                           "x");
+      CU_ASSERT_EQUAL (status_of (answer), 502);
+      g_free (answer);
+      raw_server_destroy (server);
+      end_world ();
+    }
+}
+
 /* Replicas that are silent for a second and go on are no cut.  */
 static void
 replicas_that_are_silent_for_a_second_lose_no_request (void)
@@ -395,6 +445,8 @@
     a_node_whose_connections_to_replicas_hang_serves_its_callers },
   { "a node whose replicas are silent serves its callers",
     a_node_whose_replicas_are_silent_serves_its_callers },
+  { "an answer that no node has written is no promise",
+    an_answer_that_no_node_has_written_is_no_promise },
   { "a number of detours out of range is rejected",
     a_number_of_detours_out_of_range_is_rejected },
   { "a request that is passed on arrives unchanged",
