--- a/tests/test_process_gateway_brittle.c
+++ b/tests/test_process_gateway_brittle.c
@@ -8,7 +8,7 @@
    requests than they bear, while callers ask for more than fits and nodes or
    replicas come and go.  */
 
-#define GATEWAYS WORLD_GATEWAYS_MAX
+#define GATEWAYS WORLD_GATEWAYS_DEFAULT
 #define PLAY_TIME (12 * GS_SEC)
 #define REQUESTS_MAX 3200
 /* A stream takes about 360 ms, so eight replicas run 177 streams a second with
--- a/tests/test_process_gateway_repeats.c
+++ b/tests/test_process_gateway_repeats.c
@@ -7,7 +7,7 @@
 /* Guards against requests that nodes together send to replicas again more
    often than is allowed, while nodes are killed and start.  */
 
-#define GATEWAYS WORLD_GATEWAYS_MAX
+#define GATEWAYS WORLD_GATEWAYS_DEFAULT
 #define REPLICAS 6
 #define PLAY_TIME (13 * GS_SEC)
 #define WINDOW (4 * GS_SEC)
