tests: replicas of the promises play are a module that the world calls back

Faults of one replica no longer overlap: a crash during a change of version left the play waiting for ever.

--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -95,16 +95,10 @@
   unsigned gateway;
 } world_store_t;
 
-/** How replicas treat requests of the behaviour "desk"; 0 for never. */
-typedef struct
-{
-  unsigned lost_percent;    /* requests that run and are not answered */
-  unsigned again_percent;   /* answers and rejections that are written twice */
-  unsigned work_ms_max;     /* run time */
-  unsigned slots;           /* of a replica; others are rejected */
-  unsigned connections_max; /* to a replica; others are reset */
-  unsigned slow_percent;    /* answers that arrive in parts over a second */
-} world_desk_t;
+/** Treats a request of the behaviour "desk".
+    @return false to close the connection */
+typedef bool (*world_respond_cb_t) (void *context, raw_conn_t *conn,
+                                    arrival_t *arrival);
 
 typedef struct
 {
@@ -139,10 +133,12 @@
   GHashTable *copy;    /* of objects, by gw_store_copy(); NULL for none */
   unsigned era_offset; /* the header names the era less this */
   uint64_t copy_revision;
-  json_t *history;         /* watch events with revision and kind */
-  GPtrArray *arrivals;     /* of arrival_t */
-  GHashTable *arrivals_of; /* id -> GPtrArray of arrival_t */
-  world_desk_t desk;
+  json_t *history;            /* watch events with revision and kind */
+  GPtrArray *arrivals;        /* of arrival_t */
+  GHashTable *arrivals_of;    /* id -> GPtrArray of arrival_t */
+  unsigned connections_max;   /* to a replica, others are reset; 0 for any */
+  world_respond_cb_t respond; /* see world_desk.h; NULL for none */
+  void *respond_context;
   json_t *usage_reports; /* usage reports that the provider received */
   json_t *orders;        /* orders that the provider received */
   unsigned store_calls;
--- a/tests/gateway_world_private.h
+++ b/tests/gateway_world_private.h
@@ -30,8 +30,4 @@
 const GPtrArray *world_arrivals_locked (const gateway_world_t *world,
                                         const char *id);
 
-/** Treat a request of the behaviour "desk" as world_desk_t says.
-    @return false to close the connection */
-bool world_desk_respond (raw_conn_t *conn, arrival_t *arrival);
-
 #endif
--- a/tests/test_process_gateway_promises.c
+++ b/tests/test_process_gateway_promises.c
@@ -1,6 +1,7 @@
 #include "check.h"
 #include "garnetstack/rng.h"
 #include "gateway_steps.h"
+#include "world_desk.h"
 
 #include <signal.h>
 #include <stdatomic.h>
@@ -135,6 +136,8 @@
   pthread_mutex_t lock;
   GPtrArray *sent; /* of sent_t */
   unsigned faults;
+  world_desk_t desk;
+  world_desk_t calm_desk; /* after the faults */
 } play_t;
 
 typedef struct
@@ -327,20 +330,33 @@
     }
 }
 
-/* Faults of processes must not overlap at one node, nor others of one kind at
-   one target: the end of one would undo the other.  */
+typedef enum
+{
+  OF_PROCESS,
+  OF_NODE,
+  OF_REPLICA
+} fault_object_t;
+
+static fault_object_t
+fault_object (fault_kind_t kind)
+{
+  return kind <= FAULT_HUP                          ? OF_PROCESS
+         : kind == FAULT_CUT || kind == FAULT_STORE ? OF_NODE
+                                                    : OF_REPLICA;
+}
+
+/* Faults of one object must not overlap: the end of one would undo the other.
+ */
 static bool
 has_conflict (const fault_t *faults, unsigned count, const fault_t *planned)
 {
+  fault_object_t object = fault_object (planned->kind);
+  unsigned modulus = object == OF_REPLICA ? REPLICAS : WORLD_GATEWAYS_MAX;
   bool found = false;
 
   for (unsigned i = 0; i < count; i++)
-    if (faults[i].ends_at != 0)
-      found |= faults[i].kind <= FAULT_HUP && planned->kind <= FAULT_HUP
-                   ? faults[i].target == planned->target
-                   : faults[i].kind == planned->kind
-                         && faults[i].target % REPLICAS
-                                == planned->target % REPLICAS;
+    found |= faults[i].ends_at != 0 && fault_object (faults[i].kind) == object
+             && faults[i].target % modulus == planned->target % modulus;
   return found;
 }
 
@@ -439,15 +455,16 @@
   start_world (REPLICAS);
   world.path_gateways = play->gateways;
   world.preload = play->seed % 2 == 0 ? getenv ("GS_SEND_WITHOUT_ROOM") : NULL;
-  world.desk = (world_desk_t){
-    .lost_percent = 5 + (unsigned)gs_rng_below (&rng, 25),
-    .again_percent = (unsigned)gs_rng_below (&rng, 30),
-    .work_ms_max = 20 + (unsigned)gs_rng_below (&rng, 60),
-    .slots = 1 + (unsigned)gs_rng_below (&rng, WORLD_SLOTS),
-    .connections_max
-    = 2 * play->gateways + (unsigned)gs_rng_below (&rng, 6 * play->gateways),
-    .slow_percent = (unsigned)gs_rng_below (&rng, 4)
-  };
+  play->desk
+      = (world_desk_t){ .lost_percent = 5 + (unsigned)gs_rng_below (&rng, 25),
+                        .again_percent = (unsigned)gs_rng_below (&rng, 30),
+                        .work_ms_max = 20 + (unsigned)gs_rng_below (&rng, 60),
+                        .slots
+                        = 1 + (unsigned)gs_rng_below (&rng, WORLD_SLOTS),
+                        .slow_percent = (unsigned)gs_rng_below (&rng, 4) };
+  world_desk_set (&world, &play->desk);
+  world.connections_max
+      = 2 * play->gateways + (unsigned)gs_rng_below (&rng, 6 * play->gateways);
   gw_paths_create (&world);
   gw_configure (&world, 1, "/a/", WORLD_API_KEY);
   for (unsigned i = 0; i < play->gateways; i++)
@@ -462,7 +479,9 @@
 static void
 seed_play (uint64_t seed, unsigned gateways, unsigned seconds)
 {
-  play_t play = { .seed = seed, .gateways = gateways };
+  play_t play = { .seed = seed,
+                  .gateways = gateways,
+                  .calm_desk = { .work_ms_max = CALM_WORK_MSEC } };
   unsigned callers_count = gateways * CALLERS_PER_GATEWAY;
   pthread_t *threads = g_new0 (pthread_t, callers_count);
   caller_t *callers = g_new0 (caller_t, callers_count);
@@ -472,7 +491,8 @@
 
   play_start (&play, threads, callers);
   faults_run (&play, gs_clock_now () + (gs_time_t)seconds * GS_SEC);
-  world.desk = (world_desk_t){ .work_ms_max = CALM_WORK_MSEC };
+  world_desk_set (&world, &play.calm_desk);
+  world.connections_max = 0;
   g_usleep (CALM_DELAY_USEC);
   pthread_mutex_lock (&play.lock);
   calm_from = play.sent->len;
--- a/tests/test_process_gateway_rejections.c
+++ b/tests/test_process_gateway_rejections.c
@@ -1,5 +1,6 @@
 #include "check.h"
 #include "gateway_steps.h"
+#include "world_desk.h"
 
 #include <string.h>
 
@@ -105,10 +106,11 @@
 static void
 a_request_that_is_passed_on_again_runs_once (void)
 {
+  const world_desk_t desk = { .work_ms_max = 1 };
   unsigned answered = 0;
 
   start_gateway (1);
-  world.desk = (world_desk_t){ .work_ms_max = 1 };
+  world_desk_set (&world, &desk);
   for (unsigned i = 0; i < REQUESTS; i++)
     {
       char *id = g_strdup_printf ("passed-%u", i);
--- a/tests/world_desk.c
+++ b/tests/world_desk.c
@@ -1,4 +1,4 @@
-#include "gateway_world_private.h"
+#include "world_desk.h"
 
 #include <string.h>
 
@@ -6,6 +6,7 @@
 #define LATE_USEC_MAX 30000
 #define SLOW_PARTS 4
 #define SLOW_INTERVAL_USEC 300000
+#define SILENCE_TIMEOUT (5 * GS_SEC)
 
 static bool
 happens (unsigned percent)
@@ -15,10 +16,9 @@
 
 /* @return false if the replica has no slot for the request  */
 static bool
-slot_take (arrival_t *arrival)
+slot_take (const world_desk_t *desk, arrival_t *arrival)
 {
   world_replica_t *replica = arrival->replica_state;
-  const world_desk_t *desk = &replica->world->desk;
   bool taken;
 
   pthread_mutex_lock (&replica->world->lock);
@@ -89,15 +89,15 @@
     }
 }
 
-bool
-world_desk_respond (raw_conn_t *conn, arrival_t *arrival)
+static bool
+desk_respond (void *context, raw_conn_t *conn, arrival_t *arrival)
 {
-  const world_desk_t *desk = &arrival->replica_state->world->desk;
+  const world_desk_t *desk = context;
   bool stream = strstr (arrival->first_line, "/stream/") != NULL;
   bool lost = happens (desk->lost_percent);
   char *text;
 
-  if (!slot_take (arrival))
+  if (!slot_take (desk, arrival))
     text = g_strdup_printf ("HTTP/1.1 503 X\r\nX-Attempt-Id: %s\r\n"
                             "X-Not-Executed: 1\r\n" KEEP_ALIVE
                             "Content-Length: 0\r\n\r\n",
@@ -126,3 +126,12 @@
   g_free (text);
   return true;
 }
+
+void
+world_desk_set (gateway_world_t *world, const world_desk_t *desk)
+{
+  pthread_mutex_lock (&world->lock);
+  world->respond = desk_respond;
+  world->respond_context = (void *)desk;
+  pthread_mutex_unlock (&world->lock);
+}
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -822,11 +822,12 @@
 static bool
 respond (raw_conn_t *conn, arrival_t *arrival, unsigned earlier)
 {
+  const gateway_world_t *world = arrival->replica_state->world;
   char *behaviour = behaviour_of (arrival, earlier);
   bool keep_open = true;
 
-  if (strcmp (behaviour, "desk") == 0)
-    keep_open = world_desk_respond (conn, arrival);
+  if (strcmp (behaviour, "desk") == 0 && world->respond != NULL)
+    keep_open = world->respond (world->respond_context, conn, arrival);
   else if (apply_faults (arrival->replica_state))
     send_plain (conn, arrival, 500);
   else if (send_refusal (conn, arrival)
@@ -974,8 +975,8 @@
 
   pthread_mutex_lock (&replica->world->lock);
   connection = ++replica->world->connections;
-  keep_open = replica->world->desk.connections_max == 0
-              || replica->open < replica->world->desk.connections_max;
+  keep_open = replica->world->connections_max == 0
+              || replica->open < replica->world->connections_max;
   replica->open++;
   pthread_mutex_unlock (&replica->world->lock);
   if (!keep_open)
