loop, relay: log the connection of a lost attempt and the id of its answer

It has local_port, the node's port of the connection, and answer_id instead of id_echoed, which only said whether there was one.

--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -410,6 +410,7 @@
   relay_flow_end (relay);
   relay->kept_connection = result->kept_connection;
   relay->send_started = result->send_started;
+  relay->local_port = result->local_port;
   if (result->status != GS_OK || !head->complete || relay->response_mismatched)
     handle_lost_attempt (relay, now, result);
   else if (relay->detoured && !is_success (head)
--- a/src/gateway/relay_log.c
+++ b/src/gateway/relay_log.c
@@ -234,6 +234,7 @@
   parts_text_t parts;
   char labels[96];
   char node[GS_ADDRESS_BYTES + 8];
+  gs_log_value_t answer_id;
 
   g_snprintf (node, sizeof node, "%s:%u", relay->detour.host,
               (unsigned)relay->detour.port);
@@ -242,16 +243,16 @@
   gs_meter_add ("attempts_lost_total", labels, 1);
   gs_log (GS_LOG_INFO, "attempt",
           "id=%s replica=%s%s%s send=%u outcome=%s status=%u reason=\"%s\""
-          " took_ms=%lld connection=%s send_started=%d id_echoed=%d began=%d"
-          " last_event=%llu"
+          " took_ms=%lld connection=%s local_port=%u send_started=%d"
+          " answer_id=%s began=%d last_event=%llu"
           " fingerprint=%llx parts=%s",
           gs_log_quote (&id, relay->request.id), relay->replica_id,
           relay->detoured ? " node=" : "", relay->detoured ? node : "",
           relay->attempts, outcome, relay->head.status, reason,
           elapsed_msec (relay->sent_at, gs_clock_now ()),
-          relay->kept_connection ? "kept" : "new", relay->send_started,
-          relay->head.id[0] != '\0', relay->attempt_responded,
-          (unsigned long long)relay->events.last_id,
+          relay->kept_connection ? "kept" : "new", relay->local_port,
+          relay->send_started, gs_log_quote (&answer_id, relay->head.id),
+          relay->attempt_responded, (unsigned long long)relay->events.last_id,
           (unsigned long long)relay->fingerprint,
           format_shared_parts (&parts, &relay->request));
 }
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -59,6 +59,7 @@
   bool detoured;          /* the attempt goes to another node */
   bool kept_connection;   /* the attempt went over one that was open before */
   bool send_started;      /* the attempt had a connection to be sent on */
+  unsigned local_port;    /* of that connection; 0 if there was none */
   size_t buffered;        /* bytes taken from the memory for responses */
   bool attempt_responded; /* the first event or the whole response is here */
   GString *body;
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -325,11 +325,14 @@
                                             ? "Head is too large"
                                             : curl_easy_strerror (code) };
   char *content_type = NULL;
+  long local_port = 0;
 
   result.kept_connection = gs_loop_http_is_kept (call);
   result.send_started = call->send_started;
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
   curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &content_type);
+  curl_easy_getinfo (call->easy, CURLINFO_LOCAL_PORT, &local_port);
+  result.local_port = (unsigned)local_port;
   if (content_type != NULL)
     result.content_type = content_type;
   call->on_done (call->context, &result);
