relay: a connection that has carried a refusal carries nothing else

Cause: a replica may write a refusal once more on its connection, and the copy bears the id of a request that may be under way there again. send_history kept a request from such a connection, but it knew processes and libcurl keeps connections by address, and its rows expired while the connection stayed open. The class: evidence of a connection that something else keeps. A copy with another request's id was known for what it is, but it ended the request that it was read for.

A refusal ends its connection now, and a request is sent on a kept connection only the first time, so no copy of a refusal can come where another answer is due.

--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -153,6 +153,10 @@
     carried other requests */
 bool gs_loop_http_is_kept (const gs_http_call_t *call);
 
+/** Close the connection of a call when its response is complete, so that it
+    carries no other request.  May be called by on_line and on_data. */
+void gs_loop_http_connection_retire (gs_http_call_t *call);
+
 /** Stop receiving a response, or go on.  May be called by on_data.  Some data
     that has arrived may still be passed on after a pause, and is passed on
     by the call that ends it. */
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -25,6 +25,13 @@
   return head->status >= 200 && head->status < 300;
 }
 
+/* @return whether a status tells a caller that its request has not run  */
+static bool
+is_promise (unsigned status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 static bool
 is_stream (const relay_t *relay)
 {
@@ -95,8 +102,7 @@
 {
   if (relay->head.id[0] != '\0')
     return strcmp (relay->head.id, relay->request.id) == 0;
-  return relay->detoured || relay->request.id[0] == '\0'
-         || !gs_loop_http_is_kept (relay->call);
+  return relay->detoured || !gs_loop_http_is_kept (relay->call);
 }
 
 bool
@@ -113,6 +119,10 @@
     return true;
   if (relay->head.keep_alive_seconds != 0 && !relay->detoured)
     relay->service->keep_alive_seconds = relay->head.keep_alive_seconds;
+  /* A copy of a refusal may follow it and bear the id of a request that is
+     under way again, so nothing else is sent on its connection.  */
+  if (relay->head.not_run || is_promise (relay->head.status))
+    gs_loop_http_connection_retire (relay->call);
   relay->response_mismatched = !is_own_response (relay);
   if (!relay->response_mismatched)
     {
@@ -290,13 +300,6 @@
   return is_stream (relay) && relay->events.partial->len > 0;
 }
 
-/* @return whether a status tells a caller that its request has not run  */
-static bool
-is_promise (unsigned status)
-{
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 /* If the replica does not state that it has not run the request, it may have.
    @return whether forwarding the response would promise too much  */
 static bool
--- a/src/gateway/relay_dispatch.c
+++ b/src/gateway/relay_dispatch.c
@@ -136,9 +136,9 @@
   g_strlcpy (relay->replica_version, replica->version,
              sizeof relay->replica_version);
   relay->process = placer_process_hash (replica);
-  request.unused_connection
-      = send_history_add (relay->traffic->sends, now, relay->request.id,
-                          relay->process, relay->deadline);
+  /* A connection that has carried the request may hold a copy of an answer to
+     it.  */
+  request.unused_connection = relay->attempts > 0;
   relay_crossing_begin (relay, replica);
   relay_origin_record (relay, now);
   relay->detoured = false;
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -36,8 +36,6 @@
    fraction of it.  The rest covers the excess caused by the loss of nodes and
    of the usage that they had counted (simulated in tests/test_quota.c).  */
 #define QUOTA_TOLERANCE_RATIO 0.6
-/* Bounds the memory that is taken to remember sends to 6 MB.  */
-#define SENDS_REMEMBERED_MAX 65536
 
 static void
 service_free (gpointer data)
@@ -253,7 +251,6 @@
         / RESPONSES_MEMORY_DIVISOR;
   quota_create (&traffic->quota, options->deployment->quota_window,
                 gs_clock_now (), options->deployment->first_start);
-  send_history_create (&traffic->sends, SENDS_REMEMBERED_MAX);
   traffic->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   traffic->relays = g_hash_table_new (NULL, NULL);
@@ -292,7 +289,6 @@
   g_hash_table_unref (traffic->services);
   usage_count_destroy (traffic->usage);
   quota_destroy (traffic->quota);
-  send_history_destroy (traffic->sends);
   quarantine_destroy (traffic->quarantine);
   stream_origins_destroy (traffic->origins);
   relay_rollouts_destroy (traffic->rollouts);
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -13,7 +13,6 @@
 #include "policy/resend_budget.h"
 #include "policy/return_schedule.h"
 #include "policy/replica_reach.h"
-#include "policy/send_history.h"
 #include "fleet/service_versions.h"
 #include "gateway/traffic.h"
 #include "gateway/usage_count.h"
@@ -46,7 +45,6 @@
   gs_replica_list_t *replicas;
   placer_t *placer;
   quota_t *quota;
-  send_history_t *sends;
   quarantine_t *quarantine;
   replica_reach_t reach;
   bool has_contact;          /* a replica has sent bytes since the last tick */
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -725,6 +725,13 @@
   return GS_OK;
 }
 
+void
+gs_loop_http_connection_retire (gs_http_call_t *call)
+{
+  /* libcurl reads this option when the transfer is done.  */
+  curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 void
 gs_loop_http_pause (gs_http_call_t *call, bool paused)
 {
--- a/tests/test_process_gateway_rejections.c
+++ b/tests/test_process_gateway_rejections.c
@@ -141,6 +141,130 @@
   end_world ();
 }
 
+/* @return whether the request is answered  */
+static bool
+pass_on (const char *id)
+{
+  char *answer = gw_request (&world, 0, "POST", "/a/never/again-own", id,
+                             "Garnetstack-From-Node: 1\r\n", "x");
+  unsigned status = status_of (answer);
+  unsigned runs = gw_arrivals_count (&world, id);
+
+  if (runs > 1 || (runs > 0 && status == 503))
+    printf ("\n  %s: status %u, %u runs ", id, status, runs);
+  CU_ASSERT (runs <= 1);
+  CU_ASSERT (status != 503 || runs == 0);
+  g_free (answer);
+  return status == 200;
+}
+
+/* Uses the connections to the replica, so that they stay open.  */
+static void
+use_connections (gs_time_t duration)
+{
+  static unsigned next;
+  gs_time_t end = gs_clock_now () + duration;
+
+  while (gs_clock_now () < end)
+    {
+      char *id = g_strdup_printf ("use-%u", next++);
+
+      g_free (gw_request (&world, 0, "POST", "/a/never/desk", id, "", "x"));
+      g_free (id);
+      g_usleep (100000);
+    }
+}
+
+typedef struct
+{
+  const char *name;
+  bool start_changes;     /* the replica's entry names another start time */
+  gs_time_t time_between; /* of the two passes */
+  unsigned requests;
+} passed_case_t;
+
+static const passed_case_t passed_cases[] = {
+  { "under another start time of its replica", true, 0, REQUESTS },
+  { "after the deadline of the first pass", false, 4 * GS_SEC, 2 },
+};
+
+/* Guards against a copy of a rejection that is taken for the answer to the
+   same request, which is sent on the same connection again.  */
+static void
+a_copy_of_its_rejection_is_not_the_answer_to_a_request (void)
+{
+  const world_desk_t desk = { .work_ms_max = 1 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (passed_cases); i++)
+    {
+      const passed_case_t *row = &passed_cases[i];
+      unsigned answered = 0;
+
+      start_gateway (1);
+      world_desk_set (&world, &desk);
+      for (unsigned j = 0; j < row->requests; j++)
+        {
+          char *id = g_strdup_printf ("passed-%u", j);
+
+          use_connections (1);
+          gw_replica_refuse (&world, 0, "0.1");
+          CU_ASSERT_FALSE (pass_on (id));
+          gw_replica_refuse (&world, 0, NULL);
+          if (row->start_changes)
+            {
+              world.replicas[0].started_ms = gs_clock_wall () / GS_MSEC;
+              gw_replica_publish (&world, 0, "ready");
+            }
+          g_usleep (300000);
+          use_connections (row->time_between);
+          answered += pass_on (id);
+          g_free (id);
+        }
+      printf ("\n  %s: %u of %u answered ", row->name, answered,
+              row->requests);
+      CU_ASSERT_EQUAL (answered, row->requests);
+      end_world ();
+    }
+}
+
+#define COPY_REQUESTS 40
+
+/* Guards against callers that get 502 for a request that has run, as a copy of
+   another request's rejection came before its answer.  */
+static void
+callers_get_their_answers_beside_copies_of_rejections (void)
+{
+  static const char *const paths[]
+      = { "/a/never/again-copy", "/a/free/again-copy" };
+
+  for (unsigned i = 0; i < 2 * G_N_ELEMENTS (paths); i++)
+    {
+      const char *path = paths[i % G_N_ELEMENTS (paths)];
+      unsigned replicas = 1 + i / G_N_ELEMENTS (paths);
+      unsigned answered = 0;
+      unsigned rejected = 0;
+
+      start_gateway (replicas);
+      for (unsigned j = 0; j < COPY_REQUESTS; j++)
+        {
+          char *id = g_strdup_printf ("copy-%u", j);
+          char *answer = gw_request (&world, 0, "POST", path, id, "", "x");
+          unsigned status = status_of (answer);
+          unsigned runs = gw_arrivals_count (&world, id);
+
+          answered += status == 200 && runs == 1;
+          rejected += status == 503 && runs == 0;
+          g_free (answer);
+          g_free (id);
+        }
+      printf ("\n  %s, %u replicas: %u answered, %u rejected of %u ", path,
+              replicas, answered, rejected, COPY_REQUESTS);
+      CU_ASSERT_EQUAL (answered + rejected, COPY_REQUESTS);
+      CU_ASSERT (answered > COPY_REQUESTS / 2);
+      end_world ();
+    }
+}
+
 static const check_case_t cases[] = {
   { "a rejection that is written again is not the answer to a later request",
     a_rejection_that_is_written_again_is_not_the_answer_to_a_later_request },
@@ -148,6 +272,10 @@
     a_request_that_is_sent_to_a_replica_again_is_answered },
   { "a request that is passed on again runs once",
     a_request_that_is_passed_on_again_runs_once },
+  { "a copy of its rejection is not the answer to a request",
+    a_copy_of_its_rejection_is_not_the_answer_to_a_request },
+  { "callers get their answers beside copies of rejections",
+    callers_get_their_answers_beside_copies_of_rejections },
 };
 
 int
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -773,10 +773,59 @@
   return found;
 }
 
+/* @return id of the request that was rejected last on the connection of an
+   arrival, freed by the caller; NULL if none was  */
+static char *
+last_rejected (const arrival_t *arrival)
+{
+  gateway_world_t *world = arrival->replica_state->world;
+  char *id = NULL;
+
+  pthread_mutex_lock (&world->lock);
+  for (guint i = world->arrivals->len; id == NULL && i > 0; i--)
+    {
+      const arrival_t *other = world->arrivals->pdata[i - 1];
+
+      if (other->refused && other->connection == arrival->connection)
+        id = g_strdup (other->id);
+    }
+  pthread_mutex_unlock (&world->lock);
+  return id;
+}
+
+/* Rejects every other request the first time that it arrives.  Writes a copy
+   of the last rejection of a connection before it answers a request there.  */
+static void
+send_after_copy (raw_conn_t *conn, arrival_t *arrival)
+{
+  world_replica_t *replica = arrival->replica_state;
+  bool rejects = !has_rejected (arrival, 0);
+  char *copied = last_rejected (arrival);
+
+  pthread_mutex_lock (&replica->world->lock);
+  rejects = rejects && replica->arrived++ % 2 == 0;
+  arrival->refused = rejects;
+  pthread_mutex_unlock (&replica->world->lock);
+  if (rejects)
+    send_rejection (conn, arrival->id);
+  else
+    {
+      if (copied != NULL)
+        send_rejection (conn, copied);
+      g_usleep (EVENT_INTERVAL_USEC);
+      raw_printf (conn,
+                  "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
+                  "Content-Length: %zu\r\n\r\n%s",
+                  arrival->id, arrival->id, strlen (arrival->id), arrival->id);
+    }
+  g_free (copied);
+}
+
 /* Writes an earlier rejection once more before it answers a request that it
    runs on the same connection: "again-foreign" that of another request,
    "again-anonymous" the same without an id, "again-own" that of the request
-   itself, which each replica rejects the first time.
+   itself, which each replica rejects the first time, "again-copy" what the
+   connection has carried.
    @return false if @p behaviour is another one  */
 static bool
 send_rejection_again (raw_conn_t *conn, arrival_t *arrival,
@@ -785,6 +834,11 @@
   bool own = strcmp (behaviour, "again-own") == 0;
   bool foreign = strcmp (behaviour, "again-foreign") == 0;
 
+  if (strcmp (behaviour, "again-copy") == 0)
+    {
+      send_after_copy (conn, arrival);
+      return true;
+    }
   if (!own && !foreign && strcmp (behaviour, "again-anonymous") != 0)
     return false;
   if (own && !has_rejected (arrival, 0))
