surplus answers: a replica that writes them costs each node one request

Cause: the id tells that such an answer is not the request's own, but libcurl cannot read past it, so the attempt is lost, and the next request meets the next copy. A refusal ends its connection; other answers are copied too.

Reading past the answer would need an HTTP client of our own; a new connection for each such request at any time would cost sound replicas 1 ms and a place under max_conns each.

--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -130,6 +130,9 @@
       if (relay->head.status != 421 && !relay->detoured)
         relay_quarantine_alive (relay, gs_clock_now ());
     }
+  else if (!relay->detoured && gs_loop_http_is_kept (relay->call))
+    surplus_answers_add (relay->traffic->surplus_answers, gs_clock_now (),
+                         relay->process);
   return !relay->response_mismatched;
 }
 
--- a/src/gateway/relay_dispatch.c
+++ b/src/gateway/relay_dispatch.c
@@ -145,7 +145,10 @@
   reset_attempt (relay, now);
   relay_rollout_sent (relay);
   relay_log_placement (relay, now);
-  if (keep_alive >= KEEP_ALIVE_SECONDS_MIN)
+  if (surplus_answers_expected (relay->traffic->surplus_answers, now,
+                                relay->process))
+    request.new_connection = true;
+  else if (keep_alive >= KEEP_ALIVE_SECONDS_MIN)
     request.idle_seconds_max = keep_alive - 2;
   else if (relay->route->resend_policy == GS_RESEND_NEVER)
     request.new_connection = true;
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -251,6 +251,7 @@
         / RESPONSES_MEMORY_DIVISOR;
   quota_create (&traffic->quota, options->deployment->quota_window,
                 gs_clock_now (), options->deployment->first_start);
+  surplus_answers_create (&traffic->surplus_answers);
   traffic->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   traffic->relays = g_hash_table_new (NULL, NULL);
@@ -289,6 +290,7 @@
   g_hash_table_unref (traffic->services);
   usage_count_destroy (traffic->usage);
   quota_destroy (traffic->quota);
+  surplus_answers_destroy (traffic->surplus_answers);
   quarantine_destroy (traffic->quarantine);
   stream_origins_destroy (traffic->origins);
   relay_rollouts_destroy (traffic->rollouts);
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -13,6 +13,7 @@
 #include "policy/resend_budget.h"
 #include "policy/return_schedule.h"
 #include "policy/replica_reach.h"
+#include "policy/surplus_answers.h"
 #include "fleet/service_versions.h"
 #include "gateway/traffic.h"
 #include "gateway/usage_count.h"
@@ -46,6 +47,7 @@
   placer_t *placer;
   quota_t *quota;
   quarantine_t *quarantine;
+  surplus_answers_t *surplus_answers;
   replica_reach_t reach;
   bool has_contact;          /* a replica has sent bytes since the last tick */
   gs_time_t last_contact_at; /* when the last byte of a replica came */
--- a/tests/test_process_gateway_rejections.c
+++ b/tests/test_process_gateway_rejections.c
@@ -265,6 +265,41 @@
     }
 }
 
+/* Guards against a replica that writes surplus answers and costs its callers
+   one answer after another.  */
+static void
+a_replica_that_writes_surplus_answers_costs_one_request (void)
+{
+  static const char *const paths[]
+      = { "/a/never/again-answer", "/a/never/again-foreign",
+          "/a/never/again-anonymous" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      unsigned answered = 0;
+      unsigned lost = 0;
+
+      start_gateway (2);
+      for (unsigned j = 0; j < COPY_REQUESTS; j++)
+        {
+          char *id = g_strdup_printf ("surplus-%u", j);
+          char *answer = gw_request (&world, 0, "POST", paths[i], id, "", "x");
+          unsigned status = status_of (answer);
+
+          CU_ASSERT_EQUAL (gw_arrivals_count (&world, id), 1);
+          answered += status == 200;
+          lost += status == 502;
+          g_free (answer);
+          g_free (id);
+        }
+      printf ("\n  %s: %u answered, %u lost of %u ", paths[i], answered, lost,
+              COPY_REQUESTS);
+      CU_ASSERT_EQUAL (answered + lost, COPY_REQUESTS);
+      CU_ASSERT (lost <= 2);
+      end_world ();
+    }
+}
+
 static const check_case_t cases[] = {
   { "a rejection that is written again is not the answer to a later request",
     a_rejection_that_is_written_again_is_not_the_answer_to_a_later_request },
@@ -276,6 +311,8 @@
     a_copy_of_its_rejection_is_not_the_answer_to_a_request },
   { "callers get their answers beside copies of rejections",
     callers_get_their_answers_beside_copies_of_rejections },
+  { "a replica that writes surplus answers costs one request",
+    a_replica_that_writes_surplus_answers_costs_one_request },
 };
 
 int
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -821,11 +821,27 @@
   g_free (copied);
 }
 
+/* Answers, after a copy of the answer to another request of the connection. */
+static void
+send_after_answer (raw_conn_t *conn, const arrival_t *arrival)
+{
+  if (arrival->on_kept_connection)
+    raw_printf (conn,
+                "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
+                "Content-Length: 5\r\n\r\nother",
+                "other", "other");
+  g_usleep (EVENT_INTERVAL_USEC);
+  raw_printf (conn,
+              "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
+              "Content-Length: %zu\r\n\r\n%s",
+              arrival->id, arrival->id, strlen (arrival->id), arrival->id);
+}
+
 /* Writes an earlier rejection once more before it answers a request that it
    runs on the same connection: "again-foreign" that of another request,
    "again-anonymous" the same without an id, "again-own" that of the request
    itself, which each replica rejects the first time, "again-copy" what the
-   connection has carried.
+   connection has carried, "again-answer" the answer to another request.
    @return false if @p behaviour is another one  */
 static bool
 send_rejection_again (raw_conn_t *conn, arrival_t *arrival,
@@ -839,6 +855,11 @@
       send_after_copy (conn, arrival);
       return true;
     }
+  if (strcmp (behaviour, "again-answer") == 0)
+    {
+      send_after_answer (conn, arrival);
+      return true;
+    }
   if (!own && !foreign && strcmp (behaviour, "again-anonymous") != 0)
     return false;
   if (own && !has_rejected (arrival, 0))
