tests: a retired connection carries no other request

The relay ends connections from a callback of libcurl while the response is still read. That this closes the connection whatever the response looks like (a length, chunks with trailers, a head of status 1xx before it, no body) is what the promise rests on, so it is tested by itself: four requests use four connections, and one where none is retired.

--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -7,6 +7,7 @@
 #include <errno.h>
 #include <poll.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
@@ -669,6 +670,102 @@
   CU_ASSERT_EQUAL (called_unsent, 0);
 }
 
+typedef struct
+{
+  const char *response;
+  atomic_uint connections;
+  atomic_uint requests;
+} keeping_server_t;
+
+static void
+serve_kept (void *context, raw_conn_t *conn)
+{
+  keeping_server_t *keeping = context;
+  raw_message_t request;
+
+  atomic_fetch_add (&keeping->connections, 1);
+  while (raw_read_request (conn, &request))
+    {
+      raw_message_clear (&request);
+      atomic_fetch_add (&keeping->requests, 1);
+      raw_printf (conn, "%s", keeping->response);
+    }
+}
+
+typedef struct
+{
+  fetch_t fetch; /* the context of on_fetched() */
+  gs_http_call_t *call;
+  bool retires;
+} retiring_t;
+
+static bool
+retire_at_end_of_head (void *context, const char *line, size_t length)
+{
+  retiring_t *retiring = context;
+
+  (void)length;
+  if (retiring->retires && line[0] == '\r')
+    gs_loop_http_connection_retire (retiring->call);
+  return true;
+}
+
+static void
+fetch_kept (retiring_t *retiring, uint16_t port)
+{
+  gs_http_request_t request = GS_HTTP_REQUEST_INIT;
+  char *url = g_strdup_printf ("http://127.0.0.1:%u/", port);
+
+  request.method = "POST";
+  request.url = url;
+  request.body = "hello";
+  request.body_length = 5;
+  request.no_resend = true;
+  request.on_line = retire_at_end_of_head;
+  request.on_done = on_fetched;
+  request.context = retiring;
+  request.deadline = gs_clock_now () + 30 * GS_SEC;
+  gs_loop_http (&retiring->call, retiring->fetch.loop, &request);
+  gs_loop_run (retiring->fetch.loop);
+  CU_ASSERT_EQUAL (retiring->fetch.status, GS_OK);
+  g_free (url);
+}
+
+#define KEPT_REQUESTS 4
+
+/* Guards against a request on a connection that must carry no other one.  */
+static void
+a_retired_connection_carries_no_other_request (void)
+{
+  static const char *const responses[]
+      = { "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 429 X\r\nContent-Length: 4\r\n\r\nbusy",
+          "HTTP/1.1 421 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "4\r\nbusy\r\n0\r\nX-More: 1\r\n\r\n",
+          "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 503 X\r\n"
+          "Connection: keep-alive\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 204 X\r\n\r\n" };
+
+  for (size_t i = 0; i < 2 * G_N_ELEMENTS (responses); i++)
+    {
+      keeping_server_t keeping = { .response = responses[i / 2] };
+      retiring_t retiring = { .fetch = { .body = g_string_new (NULL) },
+                              .retires = i % 2 != 0 };
+      raw_server_t *server;
+
+      raw_server_create (&server, serve_kept, &keeping);
+      gs_loop_create (&retiring.fetch.loop);
+      for (unsigned j = 0; j < KEPT_REQUESTS; j++)
+        fetch_kept (&retiring, raw_server_port (server));
+      gs_loop_destroy (retiring.fetch.loop);
+      raw_server_destroy (server);
+      CU_ASSERT_EQUAL (atomic_load (&keeping.requests), KEPT_REQUESTS);
+      CU_ASSERT_EQUAL (atomic_load (&keeping.connections),
+                       retiring.retires ? KEPT_REQUESTS : 1);
+      g_string_free (retiring.fetch.body, TRUE);
+    }
+}
+
 int
 main (void)
 {
@@ -690,6 +787,8 @@
       a_response_that_ends_within_its_head_is_not_received },
     { "a request that a server received is never called unsent",
       a_request_that_a_server_received_is_never_called_unsent },
+    { "a retired connection carries no other request",
+      a_retired_connection_carries_no_other_request },
     { "a response that has begun may take longer",
       a_response_that_has_begun_may_take_longer },
   };
