loop: a request is not sent on a connection on which bytes wait

Cause: libcurl 7.88 takes an idle connection for usable if bytes wait on it; only one that has ended is discarded.

The loop knows its connections now, by descriptor and by their ends, and looks at a connection that is kept just before it sends: if bytes wait or it has ended, the request starts again on a new one. Nothing was sent, so this is safe for every request. Encrypted connections are left out, as bytes that wait there may belong to no response.

--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -157,6 +157,9 @@
     carries no other request.  May be called by on_line and on_data. */
 void gs_loop_http_connection_retire (gs_http_call_t *call);
 
+/** Close the connections to the server of a call that no call uses. */
+void gs_loop_http_idle_connections_close (gs_http_call_t *call);
+
 /** Stop receiving a response, or go on.  May be called by on_data.  Some data
     that has arrived may still be passed on after a pause, and is passed on
     by the call that ends it. */
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -1,9 +1,11 @@
 #include "garnetstack/loop.h"
 
+#include "util/connection_table.h"
 #include "util/tsan.h"
 
 #include <ck_ring.h>
 #include <curl/curl.h>
+#include <errno.h>
 #include <glib.h>
 #include <poll.h>
 #include <stdatomic.h>
@@ -59,6 +61,7 @@
   gs_time_t tick_due;
   gs_loop_cb_t tick;
   void *tick_context;
+  connection_table_t *connections;
   GHashTable *calls;    /* set of gs_http_call_t */
   GHashTable *awaiting; /* of these, calls with a response_deadline and no
                            response yet */
@@ -78,7 +81,11 @@
   bool head_complete; /* of the final response */
   char version[VERSION_BYTES];
   bool no_resend;
+  bool plain;        /* not encrypted */
   bool send_started; /* libcurl has begun to send the request at least once */
+  bool stale;        /* its connection could not be used; nothing was sent */
+  gs_time_t deadline;
+  gs_time_t connect_deadline;
   gs_time_t response_deadline;
   gs_http_line_cb_t on_line;
   gs_http_data_cb_t on_data;
@@ -95,6 +102,7 @@
 
   g_hash_table_remove (loop->calls, call);
   g_hash_table_remove (loop->awaiting, call);
+  connection_table_release (loop->connections, call);
   curl_multi_remove_handle (loop->multi, call->easy);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
@@ -128,6 +136,7 @@
   while (ck_ring_dequeue_mpsc (&loop->ring, loop->slots, &task))
     g_free (task);
   curl_multi_cleanup (loop->multi);
+  connection_table_destroy (loop->connections);
   g_array_unref (loop->watches);
   close (loop->wake_fd);
   close (loop->epoll_fd);
@@ -339,6 +348,48 @@
   call_free (call);
 }
 
+/* @return time that is left, as a libcurl option of at least 1 ms  */
+static long
+remaining_msec (gs_time_t deadline)
+{
+  return MAX ((long)((deadline - gs_clock_now ()) / GS_MSEC), 1L);
+}
+
+/* libcurl counts both times from the moment at which it begins with a
+   request.  */
+static void
+set_deadlines (const gs_http_call_t *call)
+{
+  if (call->deadline != GS_TIME_NEVER && call->deadline != 0)
+    curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
+                      remaining_msec (call->deadline));
+  if (call->connect_deadline > 0)
+    curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS,
+                      remaining_msec (call->connect_deadline));
+}
+
+static void
+set_progress_deadline (CURL *easy, gs_time_t deadline)
+{
+  long seconds = (long)((deadline - gs_clock_now ()) / GS_SEC);
+
+  if (deadline <= 0)
+    return;
+  curl_easy_setopt (easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+  curl_easy_setopt (easy, CURLOPT_LOW_SPEED_TIME, MAX (seconds, 1L));
+}
+
+/* Starts a request again of which nothing was sent.  */
+static void
+restart_call (gs_http_call_t *call)
+{
+  call->stale = false;
+  curl_multi_remove_handle (call->loop->multi, call->easy);
+  curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+  set_deadlines (call);
+  curl_multi_add_handle (call->loop->multi, call->easy);
+}
+
 /* Finishes the completed requests.  A callback may start or cancel others.  */
 static void
 finish_calls (gs_loop_t *loop)
@@ -353,7 +404,10 @@
         CURLcode code = message->data.result;
 
         curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
-        finish_call (call, code);
+        if (call->stale)
+          restart_call (call);
+        else
+          finish_call (call, code);
       }
 }
 
@@ -447,6 +501,7 @@
   gs_loop_t *loop = g_new0 (gs_loop_t, 1);
 
   loop->multi = curl_multi_init ();
+  connection_table_create (&loop->connections);
   loop->calls = g_hash_table_new (NULL, NULL);
   loop->awaiting = g_hash_table_new (NULL, NULL);
   loop->slots = g_new0 (ck_ring_buffer_t, QUEUE_TASKS_MAX);
@@ -577,24 +632,65 @@
   return length;
 }
 
+/* @return whether bytes wait on an idle connection, or it has ended  */
+static bool
+is_connection_stale (int fd)
+{
+  char byte;
+  ssize_t length = recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+
+  return length >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 /* libcurl calls this before it sends the request on a connection, the first
-   time and each time it resends.  */
+   time and each time it resends.  It would use a kept connection on which
+   bytes wait, and take them for the response.  An encrypted connection may
+   hold bytes that belong to no response.  */
 static int
 on_request_send (void *context, char *remote, char *local, int remote_port,
                  int local_port)
 {
   gs_http_call_t *call = context;
+  connection_ends_t ends = { remote, remote_port, local_port };
+  int fd;
 
-  (void)remote;
   (void)local;
-  (void)remote_port;
-  (void)local_port;
   if (call->no_resend && call->send_started)
     return CURL_PREREQFUNC_ABORT;
+  fd = connection_table_use (call->loop->connections, &ends, call);
+  if (fd >= 0 && call->plain && gs_loop_http_is_kept (call)
+      && is_connection_stale (fd))
+    {
+      call->stale = !call->send_started;
+      return CURL_PREREQFUNC_ABORT;
+    }
   call->send_started = true;
   return CURL_PREREQFUNC_OK;
 }
 
+static curl_socket_t
+on_socket_open (void *context, curlsocktype purpose,
+                struct curl_sockaddr *address)
+{
+  gs_loop_t *loop = context;
+  int fd = socket (address->family, address->socktype, address->protocol);
+
+  (void)purpose;
+  if (fd < 0)
+    return CURL_SOCKET_BAD;
+  connection_table_add (loop->connections, fd);
+  return fd;
+}
+
+static int
+on_socket_close (void *context, curl_socket_t fd)
+{
+  gs_loop_t *loop = context;
+
+  connection_table_remove (loop->connections, fd);
+  return close (fd);
+}
+
 static int
 enable_keepalive (void *context, curl_socket_t fd, curlsocktype purpose)
 {
@@ -614,30 +710,6 @@
   return CURL_SOCKOPT_OK;
 }
 
-static void
-set_deadlines (CURL *easy, const gs_http_request_t *request)
-{
-  gs_time_t remaining = request->deadline - gs_clock_now ();
-  long remaining_ms = remaining <= GS_MSEC ? 1 : (long)(remaining / GS_MSEC);
-
-  if (request->deadline != GS_TIME_NEVER && request->deadline != 0)
-    curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, remaining_ms);
-  if (request->progress_deadline > 0)
-    {
-      long seconds
-          = (long)((request->progress_deadline - gs_clock_now ()) / GS_SEC);
-
-      curl_easy_setopt (easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
-      curl_easy_setopt (easy, CURLOPT_LOW_SPEED_TIME, MAX (seconds, 1L));
-    }
-  if (request->connect_deadline > 0)
-    {
-      remaining = request->connect_deadline - gs_clock_now ();
-      curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
-                        MAX ((long)(remaining / GS_MSEC), 1L));
-    }
-}
-
 static void
 set_connection (gs_http_call_t *call, const gs_http_request_t *request)
 {
@@ -656,6 +728,10 @@
     curl_easy_setopt (easy, CURLOPT_CONNECT_ONLY, 1L);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_request_send);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, on_socket_open);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, call->loop);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, on_socket_close);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, call->loop);
   if (request->tcp_keepalive)
     curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, enable_keepalive);
   if (request->accepts_gzip)
@@ -681,6 +757,7 @@
   call->body_bytes_max = request->body_bytes_max != 0 ? request->body_bytes_max
                                                       : BODY_BYTES_MAX_DEFAULT;
   call->no_resend = request->no_resend;
+  call->plain = g_str_has_prefix (request->url, "http:");
   call->connect_only = request->connect_only;
   call->on_line = request->on_line;
   call->on_data = request->on_data;
@@ -718,7 +795,10 @@
                         (long)call->request_body->len);
     }
   set_connection (call, request);
-  set_deadlines (easy, request);
+  call->deadline = request->deadline;
+  call->connect_deadline = request->connect_deadline;
+  set_deadlines (call);
+  set_progress_deadline (easy, request->progress_deadline);
   curl_multi_add_handle (loop->multi, easy);
   if (out != NULL)
     *out = call;
@@ -732,6 +812,12 @@
   curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
+void
+gs_loop_http_idle_connections_close (gs_http_call_t *call)
+{
+  connection_table_idle_shutdown (call->loop->connections, call);
+}
+
 void
 gs_loop_http_pause (gs_http_call_t *call, bool paused)
 {
