--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -105,6 +105,16 @@
   return relay->detoured || !gs_loop_http_is_kept (relay->call);
 }
 
+/* Others that wait on idle connections of the replica would be lost as well,
+   and new connections may find no room beside these.  */
+static void
+record_surplus_answer (const relay_t *relay)
+{
+  surplus_answers_add (relay->traffic->surplus_answers, gs_clock_now (),
+                       relay->process);
+  gs_loop_http_idle_connections_close (relay->call);
+}
+
 bool
 relay_on_line (void *context, const char *line, size_t length)
 {
@@ -131,8 +141,7 @@
         relay_quarantine_alive (relay, gs_clock_now ());
     }
   else if (!relay->detoured && gs_loop_http_is_kept (relay->call))
-    surplus_answers_add (relay->traffic->surplus_answers, gs_clock_now (),
-                         relay->process);
+    record_surplus_answer (relay);
   return !relay->response_mismatched;
 }
 
