relay: bytes that are no response count as a surplus answer

Cause: a surplus answer was only learned of from a whole head.

An attempt on a kept connection that ends with bytes that are no response counts as well.

--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -72,6 +72,7 @@
   bool kept_connection;     /**< the request was sent on a connection that an
                                  earlier one had opened */
   bool send_started;        /**< a connection was there to send it on */
+  bool is_garbled;          /**< the server sent bytes that are no response */
   unsigned local_port;      /**< of the connection; 0 if there was none */
 } gs_http_result_t;
 
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -343,6 +343,11 @@
 
   if (not_sent)
     relay->possible_runs--;
+  /* Bytes that are no response may be the end of a surplus answer.  */
+  if (!relay->detoured && result->kept_connection
+      && (result->is_garbled
+          || (result->status == GS_OK && !relay->head.complete)))
+    surplus_answers_add (relay->traffic->surplus_answers, now, relay->process);
   if (!relay->detoured && (not_sent || result->status == GS_EUNKNOWN))
     replica_reach_doubt (&relay->traffic->reach);
   if (!relay->response_mismatched && !relay->detoured
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -338,6 +338,9 @@
 
   result.kept_connection = gs_loop_http_is_kept (call);
   result.send_started = call->send_started;
+  result.is_garbled
+      = code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY
+        || (code == CURLE_OK && !call->connect_only && !call->head_complete);
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
   curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &content_type);
   curl_easy_getinfo (call->easy, CURLINFO_LOCAL_PORT, &local_port);
--- a/tests/test_process_gateway_surplus.c
+++ b/tests/test_process_gateway_surplus.c
@@ -101,6 +101,8 @@
               4 * REQUESTS);
       CU_ASSERT_EQUAL (refused, 0);
       CU_ASSERT_EQUAL (twice, 0);
+      /* Each replica costs its node one request.  */
+      CU_ASSERT (answered >= 4 * REQUESTS - 2);
       end_world ();
     }
 }
