--- a/tests/test_process_gateway_rejections.c
+++ b/tests/test_process_gateway_rejections.c
@@ -300,6 +300,30 @@
     }
 }
 
+/* Guards against a copy of a failure that is taken for the answer to the same
+   request, which is sent to its replica again.  */
+static void
+a_copy_of_its_failure_is_not_the_answer_to_a_repeat (void)
+{
+  unsigned answered = 0;
+
+  start_gateway (1);
+  for (unsigned i = 0; i < REQUESTS; i++)
+    {
+      char *id = g_strdup_printf ("failed-%u", i);
+      char *answer = gw_request (&world, 0, "POST", "/a/free/again-failure",
+                                 id, "", "x");
+
+      answered += status_of (answer) == 200;
+      CU_ASSERT_EQUAL (gw_arrivals_count (&world, id), 2);
+      g_free (answer);
+      g_free (id);
+    }
+  printf ("\n  %u of %u answered ", answered, REQUESTS);
+  CU_ASSERT_EQUAL (answered, REQUESTS);
+  end_world ();
+}
+
 static const check_case_t cases[] = {
   { "a rejection that is written again is not the answer to a later request",
     a_rejection_that_is_written_again_is_not_the_answer_to_a_later_request },
@@ -309,6 +333,8 @@
     a_request_that_is_passed_on_again_runs_once },
   { "a copy of its rejection is not the answer to a request",
     a_copy_of_its_rejection_is_not_the_answer_to_a_request },
+  { "a copy of its failure is not the answer to a repeat",
+    a_copy_of_its_failure_is_not_the_answer_to_a_repeat },
   { "callers get their answers beside copies of rejections",
     callers_get_their_answers_beside_copies_of_rejections },
   { "a replica that writes surplus answers costs one request",
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -837,6 +837,46 @@
               arrival->id, arrival->id, strlen (arrival->id), arrival->id);
 }
 
+/* @return whether the connection of an arrival has carried it before  */
+static bool
+came_before (const arrival_t *arrival)
+{
+  gateway_world_t *world = arrival->replica_state->world;
+  const GPtrArray *same;
+  bool found = false;
+
+  pthread_mutex_lock (&world->lock);
+  same = world_arrivals_locked (world, arrival->id);
+  for (guint i = 0; i < same->len; i++)
+    {
+      const arrival_t *other = same->pdata[i];
+
+      found |= other != arrival && other->connection == arrival->connection;
+    }
+  pthread_mutex_unlock (&world->lock);
+  return found;
+}
+
+/* Fails on a request the first time.  Writes the failure once more before it
+   answers the same request there.  */
+static void
+send_after_failure (raw_conn_t *conn, const arrival_t *arrival,
+                    unsigned earlier)
+{
+  if (earlier == 0 || came_before (arrival))
+    raw_printf (conn,
+                "HTTP/1.1 500 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
+                "Content-Length: 0\r\n\r\n",
+                arrival->id, arrival->id);
+  if (earlier == 0)
+    return;
+  g_usleep (EVENT_INTERVAL_USEC);
+  raw_printf (conn,
+              "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
+              "Content-Length: %zu\r\n\r\n%s",
+              arrival->id, arrival->id, strlen (arrival->id), arrival->id);
+}
+
 /* Writes an earlier rejection once more before it answers a request that it
    runs on the same connection: "again-foreign" that of another request,
    "again-anonymous" the same without an id, "again-own" that of the request
@@ -905,6 +945,8 @@
     keep_open = world->respond (world->respond_context, conn, arrival);
   else if (apply_faults (arrival->replica_state))
     send_plain (conn, arrival, 500);
+  else if (strcmp (behaviour, "again-failure") == 0)
+    send_after_failure (conn, arrival, earlier);
   else if (send_refusal (conn, arrival)
            || send_rejection_again (conn, arrival, behaviour)
            || send_fixed_if_named (conn, arrival, behaviour, &keep_open))
