upstreams: a connection that does not open counts as no progress

A stream or call of 'garnetstack node' whose upstream was cut off waited for its whole deadline and reached no other upstream.

Cause: the progress limit of 10 s is libcurl's low-speed limit, which does not apply while a connection opens. A call on a kept connection ends at that limit, one on a new connection did not.

The time to open a connection now has the same limit. The status is GS_EUNREACHABLE, so the request goes to another upstream, also if it may run only once.

Evidence: contract_service and contract_engine, 'a connection that does not open is reported as unreachable', failed before: with a limit of 200 ms the call ended at its deadline of 20 s. Both passed in 20 runs of each program.

--- a/include/garnetstack/engine.h
+++ b/include/garnetstack/engine.h
@@ -41,8 +41,8 @@
   const char *emitted;   /**< text emitted so far, NULL to leave it out */
   size_t emitted_length; /**< bytes of @c emitted */
   gs_time_t deadline;    /**< of the whole response */
-  gs_time_t progress_deadline; /**< now plus the longest time without data, 0
-                                    for no limit */
+  gs_time_t progress_deadline; /**< now plus the longest time without data or
+                                    a connection, 0 for no limit */
 } gs_engine_call_t;
 
 /**
@@ -197,8 +197,8 @@
   const char *body;
   size_t body_length;
   gs_time_t deadline;
-  gs_time_t progress_deadline; /**< now plus the longest time without data, 0
-                                    for no limit */
+  gs_time_t progress_deadline; /**< now plus the longest time without data or
+                                    a connection, 0 for no limit */
 } gs_service_call_t;
 
 /** Result of a call of a service. */
--- a/src/ports/engine_http.c
+++ b/src/ports/engine_http.c
@@ -155,6 +155,7 @@
   request.body_length = strlen (body);
   request.deadline = call->deadline;
   request.progress_deadline = call->progress_deadline;
+  request.connect_deadline = call->progress_deadline;
   request.on_data = on_data;
   request.on_done = on_done;
   request.context = stream;
--- a/src/ports/service_http.c
+++ b/src/ports/service_http.c
@@ -66,6 +66,7 @@
   request.body_length = call->body_length;
   request.deadline = call->deadline;
   request.progress_deadline = call->progress_deadline;
+  request.connect_deadline = call->progress_deadline;
   request.new_connection = !call->idempotent;
   request.on_done = on_done;
   request.context = transfer;
--- a/tests/port_harness.h
+++ b/tests/port_harness.h
@@ -14,7 +14,10 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* Longer than any response of the stand-ins takes without a fault. */
 #define HARNESS_TIMEOUT (20 * GS_SEC)
@@ -79,6 +82,47 @@
          + (is_short ? HARNESS_SHORT_TIMEOUT : HARNESS_TIMEOUT);
 }
 
+/* More connections than the backlog of a full listener holds. */
+#define HARNESS_FILLERS 4
+
+/* A port at which connections do not open, as behind a partition. */
+typedef struct
+{
+  int fd;
+  int fillers[HARNESS_FILLERS];
+  char *url;
+} harness_full_port_t;
+
+static inline void
+harness_full_port_open (harness_full_port_t *out)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t length = sizeof address;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  out->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (out->fd, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (out->fd, 0), 0);
+  getsockname (out->fd, (struct sockaddr *)&address, &length);
+  for (unsigned i = 0; i < HARNESS_FILLERS; i++)
+    {
+      out->fillers[i]
+          = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      connect (out->fillers[i], (struct sockaddr *)&address, length);
+    }
+  out->url = g_strdup_printf ("http://127.0.0.1:%u", ntohs (address.sin_port));
+}
+
+static inline void
+harness_full_port_close (harness_full_port_t *port)
+{
+  for (unsigned i = 0; i < HARNESS_FILLERS; i++)
+    close (port->fillers[i]);
+  close (port->fd);
+  g_free (port->url);
+}
+
 /* Assert a condition and print the table row for which it failed. */
 static inline void
 harness_check (bool condition, const char *row, const char *message)
--- a/tests/test_contract_engine.c
+++ b/tests/test_contract_engine.c
@@ -228,6 +228,33 @@
   stop (&fixture);
 }
 
+/* Guards against a stream that waits for its whole deadline for a connection
+   to an engine that is cut off, and reaches no other one.  */
+static void
+test_a_connection_that_does_not_open_is_unreachable (void)
+{
+  gs_engine_call_t call = { .stream_id = REQUEST,
+                            .request_id = REQUEST,
+                            .attempt = 1,
+                            .body = BODY,
+                            .body_length = strlen (BODY) };
+  harness_full_port_t port;
+  fixture_t fixture;
+
+  start (&fixture);
+  harness_full_port_open (&port);
+  call.url = port.url;
+  call.deadline = harness_deadline (false);
+  call.progress_deadline = harness_deadline (true);
+  fixture.port.generate (fixture.port.context, &call, on_text, on_end,
+                         &fixture);
+  harness_wait (&fixture.harness);
+  CU_ASSERT_EQUAL (fixture.end.status, GS_EUNREACHABLE);
+  CU_ASSERT (gs_clock_now () < call.deadline - HARNESS_TIMEOUT / 2);
+  stop (&fixture);
+  harness_full_port_close (&port);
+}
+
 static void
 test_resume_after_a_cut (void)
 {
@@ -451,6 +478,8 @@
       = { { "each fault of a stream has its status", test_each_fault },
           { "a refused connection is reported as unreachable",
             test_refused_connection_is_unreachable },
+          { "a connection that does not open is reported as unreachable",
+            test_a_connection_that_does_not_open_is_unreachable },
           { "a cut stream is resumed", test_resume_after_a_cut },
           { "a stream is not resumed at another engine",
             test_resume_at_another_engine_is_not_found },
--- a/tests/test_contract_service.c
+++ b/tests/test_contract_service.c
@@ -129,6 +129,32 @@
   stop (&fixture);
 }
 
+/* Guards against a call that waits for its whole deadline for a connection to
+   a service that is cut off, and reaches no other one.  */
+static void
+test_a_connection_that_does_not_open_is_unreachable (void)
+{
+  gs_service_call_t request = { .method = "POST",
+                                .path = "/charges",
+                                .request_id = "r-1",
+                                .body = "{}",
+                                .body_length = 2 };
+  harness_full_port_t port;
+  fixture_t fixture;
+
+  start (&fixture);
+  harness_full_port_open (&port);
+  request.url = port.url;
+  request.deadline = harness_deadline (false);
+  request.progress_deadline = harness_deadline (true);
+  fixture.port.call (fixture.port.context, &request, on_result, &fixture);
+  harness_wait (&fixture.harness);
+  CU_ASSERT_EQUAL (fixture.status, GS_EUNREACHABLE);
+  CU_ASSERT (gs_clock_now () < request.deadline - HARNESS_TIMEOUT / 2);
+  stop (&fixture);
+  harness_full_port_close (&port);
+}
+
 /* Makes a call that leaves a pooled connection behind.  Then the service
    executes a second call and cuts the connection before the first byte of the
    response.
@@ -210,6 +236,8 @@
     { "each fault has its status and executions", test_each_fault },
     { "a refused connection is reported as unreachable",
       test_refused_connection_is_unreachable },
+    { "a connection that does not open is reported as unreachable",
+      test_a_connection_that_does_not_open_is_unreachable },
     { "a call that is not idempotent is not resent", test_call_is_not_resent },
     { "a service that honours the key executes once", test_key_is_honoured },
     { "a lower fencing token is rejected", test_fencing },
