services: each call has a connection of its own

Callers of 'garnetstack node' got the answers to other callers' calls from a service that writes an answer once more, where the answer to the next call is due.

Cause: calls that may be repeated went over kept connections, and nothing but its place there tells which call an answer belongs to: services echo no id. libcurl also takes each later answer of that connection for that to the call after its own, so that one surplus answer spoils all that follow.

Every call now gets a new connection, as those that run once already did, so that no answer to another call can precede its own. Callers get their own answers.

The case 'a call that is not idempotent is not resent' stated of idempotent calls that libcurl sends them twice. There is one kind of connection now, so the case asks of every call that it runs once.

--- a/include/garnetstack/engine.h
+++ b/include/garnetstack/engine.h
@@ -192,8 +192,6 @@
   const char *key;          /**< value of Idempotency-Key, "" if none */
   uint64_t fencing;         /**< fencing token, 0 if none */
   const char *content_type; /**< "" for JSON */
-  bool idempotent; /**< otherwise sent on a new connection, so that libcurl
-                        does not send it twice */
   const char *body;
   size_t body_length;
   gs_time_t deadline;
@@ -224,8 +222,8 @@
 typedef struct
 {
   void *context;
-  /** Start a call.  @return a handle, valid until the callback
-      is called */
+  /** Start a call, which is sent at most once.  @return a handle, valid until
+      the callback is called */
   gs_service_transfer_t *(*call) (void *context, const gs_service_call_t *call,
                                   gs_service_cb_t callback, void *argument);
   /** Close the connection of a call without calling its callback. */
--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -157,7 +157,6 @@
                              .request_id = id,
                              .key = spec->key,
                              .content_type = spec->content_type,
-                             .idempotent = spec->idempotent,
                              .deadline = spec->deadline };
 
   call.body = g_bytes_get_data (spec->body, &call.body_length);
--- a/src/ports/service_http.c
+++ b/src/ports/service_http.c
@@ -67,7 +67,10 @@
   request.deadline = call->deadline;
   request.progress_deadline = call->progress_deadline;
   request.connect_deadline = call->progress_deadline;
-  request.new_connection = !call->idempotent;
+  /* Nothing but its place on a connection tells which call an answer belongs
+     to, and a service may write an earlier one there once more.  On a kept
+     connection libcurl may also send a call twice.  */
+  request.new_connection = true;
   request.on_done = on_done;
   request.context = transfer;
   request.context_free = g_free;
--- a/tests/test_contract_service.c
+++ b/tests/test_contract_service.c
@@ -1,6 +1,7 @@
 /* Contract tests of the service port against a fake service: status and number
-   of executions of a call that is not idempotent, under each fault.  */
+   of executions of a call, under each fault.  */
 #include "port_harness.h"
+#include "surplus_upstream.h"
 
 #include "garnetstack/engine.h"
 
@@ -51,7 +52,7 @@
 
 static void
 call (fixture_t *fixture, const char *url, const char *key, uint64_t fencing,
-      bool idempotent, bool short_deadline)
+      bool short_deadline)
 {
   const gs_service_call_t request
       = { .url = url,
@@ -60,7 +61,6 @@
           .request_id = "r-1",
           .key = key,
           .fencing = fencing,
-          .idempotent = idempotent,
           .body = "{}",
           .body_length = 2,
           .deadline = harness_deadline (short_deadline) };
@@ -105,7 +105,7 @@
 
       start (&fixture);
       harness_fault (&fixture.harness, rows[i].fault);
-      call (&fixture, fixture.url, KEY, 0, false, rows[i].short_deadline);
+      call (&fixture, fixture.url, KEY, 0, rows[i].short_deadline);
       harness_check (fixture.status == rows[i].expected, rows[i].name,
                      gs_status_name (fixture.status));
       if (rows[i].expected == GS_OK)
@@ -124,7 +124,7 @@
   fixture_t fixture;
 
   start (&fixture);
-  call (&fixture, "http://127.0.0.1:1", KEY, 0, false, false);
+  call (&fixture, "http://127.0.0.1:1", KEY, 0, false);
   CU_ASSERT_EQUAL (fixture.status, GS_EUNREACHABLE);
   stop (&fixture);
 }
@@ -155,33 +155,24 @@
   harness_full_port_close (&port);
 }
 
-/* Makes a call that leaves a pooled connection behind.  Then the service
+/* Makes a call that could leave a pooled connection behind.  Then the service
    executes a second call and cuts the connection before the first byte of the
-   response.
-   @return executions of the second call  */
-static unsigned
-executions_over_a_pooled_connection (bool idempotent)
+   response, where libcurl sends a call on a pooled connection again.  */
+static void
+test_call_is_not_resent (void)
 {
   fixture_t fixture;
-  unsigned executions;
 
   start (&fixture);
-  call (&fixture, fixture.url, "first", 0, true, false);
+  call (&fixture, fixture.url, "first", 0, false);
   CU_ASSERT_EQUAL (fixture.status, GS_OK);
   harness_fault (&fixture.harness,
                  "{" TARGET "\"fault\":\"lost_after_effect\"}");
-  call (&fixture, fixture.url, KEY, 0, idempotent, false);
-  executions = fake_world_executions_count (fixture.harness.world, KEY);
+  call (&fixture, fixture.url, KEY, 0, false);
+  CU_ASSERT_EQUAL (fixture.status, GS_EUNKNOWN);
+  CU_ASSERT_EQUAL (fake_world_executions_count (fixture.harness.world, KEY),
+                   1);
   stop (&fixture);
-  return executions;
-}
-
-static void
-test_call_is_not_resent (void)
-{
-  CU_ASSERT_EQUAL (executions_over_a_pooled_connection (false), 1);
-  /* libcurl does send an idempotent call again in the same situation.  */
-  CU_ASSERT_EQUAL (executions_over_a_pooled_connection (true), 2);
 }
 
 static void
@@ -192,8 +183,8 @@
   start (&fixture);
   fake_world_upstreams_set (fixture.harness.world,
                             "{\"name\":\"services\",\"honour_key\":true}");
-  call (&fixture, fixture.url, KEY, 0, false, false);
-  call (&fixture, fixture.url, KEY, 0, false, false);
+  call (&fixture, fixture.url, KEY, 0, false);
+  call (&fixture, fixture.url, KEY, 0, false);
   CU_ASSERT_EQUAL (fixture.status, GS_OK);
   CU_ASSERT_EQUAL (fake_world_executions_count (fixture.harness.world, KEY),
                    1);
@@ -208,9 +199,9 @@
   start (&fixture);
   fake_world_upstreams_set (fixture.harness.world,
                             "{\"name\":\"services\",\"check_fencing\":true}");
-  call (&fixture, fixture.url, "new", 5, false, false);
+  call (&fixture, fixture.url, "new", 5, false);
   CU_ASSERT_EQUAL (fixture.http_status, 200);
-  call (&fixture, fixture.url, KEY, 4, false, false);
+  call (&fixture, fixture.url, KEY, 4, false);
   CU_ASSERT_EQUAL (fixture.http_status, 409);
   CU_ASSERT_EQUAL (fake_world_executions_count (fixture.harness.world, KEY),
                    0);
@@ -223,26 +214,97 @@
   fixture_t fixture;
 
   start (&fixture);
-  call (&fixture, fixture.url, KEY, 0, false, false);
+  call (&fixture, fixture.url, KEY, 0, false);
   CU_ASSERT_PTR_NOT_NULL (strstr (fixture.body, "\"key\":\"" KEY "\""));
   CU_ASSERT_PTR_NOT_NULL (strstr (fixture.body, "\"request\":\"r-1\""));
   stop (&fixture);
 }
 
+#define SURPLUS_CALLS 40
+
+/* The body names the request.  */
+static char *
+answer_with_request (void *context, const raw_message_t *request)
+{
+  const long *http_status = context;
+  char *id = raw_message_header (request, "X-Request-Id");
+  char *answer
+      = g_strdup_printf ("HTTP/1.1 %ld X\r\nContent-Type: "
+                         "text/plain\r\nContent-Length: %zu\r\n\r\n%s",
+                         *http_status, strlen (id), id);
+
+  g_free (id);
+  return answer;
+}
+
+/* Guards against a caller that gets the answer to another caller's call, which
+   a service has written once more on a connection that both calls used.  */
+static void
+test_copies_of_answers_reach_no_caller (void)
+{
+  static const struct
+  {
+    const char *method;
+    long http_status;
+  } rows[] = { { "GET", 200 },  { "POST", 200 }, { "GET", 409 },
+               { "POST", 429 }, { "PUT", 503 },  { "DELETE", 200 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      long http_status = rows[i].http_status;
+      surplus_upstream_t *upstream;
+      unsigned foreign = 0;
+      fixture_t fixture;
+      char *url;
+
+      start (&fixture);
+      surplus_upstream_create (&upstream, answer_with_request, &http_status);
+      url = g_strdup_printf ("http://127.0.0.1:%u",
+                             surplus_upstream_port (upstream));
+      for (unsigned j = 0; j < SURPLUS_CALLS; j++)
+        {
+          char *id = g_strdup_printf ("r-%u", j);
+          const gs_service_call_t request
+              = { .url = url,
+                  .method = rows[i].method,
+                  .path = "/charges",
+                  .request_id = id,
+                  .deadline = harness_deadline (false) };
+
+          fixture.port.call (fixture.port.context, &request, on_result,
+                             &fixture);
+          harness_wait (&fixture.harness);
+          CU_ASSERT_EQUAL (fixture.status, GS_OK);
+          CU_ASSERT_EQUAL (fixture.http_status, http_status);
+          foreign += strcmp (fixture.body, id) != 0;
+          g_free (id);
+        }
+      printf ("\n  %s, status %ld: %u of %u answers are those to other calls ",
+              rows[i].method, http_status, foreign, SURPLUS_CALLS);
+      CU_ASSERT_EQUAL (foreign, 0);
+      CU_ASSERT_EQUAL (surplus_upstream_arrivals (upstream), SURPLUS_CALLS);
+      stop (&fixture);
+      surplus_upstream_destroy (upstream);
+      g_free (url);
+    }
+}
+
 int
 main (void)
 {
-  const check_case_t cases[] = {
-    { "each fault has its status and executions", test_each_fault },
-    { "a refused connection is reported as unreachable",
-      test_refused_connection_is_unreachable },
-    { "a connection that does not open is reported as unreachable",
-      test_a_connection_that_does_not_open_is_unreachable },
-    { "a call that is not idempotent is not resent", test_call_is_not_resent },
-    { "a service that honours the key executes once", test_key_is_honoured },
-    { "a lower fencing token is rejected", test_fencing },
-    { "a response names its request", test_response_names_its_request }
-  };
+  const check_case_t cases[]
+      = { { "each fault has its status and executions", test_each_fault },
+          { "a refused connection is reported as unreachable",
+            test_refused_connection_is_unreachable },
+          { "a connection that does not open is reported as unreachable",
+            test_a_connection_that_does_not_open_is_unreachable },
+          { "a call is not resent", test_call_is_not_resent },
+          { "a service that honours the key executes once",
+            test_key_is_honoured },
+          { "a lower fencing token is rejected", test_fencing },
+          { "a response names its request", test_response_names_its_request },
+          { "copies of answers reach no caller",
+            test_copies_of_answers_reach_no_caller } };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   return CHECK_RUN ("contract of the service port", cases);
