engines: each stream has a connection of its own

A stream got the text of another caller's stream, or was called not run while the engine ran it, where an engine writes an answer once more in the place of the next one.

Cause: streams went over kept connections, and nothing in their events tells which stream they belong to. A copy of a 200 became the text of the next caller, whole and with its end marker; a copy of a 503 became GS_EUNREACHABLE, 'certainly not run'.

Each stream now gets a new connection, so that no answer to another stream can precede its own; a stream lasts much longer than a connection takes to open. Callers get their own text and a true end.

Evidence: contract_engine, 'copies of answers end no stream', failed before: 39 of 40 streams had another one's text; beside an engine that rejects every other stream 20 of 40 had it, and 20 had a wrong end. None of 40 now, in both. process_requests passes.

--- a/src/ports/engine_http.c
+++ b/src/ports/engine_http.c
@@ -156,6 +156,9 @@
   request.deadline = call->deadline;
   request.progress_deadline = call->progress_deadline;
   request.connect_deadline = call->progress_deadline;
+  /* Nothing but its place on a connection tells which stream a response
+     belongs to, and an engine may write an earlier one there once more.  */
+  request.new_connection = true;
   request.on_data = on_data;
   request.on_done = on_done;
   request.context = stream;
--- a/tests/test_contract_engine.c
+++ b/tests/test_contract_engine.c
@@ -1,6 +1,7 @@
 /* Contract tests of the engine port against a fake engine: streams under each
    fault, resumption, moves of the KV cache, load reports and orders.  */
 #include "port_harness.h"
+#include "surplus_upstream.h"
 
 #include "garnetstack/engine.h"
 
@@ -471,30 +472,183 @@
   stop (&fixture);
 }
 
+#define SURPLUS_CALLS 40
+
+/* An engine whose answers name the request.  It rejects each second stream if
+   told so.  */
+typedef struct
+{
+  bool rejects;
+} naming_engine_t;
+
+static bool
+is_rejected (const naming_engine_t *engine, const char *request_id)
+{
+  return engine->rejects
+         && g_ascii_strtoull (request_id + 2, NULL, 10) % 2 == 0;
+}
+
+static char *
+make_answer (int http_status, const char *body)
+{
+  return g_strdup_printf ("HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n%s",
+                          http_status, strlen (body), body);
+}
+
+/* Answers a stream with one token, its request's id, and an export with its
+   path.  */
+static char *
+answer_by_name (void *context, const raw_message_t *request)
+{
+  char **words = g_strsplit (request->first_line, " ", 3);
+  char *id = raw_message_header (request, "X-Request-Id");
+  char *body;
+  int http_status = 200;
+  char *answer;
+
+  if (id != NULL && is_rejected (context, id))
+    {
+      http_status = 503;
+      body = g_strdup ("full");
+    }
+  else if (id != NULL)
+    body = g_strdup_printf (
+        "data: {\"choices\":[{\"index\":0,\"text\":\"%s\"}],\"offset\":0}\n"
+        "data: [DONE]\n",
+        id);
+  else
+    body = g_strdup (words[1]);
+  answer = make_answer (http_status, body);
+  g_free (body);
+  g_free (id);
+  g_strfreev (words);
+  return answer;
+}
+
+typedef struct
+{
+  fixture_t fixture;
+  naming_engine_t engine;
+  surplus_upstream_t *upstream;
+  char *url;
+  GString *text; /* of the latest stream */
+} surplus_fixture_t;
+
+static void
+surplus_start (surplus_fixture_t *surplus, bool rejects)
+{
+  start (&surplus->fixture);
+  surplus->engine = (naming_engine_t){ rejects };
+  surplus_upstream_create (&surplus->upstream, answer_by_name,
+                           &surplus->engine);
+  surplus->url = g_strdup_printf ("http://127.0.0.1:%u",
+                                  surplus_upstream_port (surplus->upstream));
+  surplus->text = g_string_new (NULL);
+}
+
+static void
+surplus_stop (surplus_fixture_t *surplus)
+{
+  stop (&surplus->fixture);
+  surplus_upstream_destroy (surplus->upstream);
+  g_string_free (surplus->text, TRUE);
+  g_free (surplus->url);
+}
+
+static void
+append_text (void *argument, uint32_t offset, const char *text, size_t length)
+{
+  surplus_fixture_t *surplus = argument;
+
+  g_string_append_len (surplus->text, text, (gssize)length);
+}
+
+static void
+on_surplus_end (void *argument, const gs_engine_end_t *end)
+{
+  surplus_fixture_t *surplus = argument;
+
+  on_end (&surplus->fixture, end);
+}
+
+static void
+generate_named (surplus_fixture_t *surplus, const char *id)
+{
+  const gs_engine_call_t call = { .url = surplus->url,
+                                  .stream_id = id,
+                                  .request_id = id,
+                                  .attempt = 1,
+                                  .body = BODY,
+                                  .body_length = strlen (BODY),
+                                  .deadline = harness_deadline (false) };
+
+  g_string_truncate (surplus->text, 0);
+  surplus->fixture.port.generate (surplus->fixture.port.context, &call,
+                                  append_text, on_surplus_end, surplus);
+  harness_wait (&surplus->fixture.harness);
+}
+
+/* Guards against a caller that gets the text of another caller's stream, and
+   against a stream that is called not run, and runs: an engine has written its
+   answer to an earlier stream once more on a connection that both used.  */
+static void
+test_copies_of_answers_end_no_stream (void)
+{
+  for (int rejects = 0; rejects < 2; rejects++)
+    {
+      unsigned foreign = 0;
+      unsigned wrong_end = 0;
+      surplus_fixture_t surplus;
+
+      surplus_start (&surplus, rejects);
+      for (unsigned i = 0; i < SURPLUS_CALLS; i++)
+        {
+          char *id = g_strdup_printf ("r-%u", i);
+          bool rejected = is_rejected (&surplus.engine, id);
+
+          generate_named (&surplus, id);
+          foreign
+              += surplus.text->len > 0 && strcmp (surplus.text->str, id) != 0;
+          wrong_end += surplus.fixture.end.status
+                       != (rejected ? GS_EUNREACHABLE : GS_OK);
+          g_free (id);
+        }
+      printf ("\n  rejects %d: of %u streams %u have another one's text, %u "
+              "a wrong end ",
+              rejects, SURPLUS_CALLS, foreign, wrong_end);
+      CU_ASSERT_EQUAL (foreign, 0);
+      CU_ASSERT_EQUAL (wrong_end, 0);
+      CU_ASSERT_EQUAL (surplus_upstream_arrivals (surplus.upstream),
+                       SURPLUS_CALLS);
+      surplus_stop (&surplus);
+    }
+}
+
 int
 main (void)
 {
-  const check_case_t cases[]
-      = { { "each fault of a stream has its status", test_each_fault },
-          { "a refused connection is reported as unreachable",
-            test_refused_connection_is_unreachable },
-          { "a connection that does not open is reported as unreachable",
-            test_a_connection_that_does_not_open_is_unreachable },
-          { "a cut stream is resumed", test_resume_after_a_cut },
-          { "a stream is not resumed at another engine",
-            test_resume_at_another_engine_is_not_found },
-          { "a stream continues with a moved KV cache",
-            test_move_of_the_kv_cache },
-          { "a KV cache of another request is rejected",
-            test_kv_cache_of_another_request_is_rejected },
-          { "a cancelled stream cannot be resumed",
-            test_cancelled_stream_is_not_found },
-          { "an engine that checks fencing rejects older orders",
-            test_order_fencing },
-          { "late cache events and gaps are reported",
-            test_late_cache_events_and_gaps },
-          { "a failed load report does not affect the next",
-            test_failed_report_does_not_affect_the_next } };
+  const check_case_t cases[] = {
+    { "each fault of a stream has its status", test_each_fault },
+    { "a refused connection is reported as unreachable",
+      test_refused_connection_is_unreachable },
+    { "a connection that does not open is reported as unreachable",
+      test_a_connection_that_does_not_open_is_unreachable },
+    { "a cut stream is resumed", test_resume_after_a_cut },
+    { "a stream is not resumed at another engine",
+      test_resume_at_another_engine_is_not_found },
+    { "a stream continues with a moved KV cache", test_move_of_the_kv_cache },
+    { "a KV cache of another request is rejected",
+      test_kv_cache_of_another_request_is_rejected },
+    { "a cancelled stream cannot be resumed",
+      test_cancelled_stream_is_not_found },
+    { "an engine that checks fencing rejects older orders",
+      test_order_fencing },
+    { "late cache events and gaps are reported",
+      test_late_cache_events_and_gaps },
+    { "a failed load report does not affect the next",
+      test_failed_report_does_not_affect_the_next },
+    { "copies of answers end no stream", test_copies_of_answers_end_no_stream }
+  };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   return CHECK_RUN ("contract of the engine port", cases);
