engines: each export of a KV cache has a connection of its own

A stream could go on at another engine from the KV cache of another caller's stream.

Cause: exports were GETs on kept connections, and an export is opaque: nothing in it tells which stream it belongs to. An engine that writes an answer once more, in the place of the next one, gave the cache or the text of another stream; only an engine that checks what it imports rejected it, and the prompt was then computed again.

An export now gets a new connection, and only what is polled each second still uses kept ones: a wrong load report or list of cache events is replaced by the next one, and a node polls many engines.

--- a/src/ports/engine_calls.c
+++ b/src/ports/engine_calls.c
@@ -15,6 +15,7 @@
   void *argument;
   uint64_t after;
   size_t response_bytes_max; /* 0 for the loop's default */
+  bool is_poll; /* repeated soon, so that a wrong response does little harm */
 } engine_call_t;
 
 static void
@@ -30,8 +31,10 @@
   request.body_length = length;
   request.deadline = deadline;
   /* libcurl sends a request again when a reused connection turns out to be
-     closed, which must not happen to calls with an effect.  */
-  request.new_connection = strcmp (method, "GET") != 0;
+     closed, which must not happen to calls with an effect.  Nothing but its
+     place on a connection tells which call a response belongs to, and an
+     engine may write an earlier one there once more.  */
+  request.new_connection = !call.is_poll;
   request.body_bytes_max = call.response_bytes_max;
   request.on_done = done;
   request.context = g_memdup2 (&call, sizeof call);
@@ -168,7 +171,9 @@
 {
   call_start (context, "GET", g_strdup_printf ("%s/load", url), NULL, 0,
               deadline, on_report_done,
-              (engine_call_t){ .on_report = callback, .argument = argument });
+              (engine_call_t){ .on_report = callback,
+                               .argument = argument,
+                               .is_poll = true });
 }
 
 void
@@ -182,7 +187,8 @@
   call_start (context, "GET", full, NULL, 0, deadline, on_events_done,
               (engine_call_t){ .on_events = callback,
                                .argument = argument,
-                               .after = after });
+                               .after = after,
+                               .is_poll = true });
 }
 
 void
--- a/tests/test_contract_engine.c
+++ b/tests/test_contract_engine.c
@@ -624,31 +624,62 @@
     }
 }
 
+/* Guards against a stream that goes on from the KV cache of another one.  */
+static void
+test_copies_of_answers_are_no_kv_cache (void)
+{
+  unsigned foreign = 0;
+  surplus_fixture_t surplus;
+
+  surplus_start (&surplus, false);
+  for (unsigned i = 0; i < SURPLUS_CALLS; i++)
+    {
+      char *id = g_strdup_printf ("r-%u", i);
+      char *path = g_strdup_printf ("/kv/%s", id);
+
+      surplus.fixture.port.kv_get (surplus.fixture.port.context, surplus.url,
+                                   id, harness_deadline (false), on_result,
+                                   &surplus.fixture);
+      harness_wait (&surplus.fixture.harness);
+      CU_ASSERT_EQUAL (surplus.fixture.status, GS_OK);
+      foreign += strcmp (surplus.fixture.body, path) != 0;
+      g_free (path);
+      g_free (id);
+    }
+  printf ("\n  %u of %u exports are those of other streams ", foreign,
+          SURPLUS_CALLS);
+  CU_ASSERT_EQUAL (foreign, 0);
+  surplus_stop (&surplus);
+}
+
 int
 main (void)
 {
-  const check_case_t cases[] = {
-    { "each fault of a stream has its status", test_each_fault },
-    { "a refused connection is reported as unreachable",
-      test_refused_connection_is_unreachable },
-    { "a connection that does not open is reported as unreachable",
-      test_a_connection_that_does_not_open_is_unreachable },
-    { "a cut stream is resumed", test_resume_after_a_cut },
-    { "a stream is not resumed at another engine",
-      test_resume_at_another_engine_is_not_found },
-    { "a stream continues with a moved KV cache", test_move_of_the_kv_cache },
-    { "a KV cache of another request is rejected",
-      test_kv_cache_of_another_request_is_rejected },
-    { "a cancelled stream cannot be resumed",
-      test_cancelled_stream_is_not_found },
-    { "an engine that checks fencing rejects older orders",
-      test_order_fencing },
-    { "late cache events and gaps are reported",
-      test_late_cache_events_and_gaps },
-    { "a failed load report does not affect the next",
-      test_failed_report_does_not_affect_the_next },
-    { "copies of answers end no stream", test_copies_of_answers_end_no_stream }
-  };
+  const check_case_t cases[]
+      = { { "each fault of a stream has its status", test_each_fault },
+          { "a refused connection is reported as unreachable",
+            test_refused_connection_is_unreachable },
+          { "a connection that does not open is reported as unreachable",
+            test_a_connection_that_does_not_open_is_unreachable },
+          { "a cut stream is resumed", test_resume_after_a_cut },
+          { "a stream is not resumed at another engine",
+            test_resume_at_another_engine_is_not_found },
+          { "a stream continues with a moved KV cache",
+            test_move_of_the_kv_cache },
+          { "a KV cache of another request is rejected",
+            test_kv_cache_of_another_request_is_rejected },
+          { "a cancelled stream cannot be resumed",
+            test_cancelled_stream_is_not_found },
+          { "an engine that checks fencing rejects older orders",
+            test_order_fencing },
+          { "late cache events and gaps are reported",
+            test_late_cache_events_and_gaps },
+          { "a failed load report does not affect the next",
+            test_failed_report_does_not_affect_the_next },
+          { "copies of answers end no stream",
+            test_copies_of_answers_end_no_stream },
+          { "copies of answers are no KV cache",
+            test_copies_of_answers_are_no_kv_cache } };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   return CHECK_RUN ("contract of the engine port", cases);
