--- a/tests/port_harness.h
+++ b/tests/port_harness.h
@@ -109,7 +109,7 @@
     {
       out->fillers[i]
           = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-      connect (out->fillers[i], (struct sockaddr *)&address, length);
+      (void)connect (out->fillers[i], (struct sockaddr *)&address, length);
     }
   out->url = g_strdup_printf ("http://127.0.0.1:%u", ntohs (address.sin_port));
 }
