--- a/include/garnetstack/engine.h
+++ b/include/garnetstack/engine.h
@@ -41,8 +41,8 @@
   const char *emitted;   /**< text emitted so far, NULL to leave it out */
   size_t emitted_length; /**< bytes of @c emitted */
   gs_time_t deadline;    /**< of the whole response */
-  gs_time_t progress_deadline; /**< now plus the longest time without data, 0
-                                    for no limit */
+  gs_time_t progress_deadline; /**< now plus the longest time without data or
+                                    a connection, 0 for no limit */
 } gs_engine_call_t;
 
 /**
@@ -192,13 +192,11 @@
   const char *key;          /**< value of Idempotency-Key, "" if none */
   uint64_t fencing;         /**< fencing token, 0 if none */
   const char *content_type; /**< "" for JSON */
-  bool idempotent; /**< otherwise sent on a new connection, so that libcurl
-                        does not send it twice */
   const char *body;
   size_t body_length;
   gs_time_t deadline;
-  gs_time_t progress_deadline; /**< now plus the longest time without data, 0
-                                    for no limit */
+  gs_time_t progress_deadline; /**< now plus the longest time without data or
+                                    a connection, 0 for no limit */
 } gs_service_call_t;
 
 /** Result of a call of a service. */
@@ -224,8 +222,8 @@
 typedef struct
 {
   void *context;
-  /** Start a call.  @return a handle, valid until the callback
-      is called */
+  /** Start a call, which is sent at most once.  @return a handle, valid until
+      the callback is called */
   gs_service_transfer_t *(*call) (void *context, const gs_service_call_t *call,
                                   gs_service_cb_t callback, void *argument);
   /** Close the connection of a call without calling its callback. */
