tests: keep the ports of node processes reserved until the program ends

Cause: test_process_operators chose the ports of its nodes, gave them up and then started its stand-ins, which listen on ports that the kernel chooses. A stand-in of a service that got the operator port of node ne-c-1 made that node exit at its start ("cannot listen"), and answered 200 to /healthz and /readyz, as such a stand-in answers 200 to every path. The cause was not logged, as the standard error of nodes was discarded. The daemon is not at fault.

Change: test_process_operators reserves its ports by reserved_port_take(), shows the standard error of its nodes, and stops waiting for a node that has ended. A case checks that the ports are reserved before the nodes start. It no longer signals process 0, its own group, when node 2 does not run.

process_harness had the same fault in another form: two programs could choose the same port, as a port was only looked at. It reserves its ports too, and keeps those of replaced nodes, since other nodes may still call them.

--- a/tests/process_harness.c
+++ b/tests/process_harness.c
@@ -1,6 +1,7 @@
 #include "process_harness.h"
 
-#include <arpa/inet.h>
+#include "reserved_port.h"
+
 #include <curl/curl.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -16,45 +17,32 @@
 #define TICK_INTERVAL (10 * GS_MSEC)
 #define WAIT_TIMEOUT (60 * GS_SEC)
 #define CALL_TIMEOUT (5 * GS_SEC)
-/* Below the range of ephemeral ports. */
-#define PORT_MIN 20000
-#define PORT_COUNT 10000
+/* Of 127.0.0.1, where the nodes listen. */
+#define PORT_HOST 1
 #define PEER_KEY "test-peer-key"
 
 static const char *const data_centres[CLUSTER_NODES]
     = { "ne-a", "ne-b", "ne-c", "ne-d", "ne-a" };
 
-static bool
-port_is_free (uint16_t port)
+/* A port stays reserved until the cluster ends, also when its node has been
+   replaced, as other nodes may still call its address.  */
+static uint16_t
+reserve_port (cluster_t *cluster)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  int on = 1;
-  bool bound;
+  reserved_port_t reserved;
 
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  address.sin_port = htons (port);
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  bound = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
-  close (fd);
-  return bound;
+  reserved_port_take (&reserved, PORT_HOST);
+  g_array_append_val (cluster->reserved_ports, reserved);
+  return reserved.port;
 }
 
-/* Test processes that run at the same time start at different offsets.  */
-static uint16_t
-next_port (void)
+static void
+release_ports (cluster_t *cluster)
 {
-  static unsigned offset;
-
-  if (offset == 0)
-    offset = (unsigned)getpid () * 61;
-  for (;;)
-    {
-      uint16_t port = (uint16_t)(PORT_MIN + ++offset % PORT_COUNT);
-
-      if (port_is_free (port))
-        return port;
-    }
+  for (guint i = 0; i < cluster->reserved_ports->len; i++)
+    reserved_port_release (
+        &g_array_index (cluster->reserved_ports, reserved_port_t, i));
+  g_array_unref (cluster->reserved_ports);
 }
 
 /* The kernel kills the child when this program ends, also after a crash.  */
@@ -132,9 +120,9 @@
   g_snprintf (process->name, sizeof process->name, "%s-n%u-%u",
               process->data_centre, node, cluster->vm_count++);
   g_strlcpy (process->peer_key, PEER_KEY, sizeof process->peer_key);
-  process->caller_port = next_port ();
-  process->operator_port = next_port ();
-  process->peer_port = next_port ();
+  process->caller_port = reserve_port (cluster);
+  process->operator_port = reserve_port (cluster);
+  process->peer_port = reserve_port (cluster);
   g_free (cluster->urls[node]);
   cluster->urls[node]
       = g_strdup_printf ("http://127.0.0.1:%u", process->caller_port);
@@ -158,6 +146,8 @@
   memset (cluster, 0, sizeof *cluster);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   cluster->directory = g_dir_make_tmp ("gs-test-XXXXXX", NULL);
+  cluster->reserved_ports
+      = g_array_new (FALSE, FALSE, sizeof (reserved_port_t));
   start_fakes (cluster, engines, services);
   for (unsigned i = 0; i < CLUSTER_NODES; i++)
     {
@@ -504,6 +494,7 @@
     }
   kill (cluster->fakes, SIGKILL);
   waitpid (cluster->fakes, NULL, 0);
+  release_ports (cluster);
   callers_clear (&cluster->callers);
   gs_loop_destroy (cluster->loop);
   remove_directory (cluster);
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -35,6 +35,7 @@
   node_process_t nodes[CLUSTER_NODES];
   char *urls[CLUSTER_NODES + 1]; /* for callers, NULL-ended */
   char *directory;
+  GArray *reserved_ports; /* reserved_port_t, for the nodes */
   gs_loop_t *loop;
   callers_t callers;
   bool (*condition) (void *context);
--- a/tests/test_process_operators.c
+++ b/tests/test_process_operators.c
@@ -1,5 +1,6 @@
 /* The operator commands against node processes and stand-ins.  */
 #include "check.h"
+#include "reserved_port.h"
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
@@ -15,6 +16,7 @@
 
 #define NODES 3
 #define NODE_PORTS 3 /* of each node: callers, operators, peers */
+#define PORT_HOST 1  /* of 127.0.0.1, where the nodes listen */
 #define PATH_BYTES 128
 #define START_TRIES_MAX 400
 #define START_RETRY_INTERVAL_USEC 50000
@@ -28,7 +30,7 @@
 static char directory[] = "/tmp/gs_test_operators_XXXXXX";
 static GPid fakes;
 static GPid nodes[NODES];
-static uint16_t ports[NODES][NODE_PORTS];
+static reserved_port_t ports[NODES][NODE_PORTS];
 static char platform[PATH_BYTES];
 
 /* Standard output and standard error of the last command.  */
@@ -50,29 +52,24 @@
   g_free (path);
 }
 
-/* Chooses free ports.  All stay bound until the last is chosen, so that no two
-   are equal.  */
+/* The ports stay reserved until the program ends.  */
 static void
-choose_ports (void)
+reserve_ports (void)
 {
-  int sockets[NODES * NODE_PORTS];
-
   for (int i = 0; i < NODES * NODE_PORTS; i++)
-    {
-      struct sockaddr_in address = { .sin_family = AF_INET };
-      socklen_t size = sizeof address;
-
-      address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-      sockets[i] = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      CU_ASSERT_EQUAL_FATAL (
-          bind (sockets[i], (struct sockaddr *)&address, sizeof address), 0);
-      getsockname (sockets[i], (struct sockaddr *)&address, &size);
-      ports[i / NODE_PORTS][i % NODE_PORTS] = ntohs (address.sin_port);
-    }
+    reserved_port_take (&ports[i / NODE_PORTS][i % NODE_PORTS], PORT_HOST);
+}
+
+static void
+release_ports (void)
+{
   for (int i = 0; i < NODES * NODE_PORTS; i++)
-    close (sockets[i]);
+    if (ports[i / NODE_PORTS][i % NODE_PORTS].port != 0)
+      reserved_port_release (&ports[i / NODE_PORTS][i % NODE_PORTS]);
 }
 
+/* Standard error is that of this program, so that the log of the test says why
+   a process has ended.  */
 static GPid
 start_process (const char *const *arguments, int *output)
 {
@@ -81,8 +78,7 @@
   CU_ASSERT_TRUE_FATAL (g_spawn_async_with_pipes (
       NULL, (char **)arguments, NULL,
       G_SPAWN_DO_NOT_REAP_CHILD
-          | (output == NULL ? G_SPAWN_STDOUT_TO_DEV_NULL : 0)
-          | G_SPAWN_STDERR_TO_DEV_NULL,
+          | (output == NULL ? G_SPAWN_STDOUT_TO_DEV_NULL : 0),
       NULL, NULL, &pid, NULL, output, NULL, NULL));
   return pid;
 }
@@ -153,15 +149,15 @@
       "[node]\nname=%s-1\naddress=127.0.0.1\nregion=new-england\n"
       "data_centre=%s\ncaller_port=%u\noperator_port=%u\npeer_port=%u\n"
       "[platform]\nurl=%s\n[security]\npeer_key=secret\n",
-      data_centres[index], data_centres[index], ports[index][0],
-      ports[index][1], ports[index][2], platform);
+      data_centres[index], data_centres[index], ports[index][0].port,
+      ports[index][1].port, ports[index][2].port, platform);
   char *vm = g_strdup_printf (
       "{\"name\":\"%s-1\",\"kind\":\"node\",\"address\":\"127.0.0.1\","
       "\"port\":%u,\"operator_port\":%u,\"peer_port\":%u,"
       "\"data_centre\":\"%s\",\"region\":\"new-england\","
       "\"state\":\"live\"}",
-      data_centres[index], ports[index][0], ports[index][1], ports[index][2],
-      data_centres[index]);
+      data_centres[index], ports[index][0].port, ports[index][1].port,
+      ports[index][2].port, data_centres[index]);
   char *url = g_strdup_printf ("%s/control/vms", platform);
   const char *arguments[]
       = { getenv ("GS_BINARY"), "node", "--config", NULL, NULL };
@@ -178,14 +174,30 @@
   g_free (text);
 }
 
+/* The process is reaped, so its id must not be used after its end.  */
+static bool
+node_has_ended (int index)
+{
+  int status;
+
+  if (nodes[index] > 0
+      && waitpid (nodes[index], &status, WNOHANG) == nodes[index])
+    {
+      printf ("\nnode %d has ended, wait status %d\n", index, status);
+      nodes[index] = 0;
+    }
+  return nodes[index] <= 0;
+}
+
 static bool
 wait_for_probe (int index, const char *probe)
 {
-  char *url
-      = g_strdup_printf ("http://127.0.0.1:%u/%s", ports[index][1], probe);
+  char *url = g_strdup_printf ("http://127.0.0.1:%u/%s", ports[index][1].port,
+                               probe);
   bool ready = false;
 
-  for (int i = 0; i < START_TRIES_MAX && !ready; i++)
+  for (int i = 0; i < START_TRIES_MAX && !ready && !node_has_ended (index);
+       i++)
     {
       ready = http_send (url, NULL, NULL, NULL) == 200;
       if (!ready)
@@ -214,8 +226,8 @@
   if (strstr (command, "--node") == NULL)
     {
       g_ptr_array_add (arguments, g_strdup ("--node"));
-      g_ptr_array_add (arguments,
-                       g_strdup_printf ("http://127.0.0.1:%u", ports[0][1]));
+      g_ptr_array_add (arguments, g_strdup_printf ("http://127.0.0.1:%u",
+                                                   ports[0][1].port));
     }
   g_ptr_array_add (arguments, NULL);
   CU_ASSERT_TRUE_FATAL (g_spawn_sync (
@@ -276,10 +288,35 @@
   g_free (text);
 }
 
+static bool
+other_socket_can_bind (uint16_t port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  bool bound;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  bound = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
+  close (fd);
+  return bound;
+}
+
+/* Guards against a stand-in that gets the port of a node that has not started
+   yet.  Stand-ins for services answer 200 to every path, so the tests would
+   take one for a healthy node.  */
+static void
+ports_are_reserved_until_the_nodes_listen (void)
+{
+  reserve_ports ();
+  for (int i = 0; i < NODES * NODE_PORTS; i++)
+    CU_ASSERT_FALSE (
+        other_socket_can_bind (ports[i / NODE_PORTS][i % NODE_PORTS].port));
+}
+
 static void
 an_accepted_change_is_in_force_on_every_node (void)
 {
-  choose_ports ();
   write_catalogue ();
   start_fakes ();
   for (int i = 0; i < NODES; i++)
@@ -458,7 +495,7 @@
 generate (int index, const char *model)
 {
   char *url = g_strdup_printf ("http://127.0.0.1:%u/v1/completions",
-                               ports[index][0]);
+                               ports[index][0].port);
   char *text = g_strdup_printf (
       "{\"model\":\"%s\",\"prompt\":\"p\",\"max_tokens\":3}", model);
   GString *body = g_string_new (NULL);
@@ -516,6 +553,7 @@
   char *id;
   int status = -1;
 
+  CU_ASSERT_FALSE_FATAL (node_has_ended (2));
   kill (nodes[2], SIGTERM);
   id = generate (2, "assistant");
   CU_ASSERT_PTR_NOT_NULL (id);
@@ -538,6 +576,8 @@
 main (void)
 {
   static const check_case_t cases[] = {
+    { "ports_are_reserved_until_the_nodes_listen",
+      ports_are_reserved_until_the_nodes_listen },
     { "an_accepted_change_is_in_force_on_every_node",
       an_accepted_change_is_in_force_on_every_node },
     { "concurrent_edits_of_two_operators_are_kept",
@@ -571,6 +611,7 @@
   for (int i = 0; i < NODES; i++)
     stop_process (nodes[i]);
   stop_process (fakes);
+  release_ports ();
   for (size_t i = 0; i < sizeof files / sizeof *files; i++)
     {
       char *path = file_path (files[i]);
