tests: a stand-in that refuses connections keeps its port

Cause: raw_server_refuse() and raw_server_crash() shut the listener down. The kernel then frees a port that it has chosen itself, so that another program may listen there: a node whose paths to replicas refuse connections reaches that program, and the stand-in may not get its port back when it starts again.

Seen: in one of 3 runs of a new case of process_gateway_cut, beside trials that took hundreds of ports, a node that was cut off from all replicas found one reachable 0.5 s later, though its paths refused connections; an attempt there connected and got no answer. Which program listened there is not known, so this cause is likely and not shown for that run.

Change: a server on a port that the kernel chooses reserves it until it is destroyed, and binds it by number.

Before: the new case of raw_proxy fails, another socket can bind the port. After: it passes.

--- a/tests/raw_http.c
+++ b/tests/raw_http.c
@@ -1,5 +1,7 @@
 #include "raw_http.h"
 
+#include "reserved_port.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
@@ -17,11 +19,14 @@
 /* More than a backlog of one connection holds.  */
 #define FILLERS_COUNT 4
 
+#define LOOPBACK_NETWORK (INADDR_LOOPBACK & IN_CLASSA_NET)
+
 struct raw_server
 {
   int fd;
   uint32_t address; /* in host byte order */
   uint16_t port;
+  reserved_port_t reserved; /* its port is 0 when the caller chose one */
   raw_handler_t handler;
   void *context;
   pthread_t thread;
@@ -271,13 +276,11 @@
     }
 }
 
-/* @param port to listen on; 0 for a free one  */
 static void
 server_listen (raw_server_t *server, uint16_t port)
 {
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_port = htons (port) };
-  socklen_t length = sizeof address;
   int on = 1;
 
   server->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -290,8 +293,7 @@
       perror ("raw server");
       exit (1);
     }
-  getsockname (server->fd, (struct sockaddr *)&address, &length);
-  server->port = ntohs (address.sin_port);
+  server->port = port;
   pthread_create (&server->thread, NULL, listener_run, server);
 }
 
@@ -301,12 +303,20 @@
   raw_server_create_at (out, INADDR_LOOPBACK, 0, handler, context);
 }
 
+/* A listener that is shut down gives up a port that the kernel has chosen for
+   it, so a free port is reserved until the server is destroyed.  */
 void
 raw_server_create_at (raw_server_t **out, uint32_t address, uint16_t port,
                       raw_handler_t handler, void *context)
 {
   raw_server_t *server = g_new0 (raw_server_t, 1);
 
+  if (port == 0)
+    {
+      reserved_port_take (&server->reserved, address - LOOPBACK_NETWORK);
+      port = server->reserved.port;
+    }
+
   server->handler = handler;
   server->context = context;
   server->fds = g_hash_table_new (NULL, NULL);
@@ -416,6 +426,8 @@
   shutdown (server->fd, SHUT_RDWR);
   pthread_join (server->thread, NULL);
   close (server->fd);
+  if (server->reserved.port != 0)
+    reserved_port_release (&server->reserved);
   connections_shut_down (server);
   pthread_mutex_lock (&server->lock);
   while (g_hash_table_size (server->fds) > 0)
--- a/tests/test_raw_proxy.c
+++ b/tests/test_raw_proxy.c
@@ -2,7 +2,10 @@
 #include "garnetstack/clock.h"
 #include "raw_proxy.h"
 
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* Guards against a stand-in that drops a response and delivers what the server
    writes after it on the same connection, which no TCP connection does.  */
@@ -41,9 +44,50 @@
   raw_server_destroy (server);
 }
 
+static bool
+other_socket_can_bind (uint16_t port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  bool bound;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  bound = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
+  close (fd);
+  return bound;
+}
+
+/* Guards against a path that refuses connections and whose port another
+   program gets: a node that should be cut off from replicas then reaches that
+   program.  */
+static void
+a_path_that_refuses_connections_keeps_its_port (void)
+{
+  raw_server_t *server;
+  raw_proxy_t *proxy;
+  raw_conn_t conn;
+
+  raw_server_create (&server, serve_two_parts, NULL);
+  raw_proxy_create (&proxy, raw_server_port (server));
+  for (unsigned i = 0; i < 2; i++)
+    {
+      raw_proxy_set_mode (proxy, PROXY_REFUSE);
+      CU_ASSERT_FALSE (raw_connect (&conn, raw_proxy_port (proxy)));
+      CU_ASSERT_FALSE (other_socket_can_bind (raw_proxy_port (proxy)));
+      raw_proxy_set_mode (proxy, PROXY_PASS);
+      CU_ASSERT_TRUE_FATAL (raw_connect (&conn, raw_proxy_port (proxy)));
+      raw_close (&conn);
+    }
+  raw_proxy_destroy (proxy);
+  raw_server_destroy (server);
+}
+
 static const check_case_t cases[] = {
   { "nothing follows data that were dropped",
     nothing_follows_data_that_were_dropped },
+  { "a path that refuses connections keeps its port",
+    a_path_that_refuses_connections_keeps_its_port },
 };
 
 int
