tests: a request that a cut-off node passes back is counted in the budget

It is no fault. handle_not_run() takes the resend from the budget of the second node before relay_dispatch() finds that this node is cut off, so the send of the first node is counted once, at the second one. Taking it at the first node as well would count it twice, and callers would be refused within the budget.

The new case plays it with three nodes: the caller gets 200, the request runs once, and the arrivals beyond the first are no more than the granted resends.

--- a/tests/test_process_gateway_cut.c
+++ b/tests/test_process_gateway_cut.c
@@ -20,6 +20,9 @@
 /* Callers see at least this share of their requests served.  */
 #define SERVED_RATIO_MIN 0.9
 #define EVENT_COUNT 6
+/* Time in which a node finds out that it is cut off while a replica has a
+   request that it rejects then; below the deadline of a request.  */
+#define REJECTION_DELAY (1200 * GS_MSEC)
 /* max_attempts of the route for idempotent requests.  */
 #define FREE_RUNS_MAX 2
 
@@ -196,23 +199,32 @@
 static bool
 knows_that_it_is_cut (void *context)
 {
-  (void)context;
-  return metric_is (1, "garnetstack_replicas_reached{} 0");
+  const unsigned *gateway = context;
+
+  return metric_is (*gateway, "garnetstack_replicas_reached{} 0");
 }
 
 /* Sends requests until the node has found out that it is cut off.  */
 static void
-cut_second_gateway (void)
+cut_gateway (unsigned gateway)
 {
-  gw_paths_set_mode (&world, 1, PROXY_REFUSE);
-  for (unsigned i = 0; i < 5 && !knows_that_it_is_cut (NULL); i++)
+  gw_paths_set_mode (&world, gateway, PROXY_REFUSE);
+  for (unsigned i = 0; i < 5 && !knows_that_it_is_cut (&gateway); i++)
     {
-      char *id = g_strdup_printf ("first-%u", i);
+      char *id = g_strdup_printf ("first-%u-%u", gateway, i);
 
-      g_free (gw_request (&world, 1, "POST", "/a/never/good", id, "", "x"));
+      g_free (
+          gw_request (&world, gateway, "POST", "/a/never/good", id, "", "x"));
       g_free (id);
     }
-  CU_ASSERT_TRUE (gw_wait_until (knows_that_it_is_cut, NULL, CONTACT_TIME));
+  CU_ASSERT_TRUE (
+      gw_wait_until (knows_that_it_is_cut, &gateway, CONTACT_TIME));
+}
+
+static void
+cut_second_gateway (void)
+{
+  cut_gateway (1);
 }
 
 static void
@@ -299,6 +311,70 @@
   end_world ();
 }
 
+/* @return resends that the budgets of all nodes have granted  */
+static unsigned
+granted_resends (void)
+{
+  static const char granted[] = "granted=\"1\"} ";
+  unsigned sum = 0;
+
+  for (unsigned i = 0; i < GATEWAYS; i++)
+    {
+      char *text = gw_metrics_get (&world, i);
+      char **lines = g_strsplit (text, "\n", -1);
+
+      for (char **line = lines; *line != NULL; line++)
+        if (g_str_has_prefix (*line, "garnetstack_resends_total{")
+            && strstr (*line, granted) != NULL)
+          sum += (unsigned)strtoul (strstr (*line, granted) + strlen (granted),
+                                    NULL, 10);
+      g_strfreev (lines);
+      g_free (text);
+    }
+  return sum;
+}
+
+static bool
+has_arrived (void *context)
+{
+  return gw_arrival_find (&world, context) != NULL;
+}
+
+/* Guards against a request that arrives at replicas more often than the
+   budget of its service has granted: a replica rejects it after the second
+   node has lost its paths, so the first node sends it on to a third one.  */
+static void
+a_request_that_a_node_passes_back_is_sent_on_by_the_budget (void)
+{
+  static char id[] = "passed-back";
+  GArray *repeats;
+  GString *answer;
+  raw_conn_t conn;
+
+  start_gateways (GATEWAYS);
+  cut_second_gateway ();
+  for (unsigned i = 0; i < REPLICAS; i++)
+    gw_replica_faults_set (&world, i, 0, REJECTION_DELAY);
+  CU_ASSERT_TRUE_FATAL (gw_connect (&conn, &world, 1));
+  gw_send (&conn, "POST", "/a/never/good", id, "Connection: close\r\n", "x");
+  CU_ASSERT_TRUE_FATAL (gw_wait_until (has_arrived, id, CONTACT_TIME));
+  gw_replica_refuse (&world, gw_arrival_find (&world, id)->replica, "0.01");
+  for (unsigned i = 0; i < REPLICAS; i++)
+    gw_replica_faults_set (&world, i, 0, 0);
+  /* The second gateway prefers the third one, of its own data centre.  */
+  cut_gateway (2);
+  answer = raw_read_until (&conn, 4 * GS_SEC, NULL);
+  repeats = gw_repeats_list (&world);
+  CU_ASSERT_EQUAL (status_of (answer->str), 200);
+  CU_ASSERT_EQUAL (gw_arrivals_count (&world, id), 1);
+  CU_ASSERT (repeats->len >= 1);
+  CU_ASSERT (repeats->len <= granted_resends ());
+  g_array_unref (repeats);
+  g_string_free (answer, TRUE);
+  raw_close (&conn);
+  end_world ();
+}
+
 /* No other node reaches replicas either.  */
 static void
 requests_are_refused_at_once_when_all_nodes_are_cut (void)
@@ -451,6 +527,8 @@
     a_number_of_detours_out_of_range_is_rejected },
   { "a request that is passed on arrives unchanged",
     a_request_that_is_passed_on_arrives_unchanged },
+  { "a request that a node passes back is sent on by the budget",
+    a_request_that_a_node_passes_back_is_sent_on_by_the_budget },
   { "callers are told of nodes that reach replicas",
     callers_are_told_of_nodes_that_reach_replicas },
   { "all nodes of a data centre may be cut from all replicas",
