membership: take part of the slack only when the list of nodes is read

Cause: peers_is_fleet_known() held as soon as the store had answered the write of the node's entry and one other node was known. The list of nodes is read by a call of its own. While that was open, a node that started beside others divided the slack of the resend budget by the few nodes that had called it.

Change: the store's list of nodes has to be read, from the store or as a copy from a peer. Until then a node sends again by the ratio of its own requests alone. It becomes ready when the list is there, or after FLEET_WAIT_MAX, 1 s, as it does while the store does not answer.

Why it works: the list is complete when the feed reports it, and parts are taken of the most nodes known within the window, so no part exceeds that of the list.

Before: with ten nodes and a slack of 60, a node that knew one other one was granted 12 resends; its part is 6.

Open, by reading only: a process that has not read the list when a window has passed since its start takes its part by the nodes it knows, and quotas count the nodes that are known from the first moment on.

--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -172,8 +172,8 @@
     process is able to read it. */
 void peers_restarts_set (peers_t *peers, unsigned restarts);
 
-/** @return whether the nodes and the place of this process in a series of
-    restarts are known */
+/** @return whether the store's list of nodes has been read and the place of
+    this process in a series of restarts is known */
 bool peers_is_fleet_known (const peers_t *peers);
 
 /** @return number of nodes that share the fleet-wide limits: this one, those
--- a/src/fleet/peers_members.c
+++ b/src/fleet/peers_members.c
@@ -68,10 +68,11 @@
   return peers->members_listed || g_hash_table_size (peers->by_name) > 0;
 }
 
+/* The peers that have called are too few while other nodes start as well.  */
 bool
 peers_is_fleet_known (const peers_t *peers)
 {
-  return peers->restarts_known && are_members_known (peers);
+  return peers->restarts_known && peers->members_listed;
 }
 
 static bool
