tests: all answers of a replica bear what it says of itself

Cause: the stand-in. A replica says in all its answers that it is brittle. The stand-in wrote the header in plain answers, streams and rejections for want of room, and left it out of the fixed texts ("busy", "short", "too-many", "timed-out" and others) and of answers beside copies, over a third of the soak's kinds of requests. A node takes an answer without it, to a request that was sent later, for the end of the brittle time, as it should: it sent up to all slots, was rejected, learned again that the replica is brittle, and had forgotten its pause.

All answers have the header lines now, Server-Limit and Server-Leaving too. Bytes that are no answer and copies of earlier rejections do not.

Evidence: world_replica, "all answers of a brittle replica say so", failed before in 26 of 33 behaviours.

--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -321,12 +321,11 @@
   return falls;
 }
 
-/* @return more header lines of the replica's answers, "" for none; freed with
-   g_free()  */
+/* @return more header lines of all answers of the replica, "" for none; freed
+   with g_free()  */
 static char *
-more_headers (const arrival_t *arrival)
+more_headers (world_replica_t *replica)
 {
-  world_replica_t *replica = arrival->replica_state;
   char *headers;
 
   pthread_mutex_lock (&replica->world->lock);
@@ -360,7 +359,7 @@
   pthread_mutex_unlock (&world->lock);
   if (has_room)
     return true;
-  headers = more_headers (arrival);
+  headers = more_headers (replica);
   raw_printf (conn,
               "HTTP/1.1 503 X\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"
               "%sContent-Length: 0\r\n\r\n",
@@ -397,7 +396,7 @@
   pthread_mutex_lock (&replica->world->lock);
   arrival->refused = true;
   pthread_mutex_unlock (&replica->world->lock);
-  headers = more_headers (arrival);
+  headers = more_headers (replica);
   raw_printf (conn,
               "HTTP/1.1 503 X\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"
               "Retry-After: %s\r\n%sContent-Length: 0\r\n\r\n",
@@ -409,7 +408,7 @@
 static void
 send_plain (raw_conn_t *conn, const arrival_t *arrival, unsigned status)
 {
-  char *headers = more_headers (arrival);
+  char *headers = more_headers (arrival->replica_state);
 
   raw_printf (conn,
               "HTTP/1.1 %u X\r\n" SEAL_HEADERS_FORMAT
@@ -453,7 +452,7 @@
   unsigned from = last_event_id != NULL
                       ? (unsigned)strtoul (last_event_id, NULL, 10) + 1
                       : 1;
-  char *headers = more_headers (arrival);
+  char *headers = more_headers (arrival->replica_state);
 
   raw_printf (conn,
               "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_FORMAT
@@ -561,11 +560,14 @@
 static void
 crash_in_response (raw_conn_t *conn, arrival_t *arrival, bool responds)
 {
+  char *headers = more_headers (arrival->replica_state);
+
   if (responds)
     raw_printf (conn,
                 "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_FORMAT
-                "Content-Length: 100\r\n\r\nbegin",
-                arrival->id, arrival->id);
+                "%sContent-Length: 100\r\n\r\nbegin",
+                arrival->id, arrival->id, headers);
+  g_free (headers);
   g_usleep (CRASH_DELAY_USEC);
   gw_replica_crash (arrival->replica_state->world, arrival->replica);
 }
@@ -573,13 +575,28 @@
 #define SECOND_RESPONSE                                                       \
   "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_TEXT "Content-Length: 5\r\n\r\nextra"
 
+/* Sends a text that stands for an answer or for bytes that are none.  An
+   answer receives the further header lines after its first line.  */
 static void
-send_fixed (raw_conn_t *conn, const char *text, const char *id)
+send_fixed (raw_conn_t *conn, const char *text, const arrival_t *arrival)
 {
   char **parts = g_strsplit (text, "$ID", -1);
-  char *whole = g_strjoinv (id, parts);
+  char *whole = g_strjoinv (arrival->id, parts);
+  const char *line_end = strstr (whole, "\r\n");
 
-  raw_send (conn, whole, strlen (whole));
+  if (g_str_has_prefix (whole, "HTTP/1.1 ") && line_end != NULL)
+    {
+      size_t length = (size_t)(line_end - whole) + strlen ("\r\n");
+      char *headers = more_headers (arrival->replica_state);
+      char *answer = g_strdup_printf ("%.*s%s%s", (int)length, whole, headers,
+                                      whole + length);
+
+      raw_send (conn, answer, strlen (answer));
+      g_free (answer);
+      g_free (headers);
+    }
+  else
+    raw_send (conn, whole, strlen (whole));
   g_free (whole);
   g_strfreev (parts);
 }
@@ -635,7 +652,7 @@
     i++;
   if (i < G_N_ELEMENTS (endless_responses))
     {
-      send_fixed (conn, endless_responses[i].begin, arrival->id);
+      send_fixed (conn, endless_responses[i].begin, arrival);
       while (block->len < ENDLESS_BLOCK_BYTES)
         g_string_append (block, endless_responses[i].repeated);
       while (send (conn->fd, block->str, block->len, MSG_NOSIGNAL) >= 0
@@ -659,15 +676,19 @@
   bool unframed = g_str_has_prefix (behaviour, "cut-unframed-");
   bool stream = g_str_has_prefix (behaviour, "cut-stream-");
   size_t length;
+  char *headers;
   char *text;
 
   if (!g_str_has_prefix (behaviour, "cut-"))
     return false;
+  headers = more_headers (arrival->replica_state);
   length = strtoul (strrchr (behaviour, '-') + 1, NULL, 10);
-  text = g_strdup_printf (
-      "HTTP/1.1 200 OK\r\n" SEAL_HEADERS_FORMAT "Content-Type: %s\r\n%s\r\n",
-      arrival->id, arrival->id, stream ? "text/event-stream" : "text/plain",
-      unframed ? "" : "Content-Length: 4\r\n");
+  text = g_strdup_printf ("HTTP/1.1 200 OK\r\n" SEAL_HEADERS_FORMAT
+                          "%sContent-Type: %s\r\n%s\r\n",
+                          arrival->id, arrival->id, headers,
+                          stream ? "text/event-stream" : "text/plain",
+                          unframed ? "" : "Content-Length: 4\r\n");
+  g_free (headers);
   length = MIN (length, strlen (text));
   raw_send (conn, text, length / 2);
   g_usleep (CUT_DELAY_USEC);
@@ -685,7 +706,7 @@
     {
       if (strcmp (fixed_responses[i].name, behaviour) != 0)
         continue;
-      send_fixed (conn, fixed_responses[i].text, arrival->id);
+      send_fixed (conn, fixed_responses[i].text, arrival);
       *keep_open = !fixed_responses[i].closes;
       if (fixed_responses[i].resets)
         {
@@ -739,15 +760,40 @@
 
 #define KEEP_ALIVE "Keep-Alive: timeout=5\r\n"
 
-/* @param id "" for a rejection without one  */
+/* @param id "" for a rejection without one
+   @param headers further lines, "" for the copy of a rejection from before
+   there were any  */
 static void
-send_rejection (raw_conn_t *conn, const char *id)
+send_rejection (raw_conn_t *conn, const char *id, const char *headers)
 {
   raw_printf (conn,
-              "HTTP/1.1 503 X\r\n%s%s%sX-Not-Executed: 1\r\n" KEEP_ALIVE
+              "HTTP/1.1 503 X\r\n%s%s%sX-Not-Executed: 1\r\n%s" KEEP_ALIVE
               "Content-Length: 0\r\n\r\n",
               id[0] != '\0' ? "X-Attempt-Id: " : "", id,
-              id[0] != '\0' ? "\r\n" : "");
+              id[0] != '\0' ? "\r\n" : "", headers);
+}
+
+static void
+send_own_rejection (raw_conn_t *conn, const arrival_t *arrival)
+{
+  char *headers = more_headers (arrival->replica_state);
+
+  send_rejection (conn, arrival->id, headers);
+  g_free (headers);
+}
+
+static void
+send_own_answer (raw_conn_t *conn, const arrival_t *arrival)
+{
+  char *headers = more_headers (arrival->replica_state);
+
+  g_usleep (EVENT_INTERVAL_USEC);
+  raw_printf (conn,
+              "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT "%s" KEEP_ALIVE
+              "Content-Length: %zu\r\n\r\n%s",
+              arrival->id, arrival->id, headers, strlen (arrival->id),
+              arrival->id);
+  g_free (headers);
 }
 
 /* @param connection 0 for any
@@ -807,16 +853,12 @@
   arrival->refused = rejects;
   pthread_mutex_unlock (&replica->world->lock);
   if (rejects)
-    send_rejection (conn, arrival->id);
+    send_own_rejection (conn, arrival);
   else
     {
       if (copied != NULL)
-        send_rejection (conn, copied);
-      g_usleep (EVENT_INTERVAL_USEC);
-      raw_printf (conn,
-                  "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
-                  "Content-Length: %zu\r\n\r\n%s",
-                  arrival->id, arrival->id, strlen (arrival->id), arrival->id);
+        send_rejection (conn, copied, "");
+      send_own_answer (conn, arrival);
     }
   g_free (copied);
 }
@@ -830,11 +872,7 @@
                 "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
                 "Content-Length: 5\r\n\r\nother",
                 "other", "other");
-  g_usleep (EVENT_INTERVAL_USEC);
-  raw_printf (conn,
-              "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
-              "Content-Length: %zu\r\n\r\n%s",
-              arrival->id, arrival->id, strlen (arrival->id), arrival->id);
+  send_own_answer (conn, arrival);
 }
 
 /* Writes an earlier rejection once more before it answers a request that it
@@ -867,18 +905,14 @@
       pthread_mutex_lock (&arrival->replica_state->world->lock);
       arrival->refused = true;
       pthread_mutex_unlock (&arrival->replica_state->world->lock);
-      send_rejection (conn, arrival->id);
+      send_own_rejection (conn, arrival);
       return true;
     }
   if (own && has_rejected (arrival, arrival->connection))
-    send_rejection (conn, arrival->id);
+    send_rejection (conn, arrival->id, "");
   else if (!own && arrival->on_kept_connection)
-    send_rejection (conn, foreign ? "another" : "");
-  g_usleep (EVENT_INTERVAL_USEC);
-  raw_printf (conn,
-              "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
-              "Content-Length: %zu\r\n\r\n%s",
-              arrival->id, arrival->id, strlen (arrival->id), arrival->id);
+    send_rejection (conn, foreign ? "another" : "", "");
+  send_own_answer (conn, arrival);
   return true;
 }
 
@@ -915,13 +949,13 @@
   else if (strcmp (behaviour, "extra") == 0)
     {
       send_plain (conn, arrival, 200);
-      send_fixed (conn, SECOND_RESPONSE, arrival->id);
+      send_fixed (conn, SECOND_RESPONSE, arrival);
     }
   else if (strcmp (behaviour, "late-extra") == 0)
     {
       send_plain (conn, arrival, 200);
       g_usleep (EVENT_INTERVAL_USEC);
-      send_fixed (conn, SECOND_RESPONSE, arrival->id);
+      send_fixed (conn, SECOND_RESPONSE, arrival);
     }
   else if (strcmp (behaviour, "fails") == 0)
     send_plain (conn, arrival, 500);
@@ -996,6 +1030,7 @@
                   const raw_message_t *request)
 {
   char *id = raw_message_header (request, "X-Expect-Instance");
+  char *headers = more_headers (replica);
   bool other;
 
   pthread_mutex_lock (&replica->world->lock);
@@ -1003,9 +1038,10 @@
   if (other)
     raw_printf (conn,
                 "HTTP/1.1 421 X\r\nX-Instance-Id: %s\r\n"
-                "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-                replica->id);
+                "X-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n",
+                replica->id, headers);
   pthread_mutex_unlock (&replica->world->lock);
+  g_free (headers);
   g_free (id);
   return other;
 }
