tests: a replica that falls over is counted once

Cause: a brittle replica that rejects one request too many writes its answer, and then crashes; each request that it rejected between the two was one more fall. Three requests of one node arrived in the same millisecond.

Beside it, a case in which the soak never ended: where another version took the address of a replica that had fallen over, that one was due to come back all the same, and waited for the listener of the new one, which does not end.

The rejection that ends the process counts as the fall. Another version ends what was due, and a listener that still runs is ended before it is started again.

--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -51,6 +51,9 @@
   world_replica_t *replica = &world->replicas[index];
 
   gw_object_remove (world, "servers", replica->id);
+  pthread_mutex_lock (&world->lock);
+  replica->crashed_at = 0;
+  pthread_mutex_unlock (&world->lock);
   raw_server_crash (replica->server);
   raw_server_restart (replica->server);
   pthread_mutex_lock (&world->lock);
--- a/tests/raw_http.c
+++ b/tests/raw_http.c
@@ -356,6 +356,8 @@
 void
 raw_server_restart (raw_server_t *server)
 {
+  /* A listener that still runs would never be joined.  */
+  shutdown (server->fd, SHUT_RDWR);
   pthread_join (server->thread, NULL);
   close (server->fd);
   server_listen (server, server->port);
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -257,8 +257,10 @@
   return found;
 }
 
-void
-gw_replica_crash (gateway_world_t *world, unsigned index)
+/* @param falls whether it has rejected more requests than it bears; the one
+   rejection that ends the process counts as a fall, not those beside it  */
+static void
+replica_crash (gateway_world_t *world, unsigned index, bool falls)
 {
   world_replica_t *replica = &world->replicas[index];
   gs_time_t now = gs_clock_now ();
@@ -269,6 +271,7 @@
   if (runs)
     {
       replica->crashed_at = now;
+      world->falls += falls;
       g_array_append_val (world->crashes, now);
     }
   pthread_mutex_unlock (&world->lock);
@@ -276,6 +279,12 @@
     raw_server_crash (replica->server);
 }
 
+void
+gw_replica_crash (gateway_world_t *world, unsigned index)
+{
+  replica_crash (world, index, false);
+}
+
 void
 gw_brittle_set (gateway_world_t *world, bool brittle)
 {
@@ -312,13 +321,10 @@
   const unsigned ring = G_N_ELEMENTS (replica->rejections);
   unsigned number = replica->rejection_count++;
   unsigned max = replica->world->rejections_max;
-  bool falls;
 
   replica->rejections[number % ring] = now;
-  falls = number >= max && replica->crashed_at == 0
-          && now - replica->rejections[(number - max) % ring] < GS_SEC;
-  replica->world->falls += falls;
-  return falls;
+  return number >= max
+         && now - replica->rejections[(number - max) % ring] < GS_SEC;
 }
 
 /* @return more header lines of all answers of the replica, "" for none; freed
@@ -366,7 +372,7 @@
               arrival->id, headers);
   g_free (headers);
   if (falls)
-    gw_replica_crash (world, arrival->replica);
+    replica_crash (world, arrival->replica, true);
   return false;
 }
 
