loop: count requests that got a new connection for bytes on a kept one

The metric kept_connections_unread_total shows servers that write surplus answers to idle connections, which no log line does.

--- a/include/garnetstack/loop.h
+++ b/include/garnetstack/loop.h
@@ -142,7 +142,8 @@
 typedef struct gs_http_call gs_http_call_t;
 
 /**
- * Start a request.
+ * Start a request.  A kept connection on which bytes have arrived since its
+ * last response is closed instead of being reused: they answer no request.
  * @param out receives a handle that is valid until on_done returns; may be
  * NULL
  * @return GS_OK; failures are reported through on_done
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -1,5 +1,6 @@
 #include "garnetstack/loop.h"
 
+#include "garnetstack/meter.h"
 #include "util/connection_table.h"
 #include "util/tsan.h"
 
@@ -386,6 +387,7 @@
 static void
 restart_call (gs_http_call_t *call)
 {
+  gs_meter_add ("kept_connections_unread_total", "", 1);
   call->stale = false;
   curl_multi_remove_handle (call->loop->multi, call->easy);
   curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -766,6 +766,114 @@
     }
 }
 
+typedef enum
+{
+  UNREAD_COPY,    /* the answer once more */
+  UNREAD_GARBAGE, /* bytes that are no answer */
+  UNREAD_BYTE,    /* the first byte of an answer */
+  UNREAD_END,     /* the connection is closed */
+  UNREAD_COUNT
+} unread_kind_t;
+
+typedef struct
+{
+  unread_kind_t kind;
+  atomic_uint connections;
+  atomic_uint arrivals;
+  atomic_bool answered; /* the client has read the first answer */
+  atomic_bool written;  /* what follows it */
+} unread_server_t;
+
+static void
+answer_with_surplus (void *context, raw_conn_t *conn)
+{
+  unread_server_t *server = context;
+  bool is_first = atomic_fetch_add (&server->connections, 1) == 0;
+  raw_message_t request;
+
+  while (raw_read_request (conn, &request))
+    {
+      atomic_fetch_add (&server->arrivals, 1);
+      raw_printf (conn, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+                  request.body->len, request.body->str);
+      if (is_first)
+        {
+          while (!atomic_load (&server->answered))
+            g_usleep (1000);
+          if (server->kind == UNREAD_COPY)
+            raw_printf (conn,
+                        "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+                        request.body->len, request.body->str);
+          else if (server->kind != UNREAD_END)
+            raw_printf (conn, server->kind == UNREAD_BYTE ? "H" : "xxxx\r\n");
+          else
+            shutdown (conn->fd, SHUT_WR);
+          atomic_store (&server->written, true);
+        }
+      is_first = false;
+      raw_message_clear (&request);
+    }
+}
+
+static void
+send_text (fetch_t *fetch, const raw_server_t *server, const char *text,
+           bool no_resend)
+{
+  gs_http_request_t request = GS_HTTP_REQUEST_INIT;
+  char *url
+      = g_strdup_printf ("http://127.0.0.1:%u/", raw_server_port (server));
+
+  request.method = "POST";
+  request.url = url;
+  request.body = text;
+  request.body_length = strlen (text);
+  request.no_resend = no_resend;
+  request.deadline = gs_clock_now () + 30 * GS_SEC;
+  request.on_done = on_fetched;
+  request.context = fetch;
+  gs_loop_http (NULL, fetch->loop, &request);
+  gs_loop_run (fetch->loop);
+  g_free (url);
+}
+
+/* Guards against an answer that is read by the request after its own, and by
+   all that follow: bytes that have arrived on a kept connection before a
+   request is sent there do not belong to it.  */
+static void
+a_kept_connection_with_unread_bytes_carries_no_request (void)
+{
+  for (unsigned i = 0; i < 2 * UNREAD_COUNT; i++)
+    {
+      unread_server_t unread = { .kind = (unread_kind_t)(i / 2) };
+      fetch_t fetch = { .body = g_string_new (NULL) };
+      raw_server_t *server;
+
+      raw_server_create (&server, answer_with_surplus, &unread);
+      gs_loop_create (&fetch.loop);
+      send_text (&fetch, server, "first", i % 2 == 0);
+      CU_ASSERT_EQUAL (fetch.status, GS_OK);
+      atomic_store (&unread.answered, true);
+      while (!atomic_load (&unread.written))
+        g_usleep (1000);
+      send_text (&fetch, server, "second", i % 2 == 0);
+      CU_ASSERT_EQUAL (fetch.status, GS_OK);
+      CU_ASSERT_STRING_EQUAL (fetch.body->str, "second");
+      send_text (&fetch, server, "third", i % 2 == 0);
+      CU_ASSERT_EQUAL (fetch.status, GS_OK);
+      CU_ASSERT_STRING_EQUAL (fetch.body->str, "third");
+      CU_ASSERT_EQUAL (atomic_load (&unread.arrivals), 3);
+      CU_ASSERT_EQUAL (atomic_load (&unread.connections), 2);
+      printf ("\n  kind %u, no_resend %d: %s, \"%s\", %u arrivals, %u "
+              "connections ",
+              unread.kind, i % 2 == 0, gs_status_name (fetch.status),
+              fetch.body->str, atomic_load (&unread.arrivals),
+              atomic_load (&unread.connections));
+      gs_loop_destroy (fetch.loop);
+      raw_server_destroy (server);
+      g_string_free (fetch.body, TRUE);
+    }
+}
+
 int
 main (void)
 {
@@ -787,6 +895,8 @@
       a_response_that_ends_within_its_head_is_not_received },
     { "a request that a server received is never called unsent",
       a_request_that_a_server_received_is_never_called_unsent },
+    { "a kept connection with unread bytes carries no request",
+      a_kept_connection_with_unread_bytes_carries_no_request },
     { "a retired connection carries no other request",
       a_retired_connection_carries_no_other_request },
     { "a response that has begun may take longer",
