tests: connections of stand-ins are not inherited by gateways

A gateway that a test starts later inherited the connections that the stand-ins had accepted, so a connection that a replica closed or reset stayed open for its other end until that gateway ended, and the gateway had that many descriptors less.

Cause: accept() without SOCK_CLOEXEC.

--- a/tests/raw_http.c
+++ b/tests/raw_http.c
@@ -251,7 +251,9 @@
 
   for (;;)
     {
-      int fd = accept (server->fd, NULL, NULL);
+      /* A process that is started later would keep the connection open when
+         its handler has closed it.  */
+      int fd = accept4 (server->fd, NULL, NULL, SOCK_CLOEXEC);
       server_conn_t *accepted;
       pthread_t thread;
 
