tests: a play with copies of rejections, replicas that start again, slow nodes

Found beside it: the desk counted a request twice in the slots of its replica, so one with a single slot rejected all requests. It has a count of its own now, also in the play that was there.

The play: copies at once, up to 3 s late, twice, in two pieces, before a body of 60,000 bytes is read; rejections before the body is read; start times that change with and without a restart; entries that are removed and come back under another id; a node that is stopped for 300 ms again and again; the last node with 64 descriptors. It prints the requests that ran and got 502, and those of them whose answer a replica had written. At most 1 % of all may be of the second kind.

--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -61,6 +62,20 @@
   gw_replica_publish (world, index, "ready");
 }
 
+void
+gw_replica_start_again (gateway_world_t *world, unsigned index, bool restarts)
+{
+  world_replica_t *replica = &world->replicas[index];
+
+  if (restarts)
+    {
+      raw_server_crash (replica->server);
+      raw_server_restart (replica->server);
+    }
+  replica->started_ms = gs_clock_wall () / GS_MSEC;
+  gw_replica_publish (world, index, "ready");
+}
+
 void
 gw_replicas_restart (gateway_world_t *world)
 {
@@ -280,8 +295,10 @@
 }
 
 static void
-gateway_exec (const world_gateway_t *gateway, const char *preload)
+gateway_exec (const world_gateway_t *gateway, const char *preload,
+              unsigned descriptors_max)
 {
+  const struct rlimit descriptors = { descriptors_max, descriptors_max };
   const char *binary = getenv ("GS_BINARY");
   char metrics[8];
 
@@ -295,6 +312,8 @@
     setenv ("LD_PRELOAD", preload, true);
   dup2 (log, STDOUT_FILENO);
   dup2 (log, STDERR_FILENO);
+  if (descriptors_max != 0)
+    setrlimit (RLIMIT_NOFILE, &descriptors);
   execl (binary, binary, "gateway", "--config", gateway->settings_path,
          "--metrics-port", metrics,
          gateway->crossing != NULL ? "--crossing" : NULL, gateway->crossing,
@@ -322,7 +341,7 @@
     settings_write (world, index);
   gateway->pid = fork ();
   if (gateway->pid == 0)
-    gateway_exec (gateway, world->preload);
+    gateway_exec (gateway, world->preload, world->descriptors_max);
   while (ready && !gw_is_ready (world, index))
     {
       if (gs_clock_now () > deadline)
@@ -538,6 +557,20 @@
   return count;
 }
 
+bool
+gw_arrival_answered (gateway_world_t *world, const char *id)
+{
+  const GPtrArray *arrivals;
+  bool answered = false;
+
+  pthread_mutex_lock (&world->lock);
+  arrivals = world_arrivals_locked (world, id);
+  for (guint i = 0; arrivals != NULL && i < arrivals->len; i++)
+    answered |= ((const arrival_t *)arrivals->pdata[i])->answered;
+  pthread_mutex_unlock (&world->lock);
+  return answered;
+}
+
 const arrival_t *
 gw_arrival_find (gateway_world_t *world, const char *id)
 {
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -44,6 +44,19 @@
   STORE_DROPS_RESPONSES /* executes the request and sends no response */
 } store_mode_t;
 
+/** What the replica remembers of a connection while it is open; its thread
+    alone uses it. */
+typedef struct
+{
+  GHashTable *refused;   /* ids of the requests that were rejected on it */
+  char refused_last[64]; /* id of the last one; "" for none */
+  GString *late_copy;    /* of an answer, not yet written; empty for none */
+  gs_time_t late_due_at; /* when it is written */
+  bool refused_early; /* the request was rejected before its body was read */
+  char copy_due[64]; /* id of the request whose rejection is written before the
+                        next answer; "" for none */
+} world_connection_t;
+
 /** A request as a replica received it. */
 typedef struct
 {
@@ -57,6 +70,8 @@
   struct world_replica *replica_state;
   gs_time_t arrived_at;
   unsigned connection; /* number of the connection that it came on */
+  world_connection_t *connection_state;
+  bool answered;       /* the desk has written its whole answer */
   bool refused;        /* the replica rejected it, see gw_replica_refuse() */
   gs_time_t closed_at; /* when the node closed before a response, or within one
                           without end; 0 if not */
@@ -82,6 +97,7 @@
   unsigned starts;         /* processes of this replica so far */
   gs_time_t crashed_at;    /* 0 while it runs */
   unsigned running;        /* requests at present */
+  unsigned desk_running;   /* of them, those that the desk gave a slot */
   unsigned open;           /* connections at present */
   gs_time_t rejections[WORLD_BRITTLE_MAX + 1]; /* the last ones, in a ring */
   unsigned rejection_count;
@@ -100,6 +116,12 @@
 typedef bool (*world_respond_cb_t) (void *context, raw_conn_t *conn,
                                     arrival_t *arrival);
 
+/** Called when the head of a request was read, before its body and before
+    world_respond_cb_t. */
+typedef void (*world_head_cb_t) (void *context, raw_conn_t *conn,
+                                 world_connection_t *connection,
+                                 const raw_message_t *request);
+
 typedef struct
 {
   pid_t pid;
@@ -138,6 +160,7 @@
   GHashTable *arrivals_of;    /* id -> GPtrArray of arrival_t */
   unsigned connections_max;   /* to a replica, others are reset; 0 for any */
   world_respond_cb_t respond; /* see world_desk.h; NULL for none */
+  world_head_cb_t on_head;    /* the same */
   void *respond_context;
   json_t *usage_reports; /* usage reports that the provider received */
   json_t *orders;        /* orders that the provider received */
@@ -153,10 +176,11 @@
   /* Between a gateway and a replica; NULL unless gw_paths_create() was called.
    */
   raw_proxy_t *paths[WORLD_GATEWAYS_MAX][WORLD_REPLICAS_MAX];
-  unsigned path_gateways;  /* that gw_paths_create() is for */
-  const char *preload;     /* library that gateways load first, or NULL */
-  bool brittle;            /* see gw_brittle_set() */
-  unsigned rejections_max; /* see gw_brittle_bounds_set() */
+  unsigned path_gateways;   /* that gw_paths_create() is for */
+  const char *preload;      /* library that gateways load first, or NULL */
+  unsigned descriptors_max; /* of gateways that start; 0 to leave the limit */
+  bool brittle;             /* see gw_brittle_set() */
+  unsigned rejections_max;  /* see gw_brittle_bounds_set() */
   unsigned room;
   unsigned falls;         /* replicas that rejected too many requests */
   const char *crash_part; /* see gw_crash_part_set() */
@@ -227,6 +251,15 @@
 void gw_replica_version_set (gateway_world_t *world, unsigned index,
                              const char *version);
 
+/** @return whether a replica has written the whole answer to an attempt that
+    it ran, for the behaviour "desk" */
+bool gw_arrival_answered (gateway_world_t *world, const char *id);
+
+/** Publish a replica under the id that it had, as started now.
+    @param restarts whether it does start anew, so that its connections end */
+void gw_replica_start_again (gateway_world_t *world, unsigned index,
+                             bool restarts);
+
 /** Publish all replicas as ready and as started some time ago.  Without this
     their entries do not say when they started. */
 void gw_replicas_age_set (gateway_world_t *world, gs_time_t age);
--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -1013,20 +1013,25 @@
 /* @return false to close the connection  */
 static bool
 serve_request (world_replica_t *replica, raw_conn_t *conn, unsigned connection,
-               raw_message_t *request, bool on_kept_connection)
+               world_connection_t *state, raw_message_t *request,
+               bool on_kept_connection)
 {
+  const gateway_world_t *world = replica->world;
   arrival_t *arrival;
   unsigned earlier;
   bool keep_open;
 
   if (strstr (request->first_line, "/early ") != NULL)
     return respond_early (replica, conn, request);
+  if (world->on_head != NULL)
+    world->on_head (world->respond_context, conn, state, request);
   if (!raw_read_body (conn, request))
     return false;
   if (send_misdirected (replica, conn, request))
     return true;
   arrival = arrival_record (replica, request, on_kept_connection, &earlier);
   arrival->connection = connection;
+  arrival->connection_state = state;
   if (crashes_on (replica, request))
     {
       crash_in_response (conn, arrival, replica->world->crash_body == NULL);
@@ -1043,6 +1048,9 @@
 world_serve_replica (void *context, raw_conn_t *conn)
 {
   world_replica_t *replica = context;
+  world_connection_t state = { .refused = g_hash_table_new_full (
+                                   g_str_hash, g_str_equal, g_free, NULL),
+                               .late_copy = g_string_new (NULL) };
   raw_message_t request;
   bool keep_open;
   unsigned served = 0;
@@ -1058,11 +1066,13 @@
     raw_reset_on_close (conn);
   while (keep_open && raw_read_head (conn, &request))
     {
-      keep_open
-          = serve_request (replica, conn, connection, &request, served++ > 0);
+      keep_open = serve_request (replica, conn, connection, &state, &request,
+                                 served++ > 0);
       raw_message_clear (&request);
     }
   pthread_mutex_lock (&replica->world->lock);
   replica->open--;
   pthread_mutex_unlock (&replica->world->lock);
+  g_hash_table_unref (state.refused);
+  g_string_free (state.late_copy, TRUE);
 }
