--- a/tests/test_process_gateway_promises.c
+++ b/tests/test_process_gateway_promises.c
@@ -93,6 +93,8 @@
 #define CALM_DELAY_USEC 6000000
 #define CALM_USEC 2000000
 #define CALM_WORK_MSEC 5
+/* After it, a replica that crashed as the last fault began is back.  */
+#define RESTART_DELAY_USEC 1100000
 /* Callers that stay see at least this share of their requests served among the
    faults, and when they are over.  */
 #define SERVED_RATIO_MIN 0.25
@@ -622,7 +624,9 @@
   faults_run (&play, gs_clock_now () + (gs_time_t)seconds * GS_SEC);
   world_desk_set (&world, &play.calm_desk);
   world.connections_max = 0;
-  g_usleep (CALM_DELAY_USEC);
+  g_usleep (RESTART_DELAY_USEC);
+  gw_replicas_restart (&world);
+  g_usleep (CALM_DELAY_USEC - RESTART_DELAY_USEC);
   pthread_mutex_lock (&play.lock);
   calm_from = play.sent->len;
   pthread_mutex_unlock (&play.lock);
