--- a/tests/world_replica.c
+++ b/tests/world_replica.c
@@ -907,18 +907,17 @@
 send_after_failure (raw_conn_t *conn, const arrival_t *arrival,
                     unsigned earlier)
 {
+  char *headers
+      = earlier == 0 ? more_headers (arrival->replica_state) : g_strdup ("");
+
   if (earlier == 0 || came_before (arrival))
     raw_printf (conn,
-                "HTTP/1.1 500 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
+                "HTTP/1.1 500 X\r\n" SEAL_HEADERS_FORMAT "%s" KEEP_ALIVE
                 "Content-Length: 0\r\n\r\n",
-                arrival->id, arrival->id);
-  if (earlier == 0)
-    return;
-  g_usleep (EVENT_INTERVAL_USEC);
-  raw_printf (conn,
-              "HTTP/1.1 200 X\r\n" SEAL_HEADERS_FORMAT KEEP_ALIVE
-              "Content-Length: %zu\r\n\r\n%s",
-              arrival->id, arrival->id, strlen (arrival->id), arrival->id);
+                arrival->id, arrival->id, headers);
+  g_free (headers);
+  if (earlier > 0)
+    send_own_answer (conn, arrival);
 }
 
 /* Writes an earlier rejection once more before it answers a request that it
