Review: requests with many headers run and get no answer

A head within max_header_bytes can leave no room for the head of the answer in the memory of the connection, which is then closed.

--- a/review/stand-2/stand.c
+++ b/review/stand-2/stand.c
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <glib/gstdio.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdlib.h>
@@ -105,24 +106,32 @@
   return false;
 }
 
-static void
-configuration_write (stand_t *stand)
+static json_t *
+route_create (const char *prefix, const char *kind, unsigned timeout_ms,
+              bool resumable)
 {
-  json_t *route = json_pack (
+  return json_pack (
       "{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b, s:b, s:b, s:i}",
-      "name", "r-1", "host", "caller.example", "path_prefix", "/a/",
-      "route_kind", "streaming", "timeout_ms", (int)stand->timeout_ms,
-      "goal_ms", 500, "priority", 1, "service", "pool", "max_attempts", 2,
-      "anonymous", 0, "session_affinity", 0, "stream_resume", 1, "gap_aim_ms",
-      500);
+      "name", prefix, "host", "caller.example", "path_prefix", prefix,
+      "route_kind", kind, "timeout_ms", (int)timeout_ms, "goal_ms", 500,
+      "priority", 1, "service", "pool", "max_attempts", 2, "anonymous", 0,
+      "session_affinity", 0, "stream_resume", resumable, "gap_aim_ms", 500);
+}
 
+static void
+configuration_write (stand_t *stand)
+{
   gw_object_put (
       &stand->world, "config", "main",
-      json_pack ("{s:i, s:[o], s:[{s:s, s:s, s:i}], s:{s:i, s:i, s:i, s:i},"
+      json_pack ("{s:i, s:[o, o], s:[{s:s, s:s, s:i}],"
+                 " s:{s:i, s:i, s:i, s:i},"
                  " s:[{s:s, s:[s], s:i, s:s, s:i, s:i, s:i}]}",
-                 "version", 7, "routes", route, "services", "name", "pool",
-                 "health_path", WORLD_HEALTH_PATH, "max_conns", 240, "limits",
-                 "max_header_bytes", 16384, "max_body_bytes", 4194304,
+                 "version", 7, "routes",
+                 route_create ("/a/", "streaming", stand->timeout_ms, true),
+                 route_create ("/n/", "non_idempotent", 1500, false),
+                 "services", "name", "pool", "health_path", WORLD_HEALTH_PATH,
+                 "max_conns", 240, "limits", "max_header_bytes",
+                 STAND_HEAD_BYTES_MAX, "max_body_bytes", 4194304,
                  "header_timeout_ms", 3000, "idle_timeout_ms", 15000,
                  "tenants", "name", WORLD_ACCOUNT, "api_keys", WORLD_API_KEY,
                  "priority", 1, "unit", "token_count", "plain_tokens", 200,
@@ -219,8 +228,10 @@
   struct sockaddr_in address
       = { .sin_family = AF_INET,
           .sin_port = htons (stand->nodes[index].ports[port].port) };
+  int on = 1;
 
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK - 1 + node_host (index));
+  setsockopt (conn.fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   if (connect (conn.fd, (struct sockaddr *)&address, sizeof address) != 0)
     {
       raw_close (&conn);
@@ -229,6 +240,13 @@
   return conn;
 }
 
+bool
+stand_connect (const stand_t *stand, unsigned node, raw_conn_t *out)
+{
+  *out = node_connect (stand, node, PORT_FRONT);
+  return out->fd >= 0;
+}
+
 static bool
 node_is_ready (const stand_t *stand, unsigned index)
 {
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -14,6 +14,8 @@
 #include <stdio.h>
 
 #define STAND_NODES_MAX 4
+#define STAND_HEAD_BYTES_MAX 16384 /* max_header_bytes of the configuration   \
+                                    */
 #define STAND_STREAMS_MAX 96
 #define STAND_TRIES_MAX 8
 #define STAND_EVENTS_MAX 64
@@ -103,6 +105,10 @@
 /** Wait for the end of a node that was told to stop; SIGKILL after 8 s. */
 void stand_node_wait (stand_t *stand, unsigned index);
 
+/** Connect to a node as a caller; closed with raw_close().
+    @return false if the connection was refused */
+bool stand_connect (const stand_t *stand, unsigned node, raw_conn_t *out);
+
 /** Start a caller of a stream.
     @param nodes bits of the nodes that it may use first
     @param nodes_next bits of those that it may use then */
