--- a/review/7/case.c
+++ b/review/7/case.c
@@ -6,7 +6,7 @@
    with the streams that begin, at machines in touch.  */
 
 #define NODES 3
-#define STREAMS 24
+#define STREAMS 16
 #define FIRST_NODE 1U
 #define OTHER_NODES 6U
 #define RESUMED_MIN 12
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -14,8 +14,8 @@
 #include <stdio.h>
 
 #define STAND_NODES_MAX 4
-#define STAND_HEAD_BYTES_MAX 16384 /* max_header_bytes of the configuration   \
-                                    */
+/* max_header_bytes of the configuration.  */
+#define STAND_HEAD_BYTES_MAX 16384
 #define STAND_STREAMS_MAX 96
 #define STAND_TRIES_MAX 8
 #define STAND_EVENTS_MAX 64
