Streams: nodes tell the others of every stream, not only when they see a need

Cause: which version began a stream was sent to other nodes, and kept in the store, only while the sender saw several versions. A node that starts after a drill or a release cannot tell from the record and its list that one version has served, and needs to be told; the senders, which had run all the time, did not see that.

Change: origins are always sent: to all nodes of a small fleet, and to the aggregators of a large one, which other nodes ask for the streams that their callers resume. The store keeps origins whenever a process that starts now could not tell the versions; that is computed with the code that such a process runs. A node that does not write the record reads it again when a recorded version is no longer listed. test_peers asks for the streams before it checks that a node of a large fleet knows them, as requests do.

--- a/bench/bench_peers.c
+++ b/bench/bench_peers.c
@@ -13,6 +13,10 @@
 /* One replica of so many names a limit in its answers.  */
 #define REPLICAS_PER_LIMIT 10
 #define ACCOUNTS 40
+/* Streams that begin at a node in a second, and how long their callers wait.
+ */
+#define STREAMS_PER_SEC 5
+#define STREAM_TIME_MSEC 15000
 /* Requests that a node has at replicas at one time.  */
 #define IN_FLIGHT 12
 
@@ -118,15 +122,45 @@
   double crossing; /* mean, to other data centres */
 } byte_rates_t;
 
+/* Begins the streams of a second at each node.  */
 static void
-measure_bytes (peers_world_t *world, unsigned nodes, byte_rates_t *out)
+begin_streams (peers_world_t *world, unsigned nodes, uint64_t *last)
 {
+  for (unsigned node = 0; node < nodes; node++)
+    {
+      GArray *rows = g_array_new (FALSE, FALSE, sizeof (stream_origin_row_t));
+
+      for (unsigned i = 0; i < STREAMS_PER_SEC; i++)
+        {
+          stream_origin_row_t row
+              = { ++*last * UINT64_C (0x9e3779b97f4a7c15),
+                  UINT64_C (0x9e3779b97f4a7c15), STREAM_TIME_MSEC };
+
+          g_array_append_val (rows, row);
+        }
+      peers_origins_add (peers_world_peers (world, node),
+                         peers_world_now (world), rows);
+      g_array_unref (rows);
+    }
+}
+
+/* @param streams number of the last stream; NULL to begin none  */
+static void
+measure_bytes (peers_world_t *world, unsigned nodes, uint64_t *streams,
+               byte_rates_t *out)
+{
+  gs_time_t end = peers_world_now (world) + MEASURED_TIME;
   uint64_t crossed;
 
   *out = (byte_rates_t){ 0 };
   for (unsigned node = 0; node < nodes; node++)
     peers_world_bytes_take (world, node, &crossed);
-  peers_world_run (world, MEASURED_TIME);
+  while (peers_world_now (world) < end)
+    {
+      if (streams != NULL)
+        begin_streams (world, nodes, streams);
+      peers_world_run (world, GS_SEC);
+    }
   for (unsigned node = 0; node < nodes; node++)
     {
       double rate = (double)peers_world_bytes_take (world, node, &crossed)
@@ -198,6 +232,8 @@
   peers_world_options_t options = PEERS_WORLD_OPTIONS_INIT;
   byte_rates_t rates;
   byte_rates_t limited;
+  byte_rates_t streaming;
+  uint64_t streams = 0;
   peers_world_t *world;
 
   options.nodes = nodes;
@@ -208,7 +244,7 @@
   for (unsigned node = 0; node < nodes; node++)
     fill_report (world, node, nodes);
   peers_world_run (world, SETTLE_TIME);
-  measure_bytes (world, nodes, &rates);
+  measure_bytes (world, nodes, NULL, &rates);
   printf ("%5u  %4.1f%%  %9.1f  %9.1f  %9.1f", nodes, 100 * loss,
           rates.mean / 1e3, rates.most / 1e3, rates.crossing / 1e3);
   printf ("  %8lld", (long long)(measure_config (world, nodes) / GS_MSEC));
@@ -216,8 +252,10 @@
   printf ("  %8lld", (long long)(measure_statement (world, nodes) / GS_MSEC));
   add_limits (world, nodes);
   peers_world_run (world, SETTLE_TIME);
-  measure_bytes (world, nodes, &limited);
-  printf ("  %9.1f\n", limited.mean / 1e3);
+  measure_bytes (world, nodes, NULL, &limited);
+  printf ("  %9.1f", limited.mean / 1e3);
+  measure_bytes (world, nodes, &streams, &streaming);
+  printf ("  %9.1f  %9.1f\n", streaming.mean / 1e3, streaming.most / 1e3);
   peers_world_destroy (world);
 }
 
@@ -240,7 +278,8 @@
       return 2;
     }
   printf ("nodes   loss  kB/s mean   kB/s max  kB/s to other data centres"
-          "  config ms  death ms  leaving ms  kB/s with limits\n");
+          "  config ms  death ms  leaving ms  kB/s with limits"
+          "  kB/s with streams  kB/s with streams max\n");
   if (argc > 1)
     measure_size ((unsigned)atoi (argv[1]), loss);
   else
--- a/include/garnetstack/route_table.h
+++ b/include/garnetstack/route_table.h
@@ -152,6 +152,11 @@
     there is none */
 gs_time_t gs_route_table_stream_time (const gs_route_table_t *table);
 
+/** @return whether a route with streams that may be resumed leads to a service
+    @param index of the service */
+bool gs_route_table_service_has_streams (const gs_route_table_t *table,
+                                         unsigned index);
+
 /** @return index of a service, or -1 if no service has that name */
 int gs_route_table_service_find (const gs_route_table_t *table,
                                  const char *name);
--- a/src/fleet/peer_message.c
+++ b/src/fleet/peer_message.c
@@ -13,7 +13,7 @@
 #define HEAD_COUNT 10
 #define AGGREGATE_COUNT 6
 /* Elements after the aggregate, which older versions neither send nor read. */
-#define TAIL_COUNT 12
+#define TAIL_COUNT 13
 
 static const row_layout_t status_layout
     = { sizeof (peer_status_t),
@@ -49,6 +49,7 @@
     .statuses = g_array_new (FALSE, TRUE, sizeof (peer_status_t)),
     .statements = g_array_new (FALSE, TRUE, sizeof (statement_row_t)),
     .rollouts = g_array_new (FALSE, TRUE, sizeof (rollout_row_t)),
+    .origins_wanted = g_array_new (FALSE, TRUE, sizeof (stream_origin_key_t)),
   };
   quarantine_rows_init (&message->quarantine);
   stream_origins_part_init (&message->origins);
@@ -67,6 +68,9 @@
   if (message->rollouts != NULL)
     g_array_unref (message->rollouts);
   message->rollouts = NULL;
+  if (message->origins_wanted != NULL)
+    g_array_unref (message->origins_wanted);
+  message->origins_wanted = NULL;
   quarantine_rows_clear (&message->quarantine);
   stream_origins_part_clear (&message->origins);
   aggregate_clear (&message->aggregate);
@@ -135,6 +139,7 @@
   msgpack_pack_uint64 (&out, message->resignation.incarnation);
   rollout_counts_pack (&out, message->aggregate.rollout_counts);
   row_codec_pack (&out, &rollout_row_layout, message->rollouts);
+  stream_origin_keys_pack (&out, message->origins_wanted);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
@@ -184,6 +189,9 @@
               rollout_counts_read (&reader, aggregate->rollout_counts);
               row_reader_rows (&reader, &rollout_row_layout, out->rollouts);
             }
+          out->asks_for_origins = row_reader_has_next (&reader);
+          if (out->asks_for_origins)
+            stream_origin_keys_read (&reader, out->origins_wanted);
         }
     }
   msgpack_unpacked_destroy (&unpacked);
--- a/src/fleet/peer_message.h
+++ b/src/fleet/peer_message.h
@@ -53,6 +53,10 @@
   stream_origins_part_t origins;
   GArray *rollouts; /**< of rollout_row_t; empty from nodes of a version that
                          sends none */
+  bool asks_for_origins; /**< false from nodes of a version that has to be told
+                              of all streams */
+  GArray *origins_wanted; /**< of stream_origin_key_t: streams that the sender
+                               of a report asks for */
 } peer_message_t;
 
 /** Set up an empty message, freed with peer_message_clear(). */
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -56,6 +56,8 @@
   statements_create (&peers->statements);
   quarantine_create (&peers->quarantine, false);
   stream_origins_create (&peers->origins);
+  peers->origins_wanted
+      = g_array_new (FALSE, TRUE, sizeof (stream_origin_key_t));
   gs_rng_seed (&peers->rng, seed);
   *out = peers;
 }
@@ -71,6 +73,7 @@
   statements_destroy (peers->statements);
   quarantine_destroy (peers->quarantine);
   stream_origins_destroy (peers->origins);
+  g_array_unref (peers->origins_wanted);
   if (peers->fleet_view.bytes != NULL)
     g_byte_array_unref (peers->fleet_view.bytes);
   g_array_unref (peers->fleet_view.statuses);
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -10,7 +10,9 @@
  * nodes send them reports and get back a view of the fleet; aggregators of
  * different data centres exchange summaries, each of its own data centre.  So
  * a report is known everywhere after three exchanges, and a node that is not
- * an aggregator makes the same number of calls in a fleet of any size.  A node
+ * an aggregator makes the same number of calls in a fleet of any size.
+ * Which version began a stream is told to all nodes of a small fleet and to
+ * all aggregators of a large one, whose other nodes ask for it.  A node
  * whose data centre is not known, such as one of an earlier version, exchanges
  * digests with all.
  *
@@ -238,6 +240,12 @@
     @param rows of stream_origin_row_t */
 void peers_origins_add (peers_t *peers, gs_time_t now, const GArray *rows);
 
+/** Ask the aggregators for streams that this node does not know; those that it
+    asked for before are forgotten.  Does nothing in a small fleet, where all
+    nodes are told of all streams.
+    @param keys of stream_origin_key_t */
+void peers_origins_request (peers_t *peers, gs_time_t now, const GArray *keys);
+
 /** @return the streams that this node knows of; owned by @p peers */
 stream_origins_t *peers_origins (const peers_t *peers);
 
--- a/src/fleet/peers_fleet.c
+++ b/src/fleet/peers_fleet.c
@@ -422,7 +422,7 @@
   update_fleet_view (peers, now);
   peer_message_init (&message);
   fill_head (peers, now, &message);
-  peers_origins_fill (peers, now, peer, STREAM_ORIGIN_ALL, &message.origins);
+  peers_origins_view_fill (peers, now, peer, report, &message.origins);
   included = g_hash_table_lookup (view->included, &report->self.incarnation);
   message.sequence = included != NULL ? *included : 0;
   message.status_version = view->status_version;
@@ -460,6 +460,7 @@
   peer_message_init (&message);
   fill_head (peers, now, &message);
   peers_origins_fill (peers, now, peer, STREAM_ORIGIN_OWN, &message.origins);
+  peers_origins_wanted_fill (peers, now, message.origins_wanted);
   if (own != NULL)
     aggregate_add_report (&message.aggregate, own, with_usage);
   remember_report (peers, &message.aggregate);
--- a/src/fleet/peers_origins.c
+++ b/src/fleet/peers_origins.c
@@ -50,6 +50,91 @@
   out->received_from = peer->origins_incarnation;
 }
 
+void
+peers_origins_view_fill (const peers_t *peers, gs_time_t now,
+                         const peer_t *peer, const peer_message_t *report,
+                         stream_origins_part_t *out)
+{
+  if (!report->asks_for_origins)
+    {
+      peers_origins_fill (peers, now, peer, STREAM_ORIGIN_ALL, out);
+      return;
+    }
+  if (peer->call == CALL_REPORT)
+    peers_origins_fill (peers, now, peer,
+                        STREAM_ORIGIN_OWN | STREAM_ORIGIN_DATA_CENTRE, out);
+  else
+    {
+      out->last = peer->origins_sent;
+      out->received = peer->origins_received;
+      out->received_from = peer->origins_incarnation;
+    }
+  stream_origins_look_up (peers->origins, now, report->origins_wanted,
+                          out->rows);
+}
+
+static bool
+is_known (const peers_t *peers, gs_time_t now, uint64_t stream)
+{
+  uint64_t version;
+
+  return stream_origins_find (peers->origins, now, stream, &version);
+}
+
+void
+peers_origins_wanted_fill (const peers_t *peers, gs_time_t now, GArray *out)
+{
+  for (guint i = 0; i < peers->origins_wanted->len; i++)
+    {
+      const stream_origin_key_t *key
+          = &g_array_index (peers->origins_wanted, stream_origin_key_t, i);
+
+      if (!is_known (peers, now, key->stream))
+        g_array_append_val (out, *key);
+    }
+}
+
+static void
+call_aggregators (peers_t *peers, gs_time_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      peer_t *peer = value;
+
+      if (peer->call == CALL_REPORT && !peer->unreachable)
+        peer->next_call_at = now;
+    }
+  peers_tick (peers, now);
+}
+
+void
+peers_origins_request (peers_t *peers, gs_time_t now, const GArray *keys)
+{
+  bool added = false;
+
+  if (peers->role == PEERS_ROLE_MESH)
+    return;
+  for (guint i = 0; i < keys->len && !added; i++)
+    {
+      uint64_t stream = g_array_index (keys, stream_origin_key_t, i).stream;
+
+      added = !is_known (peers, now, stream);
+      for (guint j = 0; j < peers->origins_wanted->len && added; j++)
+        added = g_array_index (peers->origins_wanted, stream_origin_key_t, j)
+                    .stream
+                != stream;
+    }
+  g_array_set_size (peers->origins_wanted, 0);
+  g_array_append_vals (peers->origins_wanted, keys->data,
+                       MIN (keys->len, STREAM_ORIGIN_KEYS_MAX));
+  if (added)
+    call_aggregators (peers, now);
+}
+
 void
 peers_origins_receive (peers_t *peers, gs_time_t now, peer_t *peer,
                        const stream_origins_part_t *part, unsigned source)
--- a/src/fleet/peers_private.h
+++ b/src/fleet/peers_private.h
@@ -133,6 +133,7 @@
   quarantine_t *quarantine; /* what this node and others know */
   stream_origins_t *origins;
   uint64_t origins_viewed; /* last row that a view has covered */
+  GArray *origins_wanted;  /* of stream_origin_key_t */
 };
 
 /* @return whether a message of the peer itself came recently.  */
@@ -204,6 +205,19 @@
                          const peer_t *peer, unsigned sources,
                          stream_origins_part_t *out);
 
+/* Fill in the streams of a view: those that the receiver asks for.  An
+   aggregator, and a node of a version that asks for none, is sent all that it
+   lacks.
+   @param report of the receiver  */
+void peers_origins_view_fill (const peers_t *peers, gs_time_t now,
+                              const peer_t *peer, const peer_message_t *report,
+                              stream_origins_part_t *out);
+
+/* Fill in the streams that this node asks its aggregators for.
+   @param out of stream_origin_key_t  */
+void peers_origins_wanted_fill (const peers_t *peers, gs_time_t now,
+                                GArray *out);
+
 /* Add the streams that a peer has sent.
    @param source as one flag  */
 void peers_origins_receive (peers_t *peers, gs_time_t now, peer_t *peer,
--- a/src/fleet/report.c
+++ b/src/fleet/report.c
@@ -12,6 +12,8 @@
   report->statements = g_array_new (FALSE, TRUE, sizeof (statement_t));
   quarantine_rows_init (&report->quarantine);
   report->rollout_counts = g_array_new (FALSE, TRUE, sizeof (rollout_count_t));
+  report->origins_wanted
+      = g_array_new (FALSE, TRUE, sizeof (stream_origin_key_t));
   return report;
 }
 
@@ -27,6 +29,7 @@
   g_array_unref (report->statements);
   quarantine_rows_clear (&report->quarantine);
   g_array_unref (report->rollout_counts);
+  g_array_unref (report->origins_wanted);
   g_free (report);
 }
 
--- a/src/fleet/report.h
+++ b/src/fleet/report.h
@@ -62,6 +62,10 @@
   GArray *rollout_counts; /**< of rollout_count_t */
   bool versions_wanted;   /**< requests wait for a new read of the store's
                                record of versions */
+  bool keeps_origins;     /**< the store has to keep which version began each
+                               stream, see traffic_origins_are_kept() */
+  GArray *origins_wanted; /**< of stream_origin_key_t: streams that requests
+                               resume and this node does not know */
 } traffic_report_t;
 
 /** @return an empty report, freed with traffic_report_free() */
--- a/src/fleet/service_versions.c
+++ b/src/fleet/service_versions.c
@@ -383,6 +383,18 @@
   return true;
 }
 
+bool
+service_versions_is_listed (const service_versions_t *versions,
+                            const char *service)
+{
+  const service_row_t *row = g_hash_table_lookup (versions->services, service);
+
+  for (unsigned i = 0; row != NULL && i < row->count; i++)
+    if (row->rows[i].last_listed_at == LISTED_NOW)
+      return true;
+  return false;
+}
+
 bool
 service_versions_are_mixed (const service_versions_t *versions, gs_time_t now,
                             gs_time_t lookback)
--- a/src/fleet/service_versions.h
+++ b/src/fleet/service_versions.h
@@ -90,6 +90,10 @@
                                   gs_time_t now, const char *service,
                                   gs_time_t lookback, uint64_t *version);
 
+/** @return whether a replica of a service is listed */
+bool service_versions_is_listed (const service_versions_t *versions,
+                                 const char *service);
+
 /** @return whether any service may have had several versions in the time of
     @p lookback */
 bool service_versions_are_mixed (const service_versions_t *versions,
--- a/src/fleet/stream_origins.c
+++ b/src/fleet/stream_origins.c
@@ -14,6 +14,12 @@
           ROW_COLUMN (ROW_NUMBER, stream_origin_row_t, version),
           ROW_COLUMN (ROW_NUMBER, stream_origin_row_t, left_ms) } };
 
+static const row_layout_t stream_origin_key_layout
+    = { sizeof (stream_origin_key_t),
+        STREAM_ORIGIN_KEYS_MAX,
+        1,
+        { ROW_COLUMN (ROW_NUMBER, stream_origin_key_t, stream) } };
+
 typedef struct
 {
   stream_origin_t origin;
@@ -168,6 +174,22 @@
   return number;
 }
 
+void
+stream_origins_look_up (const stream_origins_t *origins, gs_time_t now,
+                        const GArray *keys, GArray *out)
+{
+  for (guint i = 0; i < keys->len && out->len < STREAM_ORIGIN_ROWS_MAX; i++)
+    {
+      const stream_origin_key_t *key
+          = &g_array_index (keys, stream_origin_key_t, i);
+      const origin_entry_t *entry
+          = g_hash_table_lookup (origins->by_stream, &key->stream);
+
+      if (entry != NULL && entry->origin.expires_at > now)
+        append_row (entry, now, out);
+    }
+}
+
 void
 stream_origins_part_init (stream_origins_part_t *part)
 {
@@ -204,3 +226,15 @@
   part->received_from = row_reader_number (reader);
   row_reader_rows (reader, &stream_origin_layout, part->rows);
 }
+
+void
+stream_origin_keys_pack (msgpack_packer *out, const GArray *keys)
+{
+  row_codec_pack (out, &stream_origin_key_layout, keys);
+}
+
+void
+stream_origin_keys_read (row_reader_t *reader, GArray *out)
+{
+  row_reader_rows (reader, &stream_origin_key_layout, out);
+}
--- a/src/fleet/stream_origins.h
+++ b/src/fleet/stream_origins.h
@@ -36,6 +36,15 @@
   uint64_t left_ms;
 } stream_origin_row_t;
 
+/** A stream that a node asks another one for. */
+typedef struct
+{
+  uint64_t stream;
+} stream_origin_key_t;
+
+/** Streams that a message may ask for; further ones are asked for later. */
+#define STREAM_ORIGIN_KEYS_MAX 1024
+
 /** From where a node has learned of a stream, as flags. */
 #define STREAM_ORIGIN_OWN 1U         /**< it began at this node */
 #define STREAM_ORIGIN_DATA_CENTRE 2U /**< at another of its data centre */
@@ -80,6 +89,12 @@
 uint64_t stream_origins_export (const stream_origins_t *origins, gs_time_t now,
                                 uint64_t after, unsigned sources, GArray *out);
 
+/** Append the known ones of some streams.
+    @param keys of stream_origin_key_t
+    @param out array of stream_origin_row_t */
+void stream_origins_look_up (const stream_origins_t *origins, gs_time_t now,
+                             const GArray *keys, GArray *out);
+
 /** @return number of the last row that was added; 0 before the first one */
 uint64_t stream_origins_last (const stream_origins_t *origins);
 
@@ -104,4 +119,9 @@
 void stream_origins_part_read (row_reader_t *reader,
                                stream_origins_part_t *part);
 
+void stream_origin_keys_pack (msgpack_packer *out, const GArray *keys);
+
+/** @param out array of stream_origin_key_t; replaced */
+void stream_origin_keys_read (row_reader_t *reader, GArray *out);
+
 #endif
--- a/src/fleet/version_history.c
+++ b/src/fleet/version_history.c
@@ -333,6 +333,11 @@
           if (listed)
             service->listed[kept++] = service->listed[i];
         }
+      if (kept < service->listed_count)
+        {
+          service->read_interval = READ_INTERVAL_MIN;
+          service->read_due = now + READ_DELAY;
+        }
       service->listed_count = kept;
     }
 }
@@ -358,13 +363,17 @@
 }
 
 /* @return whether a version is listed that the record does not have as
-   serving  */
+   serving, or the other way round  */
 static bool
-has_unrecorded (history_service_t *service)
+differs_from_list (history_service_t *service)
 {
   for (unsigned i = 0; i < service->listed_count; i++)
     if (!is_serving (service, service->listed[i].version))
       return true;
+  for (unsigned i = 0; i < service->recorded_count; i++)
+    if (service->recorded[i].to_ms == 0
+        && listed_find (service, service->recorded[i].version) == NULL)
+      return true;
   return false;
 }
 
@@ -485,7 +494,7 @@
                   history);
       return true;
     }
-  if (writes || !has_unrecorded (service) || now < service->read_due)
+  if (writes || !differs_from_list (service) || now < service->read_due)
     return false;
   service->read_due = now + service->read_interval;
   service->read_interval = MIN (2 * service->read_interval, READ_INTERVAL_MAX);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -233,6 +233,8 @@
 
   atomic_store (&message->gateway->open_exchanges,
                 message->report->open_exchanges);
+  peers_origins_request (message->gateway->peers, gs_clock_now (),
+                         message->report->origins_wanted);
   duties_report_set (message->gateway->duties, message->report);
   g_free (message);
 }
--- a/src/gateway/relay_origin.c
+++ b/src/gateway/relay_origin.c
@@ -20,6 +20,16 @@
   relay->origin_deadline = now + ORIGIN_WAIT_MAX;
 }
 
+/* Asks the other nodes which version began a stream.  */
+static void
+request_origin (relay_t *relay, gs_time_t now, uint64_t stream)
+{
+  traffic_origin_request (relay->traffic, stream);
+  if (!relay->origin_requested)
+    relay->traffic->report_due = now;
+  relay->origin_requested = true;
+}
+
 /* Has the control thread read the store's record of versions.  */
 static void
 request_versions (traffic_t *traffic, gs_time_t now)
@@ -36,12 +46,12 @@
   const char *begun = relay->request.resumes[0] != '\0'
                           ? relay->request.resumes
                           : relay->request.id;
+  uint64_t stream = stream_origins_hash (begun);
   uint64_t single;
 
   if (!relay->resumed || relay->version != 0)
     return true;
-  if (stream_origins_find (traffic->origins, now, stream_origins_hash (begun),
-                           &relay->version))
+  if (stream_origins_find (traffic->origins, now, stream, &relay->version))
     return true;
   if (!service_versions_get_single (
           traffic->versions, now, relay->service->name,
@@ -50,10 +60,13 @@
       /* No other node can tell where it began.  */
       if (relay->request.resumes[0] == '\0')
         relay->origin_deadline = now;
+      else
+        request_origin (relay, now, stream);
       return false;
     }
   if (relay->arrived_at > traffic->versions_known_until)
     {
+      request_origin (relay, now, stream);
       request_versions (traffic, now);
       return false;
     }
--- a/src/gateway/relay_private.h
+++ b/src/gateway/relay_private.h
@@ -73,6 +73,7 @@
   uint64_t version;          /* software version that began the stream; 0 if it
                                 has not begun or is not known yet */
   gs_time_t origin_deadline; /* when a stream of unknown origin is refused */
+  bool origin_requested;     /* other nodes were asked for its origin */
   bool usage_counted;        /* the request is counted in the usage */
   bool head_sent; /* the head of the response was sent to the caller */
   relay_rollout_t rollout;
--- a/src/gateway/route_table.c
+++ b/src/gateway/route_table.c
@@ -219,6 +219,30 @@
   return &g_array_index (table->services, gs_path_service_t, index);
 }
 
+static bool
+route_has_service (const gs_path_route_t *route, unsigned service)
+{
+  for (guint i = 0; i < route->splits->len; i++)
+    if (g_array_index (route->splits, gs_route_split_t, i).service == service)
+      return true;
+  return false;
+}
+
+bool
+gs_route_table_service_has_streams (const gs_route_table_t *table,
+                                    unsigned index)
+{
+  for (guint i = 0; i < table->routes->len; i++)
+    {
+      const gs_path_route_t *route = g_ptr_array_index (table->routes, i);
+
+      if (route->resend_policy == GS_RESEND_RESUME
+          && route_has_service (route, index))
+        return true;
+    }
+  return false;
+}
+
 int
 gs_route_table_service_find (const gs_route_table_t *table, const char *name)
 {
--- a/src/gateway/store_records.c
+++ b/src/gateway/store_records.c
@@ -79,5 +79,7 @@
   if (version_history_export (records->versions, &record))
     traffic_versions_set (traffic, &record);
   origin_store_tick (records->origins, now, wall_ms,
-                     peers_origins_kept (records->peers, now));
+                     report != NULL && report->keeps_origins
+                         ? peers_origins_kept (records->peers, now)
+                         : 0);
 }
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -108,6 +108,10 @@
   report->cut = traffic->reach.cut;
   report->stream_time = traffic_stream_lookback (traffic);
   report->versions_wanted = traffic->versions_wanted;
+  report->keeps_origins = traffic->keeps_origins;
+  g_array_append_vals (report->origins_wanted, traffic->origins_wanted->data,
+                       traffic->origins_wanted->len);
+  g_array_set_size (traffic->origins_wanted, 0);
   report->open_exchanges = gs_server_open_count (traffic->server);
   report->read_tokens_per_msec = placer_read_speed (traffic->placer);
   placer_loads_export (traffic->placer, TRAFFIC_LOADS_MAX, report->loads);
@@ -131,27 +135,6 @@
   return MAX (traffic->stream_time_max, configured);
 }
 
-/* While all streams begin at one version, nobody needs to be told.  */
-static void
-send_origins (traffic_t *traffic, gs_time_t now)
-{
-  GArray *rows;
-
-  if (traffic->origins_sent_to_control
-          == stream_origins_last (traffic->origins)
-      || !service_versions_are_mixed (traffic->versions, now,
-                                      traffic_stream_lookback (traffic)))
-    return;
-  rows = g_array_new (FALSE, FALSE, sizeof (stream_origin_row_t));
-  traffic->origins_sent_to_control = stream_origins_export (
-      traffic->origins, now, traffic->origins_sent_to_control,
-      STREAM_ORIGIN_OWN, rows);
-  if (rows->len > 0)
-    traffic->options.on_origins (traffic->options.context, rows);
-  else
-    g_array_unref (rows);
-}
-
 static void
 on_tick (void *context)
 {
@@ -171,11 +154,12 @@
   relay_flows_resume (traffic);
   relay_probes_send (traffic, now);
   relay_queues_serve (traffic, now);
-  send_origins (traffic, now);
+  traffic_origins_send (traffic, now);
   if (now >= traffic->report_due)
     {
       traffic->report_due = now + TRAFFIC_REPORT_INTERVAL;
       traffic_crossing_update (traffic, now);
+      traffic_origins_keep_update (traffic, now);
       send_report (traffic, now);
     }
   if (now >= traffic->server_tick_due)
@@ -241,6 +225,8 @@
   traffic->last_contact_at = gs_clock_now ();
   service_versions_create (&traffic->versions);
   stream_origins_create (&traffic->origins);
+  traffic->origins_wanted
+      = g_array_new (FALSE, FALSE, sizeof (stream_origin_key_t));
   relay_rollouts_create (&traffic->rollouts,
                          options->deployment->expose_share);
   quarantine_create (&traffic->quarantine, true);
@@ -293,6 +279,8 @@
   surplus_answers_destroy (traffic->surplus_answers);
   quarantine_destroy (traffic->quarantine);
   stream_origins_destroy (traffic->origins);
+  g_array_unref (traffic->origins_wanted);
+  service_versions_record_clear (&traffic->versions_record);
   relay_rollouts_destroy (traffic->rollouts);
   service_versions_destroy (traffic->versions);
   g_array_unref (traffic->detours);
@@ -407,7 +395,8 @@
   service_versions_record_set (traffic->versions, gs_clock_now (),
                                gs_clock_monotonic_wall () / GS_MSEC,
                                &message->versions);
-  service_versions_record_clear (&message->versions);
+  service_versions_record_clear (&traffic->versions_record);
+  traffic->versions_record = message->versions;
   g_free (message);
 }
 
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -26,8 +26,7 @@
   /** Receives each report and takes ownership of it; called on the traffic
       thread. */
   void (*on_report) (void *context, traffic_report_t *report);
-  /** Receives streams that began at this node, while several versions of a
-      service may serve; called on the traffic thread.
+  /** Receives streams that began at this node; called on the traffic thread.
       @param rows of stream_origin_row_t; takes ownership */
   void (*on_origins) (void *context, GArray *rows);
   void *context;
--- a/src/gateway/traffic_private.h
+++ b/src/gateway/traffic_private.h
@@ -60,6 +60,11 @@
   stream_origins_t *origins;
   relay_rollouts_t *rollouts;
   uint64_t origins_sent_to_control; /* last row given to on_origins() */
+  gs_time_t origins_due;            /* earliest time of the next ones */
+  GArray *origins_wanted; /* of stream_origin_key_t, since the last report */
+  bool keeps_origins;     /* see traffic_origins_keep_update() */
+  service_versions_record_t versions_record; /* last one; arrays NULL if it is
+                                                not known */
   gs_time_t stream_time_max; /* longest time that a caller of a stream that
                                 may be resumed was seen to wait */
   response_memory_t response_memory;
@@ -95,6 +100,18 @@
     most */
 gs_time_t traffic_stream_lookback (const traffic_t *traffic);
 
+/** Hand streams that have begun at this node to the control thread, which
+    tells the other nodes: which of them will need one is not known here. */
+void traffic_origins_send (traffic_t *traffic, gs_time_t now);
+
+/** Ask the other nodes, with the next report, which version began a stream. */
+void traffic_origin_request (traffic_t *traffic, uint64_t stream);
+
+/** Decide whether the store has to keep the version of each stream: several
+    versions have served, or processes that start after all nodes have been
+    killed could not tell that only one has. */
+void traffic_origins_keep_update (traffic_t *traffic, gs_time_t now);
+
 /** Accept a request; called on the traffic thread. */
 void relay_start (traffic_t *traffic, gs_exchange_t *exchange);
 
--- a/tests/test_peer_message.c
+++ b/tests/test_peer_message.c
@@ -43,6 +43,7 @@
 
   quarantine_key_row_t key = { .key = UINT64_MAX, .age_ms = 5 };
   stream_origin_row_t origin = { UINT64_MAX, 77, 12000 };
+  stream_origin_key_t wanted = { 4711 };
 
   fill_report (report, 3);
   g_strlcpy (message->self.name, "self", sizeof message->self.name);
@@ -59,6 +60,7 @@
   g_array_append_val (message->quarantine.keys, key);
   message->origins.last = 4711;
   g_array_append_val (message->origins.rows, origin);
+  g_array_append_val (message->origins_wanted, wanted);
   aggregate_add_report (&message->aggregate, report, true);
   traffic_report_free (report);
 }
@@ -116,6 +118,12 @@
                                sent.origins.rows->data,
                                sizeof (stream_origin_row_t)),
                        0);
+      CU_ASSERT_TRUE (decoded.asks_for_origins);
+      CU_ASSERT_EQUAL_FATAL (decoded.origins_wanted->len, 1);
+      CU_ASSERT_EQUAL (
+          g_array_index (decoded.origins_wanted, stream_origin_key_t, 0)
+              .stream,
+          4711);
       CU_ASSERT_EQUAL (decoded.aggregate.nodes, 1);
       CU_ASSERT_EQUAL (decoded.aggregate.usage->len, with_usage);
       CU_ASSERT_EQUAL (decoded.aggregate.demand->len, 1);
@@ -139,7 +147,8 @@
   {
     guint8 elements;
     guint bytes_less;
-  } versions[] = { { 16, 12 }, { 18, 10 }, { 20, 8 }, { 24, 4 }, { 26, 2 } };
+  } versions[]
+      = { { 16, 13 }, { 18, 11 }, { 20, 9 }, { 24, 5 }, { 26, 3 }, { 28, 1 } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
     {
@@ -153,18 +162,19 @@
       g_array_set_size (sent.statements, 0);
       g_array_set_size (sent.quarantine.keys, 0);
       g_array_set_size (sent.origins.rows, 0);
+      g_array_set_size (sent.origins_wanted, 0);
       sent.origins.last = 0;
       sent.usage_window = 0;
       bytes = encode (&sent, true);
-      /* An array of 28 elements, the last twelve of them an empty array, 0,
-         two empty arrays, 0, 0, 0, an empty array, 0, 0, and two empty arrays.
-       */
+      /* An array of 29 elements, the last thirteen of them an empty array, 0,
+         two empty arrays, 0, 0, 0, an empty array, 0, 0, and three empty
+         arrays.  */
       CU_ASSERT_EQUAL_FATAL (bytes->data[0], 0xdc);
-      CU_ASSERT_EQUAL_FATAL (bytes->data[2], 28);
-      CU_ASSERT_EQUAL_FATAL (memcmp (bytes->data + bytes->len - 12,
-                                     "\x90\0\x90\x90\0\0\0\x90\0\0\x90\x90",
-                                     12),
-                             0);
+      CU_ASSERT_EQUAL_FATAL (bytes->data[2], 29);
+      CU_ASSERT_EQUAL_FATAL (
+          memcmp (bytes->data + bytes->len - 13,
+                  "\x90\0\x90\x90\0\0\0\x90\0\0\x90\x90\x90", 13),
+          0);
       bytes->data[2] = versions[i].elements;
       CU_ASSERT_EQUAL (
           peer_message_decode (&decoded, (const char *)bytes->data,
@@ -172,6 +182,7 @@
           GS_OK);
       CU_ASSERT_EQUAL (decoded.statements->len, 0);
       CU_ASSERT_EQUAL (decoded.rollouts->len, 0);
+      CU_ASSERT_FALSE (decoded.asks_for_origins);
       CU_ASSERT_EQUAL (decoded.quarantine.losses->len, 0);
       CU_ASSERT_EQUAL (decoded.aggregate.usage->len, 1);
       g_byte_array_unref (bytes);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -466,6 +466,27 @@
   g_array_unref (rows);
 }
 
+/* Nodes of a large fleet are not told of all streams, and ask for those that
+   their callers resume.  A request waits for 600 ms, of which the way between
+   the threads of the node that asks takes a part.  */
+#define ANSWER_TIMEOUT (300 * GS_MSEC)
+
+static void
+ask_for_streams (peers_world_t *world, unsigned node, unsigned count)
+{
+  GArray *keys = g_array_new (FALSE, FALSE, sizeof (stream_origin_key_t));
+
+  for (unsigned begun = 0; begun < count; begun++)
+    {
+      stream_origin_key_t key = { begun + 1 };
+
+      g_array_append_val (keys, key);
+    }
+  peers_origins_request (peers_world_peers (world, node),
+                         peers_world_now (world), keys);
+  g_array_unref (keys);
+}
+
 /* Also a process that starts after a stream has begun must know it, and the
    node where it began may have ended by then.  */
 static void
@@ -483,6 +504,9 @@
       for (unsigned node = 0; node < count; node++)
         begin_stream (world, node, node + 1);
       peers_world_run (world, STATEMENT_TIMEOUT);
+      for (unsigned node = 0; node < count; node++)
+        ask_for_streams (world, node, count);
+      peers_world_run (world, ANSWER_TIMEOUT);
       for (unsigned node = 0; node < count; node++)
         for (unsigned begun = 0; begun < count; begun++)
           missing += !knows_stream (world, node, begun + 1);
@@ -493,6 +517,8 @@
       peers_world_run (world, GS_SEC);
       peers_world_start (world, 0);
       peers_world_run (world, 2 * GS_SEC);
+      ask_for_streams (world, 0, count);
+      peers_world_run (world, ANSWER_TIMEOUT);
       for (unsigned begun = 0; begun < count; begun++)
         missing += !knows_stream (world, 0, begun + 1);
       printf ("\n  %u nodes: %u streams unknown ", count, missing);
@@ -501,6 +527,79 @@
     }
 }
 
+/* Streams that begin at each node in a second, and for how long.  */
+#define BEGUN_PER_SEC 5
+#define BEGUN_SECONDS 10
+/* Largest encoding of a stream: an array of three numbers.  */
+#define ORIGIN_ROW_BYTES_MAX 28
+
+static int
+compare_bytes (gconstpointer a, gconstpointer b)
+{
+  const uint64_t *left = a;
+  const uint64_t *right = b;
+
+  return (*left > *right) - (*left < *right);
+}
+
+/* @return median of the bytes that a node sends and receives  */
+static uint64_t
+run_with_streams (peers_world_t *world, unsigned count, bool begun)
+{
+  GArray *bytes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  uint64_t crossing;
+  uint64_t median;
+
+  for (unsigned node = 0; node < count; node++)
+    peers_world_bytes_take (world, node, &crossing);
+  for (unsigned second = 0; second < BEGUN_SECONDS; second++)
+    {
+      for (unsigned i = 0; begun && i < count * BEGUN_PER_SEC; i++)
+        begin_stream (world, i % count,
+                      (second * count * BEGUN_PER_SEC + i + 1)
+                          * UINT64_C (0x9e3779b97f4a7c15));
+      peers_world_run (world, GS_SEC);
+    }
+  for (unsigned node = 0; node < count; node++)
+    {
+      uint64_t sum = peers_world_bytes_take (world, node, &crossing);
+
+      g_array_append_val (bytes, sum);
+    }
+  g_array_sort (bytes, compare_bytes);
+  median = g_array_index (bytes, uint64_t, count / 2);
+  g_array_unref (bytes);
+  return median;
+}
+
+/* Guards against nodes whose bytes grow with the streams of the whole fleet:
+   all but the aggregators carry their own ones alone, once to each aggregator,
+   and numbers that acknowledge them.  */
+static void
+streams_of_the_fleet_cost_most_nodes_nothing (void)
+{
+  static const unsigned large_sizes[] = { 118, 372 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (large_sizes); i++)
+    {
+      unsigned count = large_sizes[i];
+      peers_world_t *world = make_world (count, 0);
+      uint64_t without;
+      uint64_t with;
+
+      peers_world_run (world, SETTLE_TIME);
+      without = run_with_streams (world, count, false);
+      with = run_with_streams (world, count, true);
+      printf ("\n  %u nodes: %llu bytes a second without, %llu with streams ",
+              count, (unsigned long long)without / BEGUN_SECONDS,
+              (unsigned long long)with / BEGUN_SECONDS);
+      CU_ASSERT (with <= without
+                             + (uint64_t)2 * PEERS_AGGREGATORS * BEGUN_PER_SEC
+                                   * BEGUN_SECONDS * ORIGIN_ROW_BYTES_MAX);
+      peers_world_destroy (world);
+    }
+}
+
 /* @return nodes that keep streams in the store
    @param unkept receives how many of the streams that began at each node none
    of them keeps  */
@@ -566,6 +665,8 @@
 static const check_case_t cases[] = {
   { "streams are kept by one node of each data centre",
     streams_are_kept_by_one_node_of_each_data_centre },
+  { "streams of the fleet cost most nodes nothing",
+    streams_of_the_fleet_cost_most_nodes_nothing },
   { "the version that began a stream is known to all nodes",
     the_version_that_began_a_stream_is_known_to_all_nodes },
   { "a lost request is known to all nodes",
