Server: room for the answer's head is found before a request is passed on

Usual requests were closed where the replica's answer had a head of 24 to 40 kB.

Cause: libmicrohttpd keeps a request's head, a record for each header and the head of the response in one block of fixed size; the response takes what is left when the request has already run. Heads were measured as if each colon were followed by a space.

Change: the room is computed when the headers are read, for the least favourable use of the read buffer. A request that leaves less than 2 KiB gets 431 before it runs; an answer whose head is larger than the room counts as one that is too large. Blocks have 64 KiB, and connections use half of the node's memory at most. Heads are measured by their bytes as received.

--- a/include/garnetstack/server.h
+++ b/include/garnetstack/server.h
@@ -33,7 +33,8 @@
   gs_loop_t *loop;
   unsigned connections_max;
   size_t connection_bytes;  /**< memory per connection, which also limits
-                                 the size of request line and headers */
+                                 the size and number of headers, and the size
+                                 of the response's head */
   size_t body_bytes_max;    /**< largest request body */
   size_t bodies_bytes_max;  /**< limit on the sum of the request bodies of
                                  all open exchanges */
@@ -114,11 +115,18 @@
 void gs_exchange_each_header (const gs_exchange_t *exchange,
                               gs_exchange_header_cb_t callback, void *context);
 
-/** @return size in bytes of the request line and the headers.  Whitespace
-    around header values is not counted.  May be called only until the handler
-    returns. */
+/** @return size in bytes of the request line and the headers as received */
 size_t gs_exchange_head_bytes (const gs_exchange_t *exchange);
 
+/** @param headers names and values, NULL-terminated
+    @return whether the head of a response finds room in the connection's
+    memory, beside the head of the request.  A response whose head does not
+    must not be sent: the connection would be closed without it.  One without
+    headers always does. */
+bool gs_exchange_head_fits (const gs_exchange_t *exchange,
+                            const char *content_type,
+                            const char *const *headers);
+
 /** @return time at which the request line was received. */
 gs_time_t gs_exchange_received_at (const gs_exchange_t *exchange);
 
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -117,6 +117,29 @@
   gs_loop_http_idle_connections_close (relay->call);
 }
 
+static const char *
+content_type (const relay_t *relay)
+{
+  return relay->head.content_type[0] != '\0' ? relay->head.content_type : NULL;
+}
+
+/* @return whether the head finds room in the response to the caller, if it is
+   to be passed on  */
+static bool
+is_head_deliverable (const relay_t *relay)
+{
+  GPtrArray *headers = relay->head.headers;
+  bool fits;
+
+  if (relay->head_sent || relay->head.not_run)
+    return true;
+  g_ptr_array_add (headers, NULL);
+  fits = gs_exchange_head_fits (relay->exchange, content_type (relay),
+                                (const char *const *)headers->pdata);
+  g_ptr_array_remove_index (headers, headers->len - 1);
+  return fits;
+}
+
 bool
 relay_on_line (void *context, const char *line, size_t length)
 {
@@ -141,10 +164,11 @@
       record_statement (relay);
       if (relay->head.status != 421 && !relay->detoured)
         relay_quarantine_alive (relay, gs_clock_now ());
+      relay->response_too_large = !is_head_deliverable (relay);
     }
   else if (!relay->detoured && gs_loop_http_is_kept (relay->call))
     record_surplus_answer (relay);
-  return !relay->response_mismatched;
+  return !relay->response_mismatched && !relay->response_too_large;
 }
 
 /* @return names and values of the response headers, NULL-terminated; owned by
@@ -163,12 +187,6 @@
   return (const char *const *)headers->pdata;
 }
 
-static const char *
-content_type (const relay_t *relay)
-{
-  return relay->head.content_type[0] != '\0' ? relay->head.content_type : NULL;
-}
-
 static void
 start_stream (relay_t *relay)
 {
--- a/src/gateway/traffic.c
+++ b/src/gateway/traffic.c
@@ -7,11 +7,17 @@
 
 /* Interval at which the queues are processed.  */
 #define TICK_INTERVAL (10 * GS_MSEC)
-/* Limits of the HTTP server on the head and body of a request.  The limits of
-   the configuration apply in addition (relay_admit.c).  The body limit is the
-   largest that the platform allows.  */
-#define HEAD_BYTES_MAX (32 << 10)
+/* Limit of the HTTP server on the body of a request, the largest that the
+   platform allows.  The limits of the configuration apply in addition
+   (relay_admit.c).  */
 #define BODY_BYTES_MAX ((size_t)8 << 20)
+/* Memory of a connection.  Half of it holds a head of the largest size that
+   configurations allow and what follows it, the other half records of some 470
+   headers and the head of the response.  */
+#define CONNECTION_BYTES ((size_t)64 << 10)
+/* Connections may use the memory of the node divided by this; those that have
+   carried one request use little of theirs.  */
+#define CONNECTIONS_MEMORY_DIVISOR 2
 /* The bodies of open requests may use the memory of the node divided by this.
    Buffered responses, tables and the log share the rest.  */
 #define BODIES_MEMORY_DIVISOR 4
@@ -184,6 +190,19 @@
   return NULL;
 }
 
+static unsigned
+connections_max (const gs_deployment_t *deployment)
+{
+  size_t memory = ((size_t)deployment->memory_mb << 20)
+                  / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES;
+  unsigned descriptors
+      = deployment->descriptors_max > 2 * DESCRIPTORS_RESERVED
+            ? deployment->descriptors_max - DESCRIPTORS_RESERVED
+            : deployment->descriptors_max / 2;
+
+  return memory > 0 ? (unsigned)MIN (memory, descriptors) : descriptors;
+}
+
 static gs_status_t
 listen_for_callers (traffic_t *traffic)
 {
@@ -193,15 +212,12 @@
   options.address = deployment->caller_endpoint.host;
   options.port = deployment->caller_endpoint.port;
   options.loop = traffic->loop;
-  options.connection_bytes = HEAD_BYTES_MAX;
+  options.connection_bytes = CONNECTION_BYTES;
   options.body_bytes_max = BODY_BYTES_MAX;
   options.bodies_bytes_max
       = ((size_t)deployment->memory_mb << 20) / BODIES_MEMORY_DIVISOR;
   options.response_memory = &traffic->response_memory;
-  options.connections_max
-      = deployment->descriptors_max > 2 * DESCRIPTORS_RESERVED
-            ? deployment->descriptors_max - DESCRIPTORS_RESERVED
-            : deployment->descriptors_max / 2;
+  options.connections_max = connections_max (deployment);
   options.idle_seconds = IDLE_SECONDS_DEFAULT;
   options.receive_seconds = 2 * IDLE_SECONDS_DEFAULT;
   options.handler = on_exchange;
--- a/src/util/exchange.c
+++ b/src/util/exchange.c
@@ -2,6 +2,9 @@
 
 /* A larger buffer is freed when all of it is sent.  */
 #define KEPT_BUFFER_BYTES_MAX 4096
+/* What libmicrohttpd writes in the head of a response: the status line, Date,
+   Connection, and Content-Length or Transfer-Encoding.  */
+#define OWN_HEAD_BYTES_MAX 256
 
 gs_exchange_t *
 gs_exchange_ref (gs_exchange_t *exchange)
@@ -88,22 +91,30 @@
                              &iteration);
 }
 
-static void
-add_header_bytes (void *context, const char *name, const char *value)
+size_t
+gs_exchange_head_bytes (const gs_exchange_t *exchange)
 {
-  size_t *bytes = context;
-
-  *bytes += strlen (name) + strlen (": ") + strlen (value) + strlen ("\r\n");
+  return exchange->head_bytes;
 }
 
-size_t
-gs_exchange_head_bytes (const gs_exchange_t *exchange)
+static size_t
+header_bytes (const char *name, const char *value)
 {
-  size_t bytes = strlen (exchange->method) + strlen (" ")
-                 + strlen (exchange->target) + strlen (" HTTP/1.1\r\n\r\n");
+  return strlen (name) + strlen (": ") + strlen (value) + strlen ("\r\n");
+}
 
-  gs_exchange_each_header (exchange, add_header_bytes, &bytes);
-  return bytes;
+bool
+gs_exchange_head_fits (const gs_exchange_t *exchange, const char *content_type,
+                       const char *const *headers)
+{
+  size_t bytes = OWN_HEAD_BYTES_MAX;
+
+  if (content_type != NULL)
+    bytes += header_bytes ("Content-Type", content_type);
+  for (; headers != NULL && headers[0] != NULL && headers[1] != NULL;
+       headers += 2)
+    bytes += header_bytes (headers[0], headers[1]);
+  return bytes <= exchange->response_head_bytes_max;
 }
 
 gs_time_t
--- a/src/util/server.c
+++ b/src/util/server.c
@@ -12,7 +12,15 @@
 #define STREAM_BLOCK_BYTES 16384
 #define HTTP_BAD_REQUEST 400
 #define HTTP_CONTENT_TOO_LARGE 413
+#define HTTP_HEADERS_TOO_LARGE 431
 #define HTTP_SERVICE_UNAVAILABLE 503
+/* Memory of a connection that libmicrohttpd takes for each header, cookie and
+   argument, besides the text.  */
+#define HEADER_RECORD_BYTES 64
+/* A request is accepted only if the head of its response may be as large as
+   this; a smaller part of the memory of small connections.  */
+#define RESPONSE_HEAD_BYTES_MIN 2048
+#define RESPONSE_HEAD_MEMORY_DIVISOR 8
 /* Limit of consecutive runs of a daemon that always has work, so that the
    loop gets to its other descriptors.  */
 #define DAEMON_RUNS_MAX 16
@@ -244,6 +252,11 @@
       message = "the head cannot be read in one way only";
       headers = close;
     }
+  else if (exchange->rejection_status == HTTP_HEADERS_TOO_LARGE)
+    {
+      type = "headers_too_large";
+      message = "too many headers";
+    }
   text = g_strdup_printf ("{\"error\":{\"type\":\"%s\",\"message\":\"%s\","
                           "\"request_id\":\"\",\"outcome\":\"not_run\"}}",
                           type, message);
@@ -253,6 +266,35 @@
   g_free (text);
 }
 
+/* libmicrohttpd reads into half of a connection's memory, which bytes of the
+   next request may fill, or into more if the head is longer.  Records of what
+   it has read, and the head of the response, have to fit into the rest.  */
+static size_t
+find_response_head_room (gs_exchange_t *exchange)
+{
+  struct MHD_Connection *connection = exchange->connection;
+  size_t memory = exchange->server->connection_bytes;
+  const char *cookies = gs_exchange_header (exchange, "Cookie");
+  int records = MHD_get_connection_values (
+      connection, MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND,
+      NULL, NULL);
+  size_t used = MAX (memory / 2, exchange->head_bytes)
+                + (size_t)MAX (records, 0) * HEADER_RECORD_BYTES
+                + (cookies != NULL ? strlen (cookies) : 0);
+
+  return used < memory ? memory - used : 0;
+}
+
+static bool
+has_response_head_room (const gs_exchange_t *exchange)
+{
+  size_t memory = exchange->server->connection_bytes;
+
+  return exchange->response_head_bytes_max
+         >= MIN ((size_t)RESPONSE_HEAD_BYTES_MIN,
+                 memory / RESPONSE_HEAD_MEMORY_DIVISOR);
+}
+
 /* Checks the headers.  A body that is too long by its Content-Length is
    rejected before it is received.  */
 static enum MHD_Result
@@ -270,8 +312,15 @@
   exchange->body_bytes_announced = announced;
   exchange->method = g_strdup (method);
   exchange->path = g_strdup (url);
+  exchange->head_bytes
+      = MHD_get_connection_info (exchange->connection,
+                                 MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+            ->header_size;
+  exchange->response_head_bytes_max = find_response_head_room (exchange);
   if (!gs_request_head_is_sound (&line))
     exchange->rejection_status = HTTP_BAD_REQUEST;
+  else if (!has_response_head_room (exchange))
+    exchange->rejection_status = HTTP_HEADERS_TOO_LARGE;
   else if (length != NULL && announced > exchange->server->body_bytes_max)
     exchange->rejection_status = HTTP_CONTENT_TOO_LARGE;
   else
@@ -472,6 +521,7 @@
     flags |= MHD_USE_IPv6;
   server->handler = options->handler;
   server->context = options->context;
+  server->connection_bytes = options->connection_bytes;
   server->body_bytes_max = options->body_bytes_max;
   server->pending_bytes_max = options->pending_bytes_max;
   server->response_memory = options->response_memory;
--- a/src/util/server_private.h
+++ b/src/util/server_private.h
@@ -19,6 +19,7 @@
   struct MHD_Daemon *daemon;
   gs_server_cb_t handler;
   void *context;
+  size_t connection_bytes;
   size_t body_bytes_max;
   size_t pending_bytes_max;
   response_memory_t *response_memory; /* NULL for none */
@@ -49,6 +50,8 @@
   const char *raw_target; /* the same in the buffer of libmicrohttpd, until
                              the headers are checked */
   bool headers_checked;   /* method and path are set */
+  size_t head_bytes;      /* of the request, as received */
+  size_t response_head_bytes_max; /* room for the head of the response */
   GString *body;
   size_t body_bytes_received;    /* including discarded bytes */
   uint64_t body_bytes_announced; /* UINT64_MAX if unknown */
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -245,8 +245,125 @@
   end_world ();
 }
 
-/* The configuration allows heads of 16 KiB; a node buffers at most 32 KiB of a
-   head.  */
+#define HEAD_BYTES_MAX 16384
+#define HEADER_COUNT 400
+
+/* @return a request with many headers, which have no space after the colon  */
+static GString *
+make_request_with_headers (const char *id, size_t head_bytes, unsigned count)
+{
+  GString *text = g_string_new (NULL);
+  size_t each;
+  size_t left;
+
+  g_string_printf (text,
+                   "POST /a/never/good HTTP/1.1\r\nHost: caller.example\r\n"
+                   "X-Attempt-Id: %s\r\nX-Deadline-Ms: 3000\r\n"
+                   "X-Api-Key: " WORLD_API_KEY "\r\nContent-Length: 1\r\n",
+                   id);
+  left = head_bytes - text->len - strlen ("\r\n");
+  each = left / count;
+  for (unsigned i = 0; i < count; i++)
+    {
+      size_t bytes = i == 0 ? left - each * (count - 1) : each;
+      char *value = g_strnfill (bytes - strlen ("X:\r\n"), 'v');
+
+      g_string_append_printf (text, "X:%s\r\n", value);
+      g_free (value);
+    }
+  g_string_append (text, "\r\nb");
+  return text;
+}
+
+/* Guards against requests within the limit that are rejected for the number of
+   their headers.  */
+static void
+a_head_of_many_headers_is_measured_by_its_bytes (void)
+{
+  static const size_t sizes[] = { HEAD_BYTES_MAX, HEAD_BYTES_MAX + 1 };
+  static const unsigned statuses[] = { 200, 431 };
+
+  start_gateway (1);
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      char *id = g_strdup_printf ("many-%zu", i);
+      GString *request
+          = make_request_with_headers (id, sizes[i], HEADER_COUNT);
+      raw_conn_t conn;
+      GString *answer;
+
+      CU_ASSERT_TRUE_FATAL (gw_connect (&conn, &world, 0));
+      raw_send (&conn, request->str, request->len);
+      answer = raw_read_until (&conn, ONE_SECOND, "\r\n\r\n");
+      CU_ASSERT_EQUAL (status_of (answer->str), statuses[i]);
+      CU_ASSERT_EQUAL (gw_arrivals_count (&world, id), statuses[i] == 200);
+      raw_close (&conn);
+      g_string_free (answer, TRUE);
+      g_string_free (request, TRUE);
+      g_free (id);
+    }
+  end_world ();
+}
+
+/* Guards against requests within the limit that are rejected because records
+   of their headers fill the memory of the connection.  */
+static void
+a_head_within_the_limit_may_have_any_number_of_headers (void)
+{
+  static const unsigned counts[] = { 440, 1000, 3000 };
+
+  start_gateway (1);
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      char *id = g_strdup_printf ("any-%zu", i);
+      GString *request
+          = make_request_with_headers (id, HEAD_BYTES_MAX, counts[i]);
+      raw_conn_t conn;
+      GString *answer;
+
+      CU_ASSERT_TRUE_FATAL (gw_connect (&conn, &world, 0));
+      raw_send (&conn, request->str, request->len);
+      answer = raw_read_until (&conn, ONE_SECOND, "\r\n\r\n");
+      printf ("\n  %u headers: status %u ", counts[i],
+              status_of (answer->str));
+      CU_ASSERT_EQUAL (status_of (answer->str), 200);
+      raw_close (&conn);
+      g_string_free (answer, TRUE);
+      g_string_free (request, TRUE);
+      g_free (id);
+    }
+  end_world ();
+}
+
+/* Guards against connections that are closed without an answer because the
+   head of the replica's answer finds no room.  */
+static void
+an_answer_with_a_large_head_is_passed_on_or_replaced (void)
+{
+  static const size_t sizes[] = { 3000, 24000, 40000, 60000 };
+  static const unsigned statuses[] = { 200, 200, 502, 502 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      char *value = g_strnfill (sizes[i], 'x');
+      char *headers = g_strdup_printf ("X-Long: %s\r\n", value);
+      char *answer;
+
+      start_gateway (1);
+      gw_replica_headers_set (&world, 0, headers);
+      answer
+          = gw_request (&world, 0, "POST", "/a/never/good", "large", "", "x");
+      CU_ASSERT_EQUAL (status_of (answer), statuses[i]);
+      CU_ASSERT_EQUAL (gw_arrivals_count (&world, "large"), 1);
+      end_world ();
+      g_free (answer);
+      g_free (headers);
+      g_free (value);
+    }
+}
+
+/* The configuration allows heads of 16 KiB, by bytes; a node buffers at most
+   64 KiB of a head.  */
 static void
 a_head_above_the_limit_reaches_no_replica (void)
 {
@@ -621,6 +738,12 @@
   { "a chunked body is forwarded completely",
     a_chunked_body_is_forwarded_completely },
   { "invalid requests reach no replica", invalid_requests_reach_no_replica },
+  { "a head of many headers is measured by its bytes",
+    a_head_of_many_headers_is_measured_by_its_bytes },
+  { "a head within the limit may have any number of headers",
+    a_head_within_the_limit_may_have_any_number_of_headers },
+  { "an answer with a large head is passed on or replaced",
+    an_answer_with_a_large_head_is_passed_on_or_replaced },
   { "a head above the limit reaches no replica",
     a_head_above_the_limit_reaches_no_replica },
   { "a truncated body reaches no replica",
