Version history: a store that came back once is told from a new one

Cause: the eras 0 and 1 were taken for the same, because a store may count from either, and a record of era 0 was believed in era 1 although it lacked the second version. The two are eras of one store, so a difference always is a return from a copy.

Change: eras are compared as they are. Objects that a store lacks may have been lost in any era after the first one, unless the whole system starts for the first time, and whenever this process has seen the era change. version_history_read logs it.

--- a/src/fleet/version_history.c
+++ b/src/fleet/version_history.c
@@ -13,8 +13,9 @@
 #define READ_DELAY (VERSION_HISTORY_DELAY + 100 * GS_MSEC)
 #define READ_INTERVAL_MIN (150 * GS_MSEC)
 #define READ_INTERVAL_MAX (4 * GS_SEC)
-/* A store that has named no higher era has never come back older.  */
-#define FIRST_ERA_MAX 2
+/* A store that names this era, or 0 for none, has never come back older.  One
+   that names the next one has come back once, or counts from there.  */
+#define FIRST_ERA 1
 /* Streams last no longer, so that earlier versions are left out.  */
 #define VERSION_TTL_MS (600 * 1000 + VERSION_HISTORY_SKEW_MAX / GS_MSEC)
 
@@ -61,8 +62,10 @@
   gs_time_t read_at;         /* when the last complete list was started */
   bool changed;              /* since the last export */
   int64_t stream_time_ms;    /* as this node knows, in whole seconds */
+  bool first_start;          /* see version_history_create() */
   bool has_gap;     /* objects may have been lost with an era of the store */
-  uint64_t era;     /* at the last list */
+  bool listed;      /* all objects have been read once */
+  uint64_t era;     /* at the last list, if listed */
   char *after_name; /* of the list that is being read */
   history_service_t *in_call; /* of the open read or write */
   gs_time_t due;
@@ -72,11 +75,12 @@
 
 void
 version_history_create (version_history_t **out,
-                        const gs_object_store_t *store)
+                        const gs_object_store_t *store, bool first_start)
 {
   version_history_t *history = g_new0 (version_history_t, 1);
 
   history->store = store;
+  history->first_start = first_start;
   history->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   *out = history;
@@ -140,12 +144,6 @@
              : 0;
 }
 
-static bool
-is_same_era (uint64_t a, uint64_t b)
-{
-  return a == b || (a <= FIRST_ERA_MAX && b <= FIRST_ERA_MAX);
-}
-
 static int64_t
 read_integer (const json_t *entry, const char *key)
 {
@@ -192,16 +190,31 @@
     service->recorded[service->recorded_count++] = row;
   }
   /* An object from before the store came back may be an older copy.  */
-  if (!is_same_era (service->era, store_era (history)))
+  if (service->era != store_era (history))
     service->gap_until_ms = wall_ms;
 }
 
 static void
 log_read (const version_history_t *history)
 {
-  gs_log (GS_LOG_INFO, "version_history_read", "services=%u era=%llu",
+  gs_log (GS_LOG_INFO, "version_history_read", "services=%u era=%llu gap=%d",
           g_hash_table_size (history->services),
-          (unsigned long long)history->era);
+          (unsigned long long)history->era, history->has_gap);
+}
+
+/* Objects that are not listed may have been lost if the store has come back
+   older, before this process was there or since.  */
+static void
+update_era (version_history_t *history)
+{
+  uint64_t era = store_era (history);
+
+  if (history->listed)
+    history->has_gap |= era != history->era;
+  else
+    history->has_gap = era > FIRST_ERA && !history->first_start;
+  history->era = era;
+  history->listed = true;
 }
 
 static void
@@ -227,12 +240,9 @@
       history->after_name = g_strdup (result->objects[result->count - 1].name);
       return;
     }
-  history->era = store_era (history);
+  update_era (history);
   if (!history->read)
-    {
-      history->has_gap = history->era > FIRST_ERA_MAX;
-      log_read (history);
-    }
+    log_read (history);
   history->read = true;
   history->read_requested = false;
   history->read_at = history->list_started_at;
@@ -445,7 +455,7 @@
       next->gap_until_ms = history->has_gap ? wall_ms : 0;
     }
   else
-    changed |= !is_same_era (service->era, history->era);
+    changed |= service->era != history->era;
   next->era = history->era;
   changed |= history->stream_time_ms > service->stream_time_ms;
   next->stream_time_ms
@@ -523,7 +533,7 @@
   history->wall_ms = wall_ms;
   if (history->busy || now < history->due)
     return;
-  if (history->read && !is_same_era (store_era (history), history->era))
+  if (history->read && store_era (history) != history->era)
     history->read = false;
   if (!history->read || history->read_requested)
     {
--- a/src/fleet/version_history.h
+++ b/src/fleet/version_history.h
@@ -24,9 +24,11 @@
 typedef struct version_history version_history_t;
 
 /** @param out receives the history, freed with version_history_destroy()
-    @param store borrowed */
+    @param store borrowed
+    @param first_start true if the whole system starts for the first time, so
+    that the store can have lost nothing of it */
 void version_history_create (version_history_t **out,
-                             const gs_object_store_t *store);
+                             const gs_object_store_t *store, bool first_start);
 
 /** Free the history, which may be NULL.  No call to the store may be open. */
 void version_history_destroy (version_history_t *history);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -421,7 +421,7 @@
                      &gateway->self, gateway->settings.resend_window,
                      seed + 3);
   store_records_create (&gateway->records, &gateway->store, gateway->peers,
-                        gateway->self.name);
+                        &gateway->settings);
   create_copy (gateway, &gateway->copies[COPY_CONFIG], gateway->config_feed,
                PEERS_CONFIG_PATH);
   create_copy (gateway, &gateway->copies[COPY_REPLICAS], gateway->replica_feed,
--- a/src/gateway/store_records.c
+++ b/src/gateway/store_records.c
@@ -19,15 +19,17 @@
 
 void
 store_records_create (store_records_t **out, const gs_object_store_t *store,
-                      peers_t *peers, const char *node)
+                      peers_t *peers, const gs_deployment_t *deployment)
 {
   store_records_t *records = g_new0 (store_records_t, 1);
 
   records->peers = peers;
   quarantine_store_create (&records->quarantine, store,
                            peers_quarantine (peers));
-  version_history_create (&records->versions, store);
-  origin_store_create (&records->origins, store, node, peers_origins (peers));
+  version_history_create (&records->versions, store,
+                          deployment->first_start);
+  origin_store_create (&records->origins, store, deployment->node,
+                       peers_origins (peers));
   *out = records;
 }
 
--- a/src/gateway/store_records.h
+++ b/src/gateway/store_records.h
@@ -15,10 +15,10 @@
 
 /** @param out receives the records, freed with store_records_destroy()
     @param store, peers borrowed
-    @param node name of this node */
+    @param deployment of this node; used by the call only */
 void store_records_create (store_records_t **out,
                            const gs_object_store_t *store, peers_t *peers,
-                           const char *node);
+                           const gs_deployment_t *deployment);
 
 /** Free the records, which may be NULL.  No call to the store may be open. */
 void store_records_destroy (store_records_t *records);
--- a/tests/test_process_gateway_origins.c
+++ b/tests/test_process_gateway_origins.c
@@ -102,12 +102,14 @@
     set_store_back_and_add_version, NULL },
 };
 
-/* Two nodes and replicas of one version, which have run for long.  */
+/* Two nodes and replicas of one version, which have run for long.
+   @param first_era first number that the store names as its era  */
 static void
-start_nodes (void)
+start_nodes (unsigned first_era)
 {
   start_world (WORLD_REPLICAS_DEFAULT);
   world.era = 1;
+  world.era_offset = 1 - first_era;
   gw_replicas_age_set (&world, OLD_AGE);
   for (unsigned i = FIRST_REPLICAS; i < WORLD_REPLICAS_DEFAULT; i++)
     gw_object_remove (&world, "servers", world.replicas[i].id);
@@ -127,7 +129,7 @@
       outcome_t outcome;
 
       printf ("\n  %s:", doubts[i].name);
-      start_nodes ();
+      start_nodes (1);
       doubts[i].prepare ();
       gw_signal (&world, 1, SIGKILL);
       gw_start (&world, 1, true);
@@ -157,7 +159,7 @@
       if (doubts[i].recover != NULL)
         continue;
       printf ("\n  %s:", doubts[i].name);
-      start_nodes ();
+      start_nodes (1);
       doubts[i].prepare ();
       begin_streams (2);
       g_usleep ((gulong)KNOWN_TIMEOUT);
@@ -172,7 +174,55 @@
     }
 }
 
+/* Kills all nodes while two versions serve, and sets the store back.
+   @param copy_early whether the copy is from before the second version  */
+static outcome_t
+resume_after_kill_and_set_back (unsigned first_era, bool copy_early)
+{
+  start_nodes (first_era);
+  if (copy_early)
+    gw_store_copy (&world);
+  add_version ();
+  begin_streams (2);
+  g_usleep ((gulong)KNOWN_TIMEOUT);
+  if (!copy_early)
+    gw_store_copy (&world);
+  for (unsigned i = 0; i < 2; i++)
+    gw_signal (&world, i, SIGKILL);
+  gw_store_set_back (&world);
+  for (unsigned i = 0; i < 2; i++)
+    gw_start (&world, i, true);
+  for (unsigned i = FIRST_REPLICAS; i < WORLD_REPLICAS_DEFAULT; i++)
+    gw_replica_publish (&world, i, "ready");
+  return resume_streams (2);
+}
+
+/* Guards against streams that go on at another version, because a store that
+   counts its eras from 0 and has come back once is taken for a new one that
+   counts from 1.  Streams that the copy has go on.  */
+static void
+streams_keep_their_version_after_the_store_first_came_back (void)
+{
+  for (unsigned first_era = 0; first_era <= 1; first_era++)
+    {
+      outcome_t outcome;
+
+      printf ("\n  eras from %u, the copy lacks a version:", first_era);
+      outcome = resume_after_kill_and_set_back (first_era, true);
+      CU_ASSERT_EQUAL (outcome.elsewhere, 0);
+      CU_ASSERT_EQUAL (outcome.refused, STREAMS);
+      end_world ();
+      printf ("\n  eras from %u, the copy has the streams:", first_era);
+      outcome = resume_after_kill_and_set_back (first_era, false);
+      CU_ASSERT_EQUAL (outcome.elsewhere, 0);
+      CU_ASSERT_EQUAL (outcome.complete, STREAMS);
+      end_world ();
+    }
+}
+
 static const check_case_t cases[] = {
+  { "streams keep their version after the store first came back",
+    streams_keep_their_version_after_the_store_first_came_back },
   { "streams go on at a node that started in doubt after their node ended",
     streams_go_on_at_a_node_that_started_in_doubt_after_their_node_ended },
   { "streams go on after all nodes ended in doubt",
--- a/tests/test_version_history.c
+++ b/tests/test_version_history.c
@@ -19,10 +19,16 @@
 } world_t;
 
 static void
-history_restart (world_t *world)
+history_start (world_t *world, bool first_start)
 {
   version_history_destroy (world->history);
-  version_history_create (&world->history, &world->port);
+  version_history_create (&world->history, &world->port, first_start);
+}
+
+static void
+history_restart (world_t *world)
+{
+  history_start (world, false);
 }
 
 static void
@@ -260,6 +266,94 @@
   world_end (&world);
 }
 
+typedef struct
+{
+  const char *name;
+  uint64_t era;      /* of the store when the record is written */
+  uint64_t next_era; /* when a process starts later; 0 for none */
+  bool lost;         /* the store has lost the record */
+  bool first_start;
+  bool gap;
+} era_case_t;
+
+/* Eras are one more than the store names.  */
+static const era_case_t era_cases[] = {
+  { "a store that names no era", 0, 0, false, false, false },
+  { "a store that counts from 0", 1, 1, false, false, false },
+  { "a store that counts from 1", 2, 2, false, false, false },
+  { "it counts from 0 and came back once", 1, 2, false, false, true },
+  { "it counts from 1 and came back once", 2, 3, false, false, true },
+  { "it came back twice", 1, 3, false, false, true },
+  { "it counts from 0, has no record", 1, 1, true, false, false },
+  { "it counts from 0, came back without the record", 1, 2, true, false,
+    true },
+  { "it counts from 1, came back without the record", 2, 3, true, false,
+    true },
+  { "the system is new, the store counts from 0", 1, 1, true, true, false },
+  { "the system is new, the store counts from 1", 2, 2, true, true, false },
+};
+
+/* Guards against a record that is trusted after the store has come back for
+   the first time, because it counts from 0.  */
+static void
+a_store_that_came_back_once_is_told_from_a_new_one (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (era_cases); i++)
+    {
+      const era_case_t *row = &era_cases[i];
+      service_versions_record_t record;
+      world_t world;
+      bool gap;
+
+      world_start (&world);
+      world.store.era = row->era;
+      if (!row->lost)
+        {
+          history_start (&world, true);
+          set_list (&world, only_v1);
+          run (&world, GS_SEC, true);
+        }
+      world.store.era = row->next_era;
+      history_start (&world, row->first_start);
+      set_list (&world, only_v1);
+      run (&world, 100 * GS_MSEC, false);
+      CU_ASSERT_TRUE_FATAL (version_history_export (world.history, &record));
+      CU_ASSERT_EQUAL (record.services->len, row->lost ? 0 : 1);
+      gap = row->lost ? record.has_gap
+                      : g_array_index (record.services, service_record_t, 0)
+                                .gap_until_ms
+                            != 0;
+      if (gap != row->gap)
+        printf ("\n  %s: gap %d ", row->name, gap);
+      CU_ASSERT_EQUAL (gap, row->gap);
+      service_versions_record_clear (&record);
+      world_end (&world);
+    }
+}
+
+/* A process that runs on sees the store come back without the record.  */
+static void
+a_running_process_knows_that_the_record_was_lost (void)
+{
+  service_versions_record_t record;
+  world_t world;
+
+  world_start (&world);
+  world.store.era = 1;
+  history_start (&world, true);
+  set_list (&world, only_v1);
+  run (&world, 100 * GS_MSEC, false);
+  CU_ASSERT_TRUE_FATAL (version_history_export (world.history, &record));
+  CU_ASSERT_FALSE (record.has_gap);
+  service_versions_record_clear (&record);
+  world.store.era = 2;
+  run (&world, 100 * GS_MSEC, false);
+  CU_ASSERT_TRUE_FATAL (version_history_export (world.history, &record));
+  CU_ASSERT_TRUE (record.has_gap);
+  service_versions_record_clear (&record);
+  world_end (&world);
+}
+
 /* Callers wait longer than the configuration says, which a node that has just
    started has not seen.  */
 static void
@@ -297,6 +391,10 @@
     a_new_leader_goes_on_from_the_record },
   { "a node that does not write reads what was recorded",
     a_node_that_does_not_write_reads_what_was_recorded },
+  { "a store that came back once is told from a new one",
+    a_store_that_came_back_once_is_told_from_a_new_one },
+  { "a running process knows that the record was lost",
+    a_running_process_knows_that_the_record_was_lost },
   { "a record of an earlier era has a gap",
     a_record_of_an_earlier_era_has_a_gap },
   { "a version is recorded at once when no other one is ready",
