Loop: heads of responses are checked before libcurl's reading is believed

Cause: libcurl accepts these lines, and its reading was believed.

Change: each line of a head and of the trailers is checked by RFC 9112, for all clients of the project. 204, 205 and 304 have no body.

--- a/src/gateway/store_records.c
+++ b/src/gateway/store_records.c
@@ -26,8 +26,7 @@
   records->peers = peers;
   quarantine_store_create (&records->quarantine, store,
                            peers_quarantine (peers));
-  version_history_create (&records->versions, store,
-                          deployment->first_start);
+  version_history_create (&records->versions, store, deployment->first_start);
   origin_store_create (&records->origins, store, deployment->node,
                        peers_origins (peers));
   *out = records;
--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -2,6 +2,7 @@
 
 #include "garnetstack/meter.h"
 #include "util/connection_table.h"
+#include "util/response_check.h"
 #include "util/tsan.h"
 
 #include <ck_ring.h>
@@ -78,6 +79,8 @@
   GString *body;
   size_t body_bytes_max;
   size_t head_bytes;
+  gs_response_check_t check;
+  bool malformed; /* the response must not be read */
   bool connect_only;
   bool head_complete; /* of the final response */
   char version[VERSION_BYTES];
@@ -298,6 +301,8 @@
 static gs_status_t
 transfer_status (gs_http_call_t *call, CURLcode code)
 {
+  if (call->malformed)
+    return gs_error_set (GS_EUNKNOWN, "response is malformed");
   if (code == CURLE_OK && (call->connect_only || call->head_complete))
     return GS_OK;
   /* libcurl takes a connection that is closed within the head for the end of
@@ -322,6 +327,18 @@
   return connects == 0;
 }
 
+/* @return what went wrong; "" for nothing  */
+static const char *
+failure_text (const gs_http_call_t *call, CURLcode code)
+{
+  if (call->malformed)
+    return "Response is malformed";
+  if (code == CURLE_OK)
+    return "";
+  return call->head_bytes > HEAD_BYTES_MAX ? "Head is too large"
+                                           : curl_easy_strerror (code);
+}
+
 static void
 finish_call (gs_http_call_t *call, CURLcode code)
 {
@@ -330,17 +347,15 @@
                               .body_length = call->body->len,
                               .version = call->version,
                               .content_type = "",
-                              .reason = code == CURLE_OK ? ""
-                                        : call->head_bytes > HEAD_BYTES_MAX
-                                            ? "Head is too large"
-                                            : curl_easy_strerror (code) };
+                              .reason = failure_text (call, code) };
   char *content_type = NULL;
   long local_port = 0;
 
   result.kept_connection = gs_loop_http_is_kept (call);
   result.send_started = call->send_started;
   result.is_garbled
-      = code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY
+      = call->malformed || code == CURLE_UNSUPPORTED_PROTOCOL
+        || code == CURLE_WEIRD_SERVER_REPLY
         || (code == CURLE_OK && !call->connect_only && !call->head_complete);
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
   curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &content_type);
@@ -596,6 +611,11 @@
   gs_http_call_t *call = context;
   size_t length = size * count;
 
+  if (!gs_response_check_allows_body (&call->check))
+    {
+      call->malformed = true;
+      return 0;
+    }
   if (call->on_data != NULL)
     return call->on_data (call->context, data, length) ? length : 0;
   if (call->body->len + length > call->body_bytes_max)
@@ -616,6 +636,11 @@
   call->head_bytes += length;
   if (call->head_bytes > HEAD_BYTES_MAX)
     return 0;
+  if (!gs_response_check_line (&call->check, data, length))
+    {
+      call->malformed = true;
+      return 0;
+    }
   if (data[0] == '\r' || data[0] == '\n')
     {
       curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -29,6 +29,15 @@
   { "/a/never/die-once", 502, 1, "" },
   { "/a/free/die-once", 200, 2, "=" },
   { "/a/never/noise", 502, 1, "" },
+  /* Heads that RFC 9112 does not allow.  */
+  { "/a/never/status-000", 502, 1, "" },
+  { "/a/never/status-666", 502, 1, "" },
+  { "/a/never/two-blanks", 502, 1, "" },
+  { "/a/never/no-blank", 502, 1, "" },
+  { "/a/never/other-protocol", 502, 1, "" },
+  { "/a/never/two-lengths", 502, 1, "" },
+  { "/a/never/reset-content", 502, 1, "" },
+  { "/a/free/status-666-once", 200, 2, "=" },
   { "/a/free/noise-once", 200, 2, "=" },
   /* The replica did not execute the request: it is sent to another replica, or
      rejected.  */
