Loop: an answer without a length ends after its request

Cause: such a body ends with its connection, and nothing asked whether the request had been sent by then.

Change: a successful response that ends with its connection before the request has been sent whole counts as broken off.

Evidence: test_loop, "an answer without length ends after the request", row 1 fails before.

--- a/src/util/loop.c
+++ b/src/util/loop.c
@@ -29,6 +29,7 @@
 #define VERSION_BYTES 32
 /* Responses with lower statuses come before the final one.  */
 #define HTTP_STATUS_FINAL_MIN 200
+#define HTTP_STATUS_REDIRECT_MIN 300
 /* TCP keepalive: the first probe is sent after one idle second, and two
    unanswered probes close the connection.  */
 #define KEEPALIVE_INTERVAL_SECONDS 1
@@ -298,11 +299,29 @@
     }
 }
 
+/* A successful response whose body ends with its connection is whole only if
+   its server has received the whole request: one that fails in between closes
+   its connection too.  */
+static bool
+is_broken_off (const gs_http_call_t *call)
+{
+  curl_off_t sent = 0;
+
+  if (!gs_response_check_is_unframed (&call->check)
+      || call->check.status >= HTTP_STATUS_REDIRECT_MIN)
+    return false;
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+  return (size_t)sent < call->request_body->len;
+}
+
 static gs_status_t
 transfer_status (gs_http_call_t *call, CURLcode code)
 {
   if (call->malformed)
     return gs_error_set (GS_EUNKNOWN, "response is malformed");
+  if (code == CURLE_OK && is_broken_off (call))
+    return gs_error_set (GS_EUNKNOWN,
+                         "response ended before the request was sent");
   if (code == CURLE_OK && (call->connect_only || call->head_complete))
     return GS_OK;
   /* libcurl takes a connection that is closed within the head for the end of
@@ -334,7 +353,8 @@
   if (call->malformed)
     return "Response is malformed";
   if (code == CURLE_OK)
-    return "";
+    return is_broken_off (call) ? "Response ended before the request was sent"
+                                : "";
   return call->head_bytes > HEAD_BYTES_MAX ? "Head is too large"
                                            : curl_easy_strerror (code);
 }
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -327,6 +327,83 @@
     }
 }
 
+#define UPLOAD_BYTES ((size_t)32 << 20)
+
+typedef struct
+{
+  const char *head;
+  bool reads_upload; /* before the answer */
+  bool resets;       /* in place of closing */
+  gs_status_t status;
+} early_answer_t;
+
+static void
+answer_early (void *context, raw_conn_t *conn)
+{
+  const early_answer_t *early = context;
+  raw_message_t request;
+
+  if (!raw_read_head (conn, &request))
+    return;
+  if (early->reads_upload)
+    raw_read_body (conn, &request);
+  raw_printf (conn, "%s", early->head);
+  raw_printf (conn, "a part of the body");
+  if (!early->resets)
+    shutdown (conn->fd, SHUT_WR);
+  /* The caller reads this before the connection is reset.  */
+  g_usleep (100000);
+  raw_reset_on_close (conn);
+  raw_message_clear (&request);
+}
+
+/* Guards against a part of a body that is taken for the whole, because a
+   server that fails ends its connection while the request is being sent.  */
+static void
+an_answer_without_length_ends_after_the_request (void)
+{
+  static const early_answer_t rows[] = {
+    { "HTTP/1.1 200 OK\r\n\r\n", true, false, GS_OK },
+    { "HTTP/1.1 200 OK\r\n\r\n", false, false, GS_EUNKNOWN },
+    { "HTTP/1.1 200 OK\r\n\r\n", false, true, GS_EUNKNOWN },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n", true, false, GS_OK },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n", false, false,
+      GS_EUNKNOWN },
+    { "HTTP/1.1 413 Content Too Large\r\n\r\n", false, false, GS_OK },
+  };
+  char *body = g_strnfill (UPLOAD_BYTES, 'u');
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      gs_http_request_t request = GS_HTTP_REQUEST_INIT;
+      fetch_t fetch = { 0 };
+      raw_server_t *server;
+      char *url;
+
+      raw_server_create (&server, answer_early, (void *)&rows[i]);
+      url = g_strdup_printf ("http://127.0.0.1:%u/", raw_server_port (server));
+      gs_loop_create (&fetch.loop);
+      fetch.body = g_string_new (NULL);
+      request.method = "POST";
+      request.url = url;
+      request.body = body;
+      request.body_length = UPLOAD_BYTES;
+      request.on_done = on_fetched;
+      request.context = &fetch;
+      request.deadline = gs_clock_now () + 30 * GS_SEC;
+      gs_loop_http (NULL, fetch.loop, &request);
+      gs_loop_run (fetch.loop);
+      if (fetch.status != rows[i].status)
+        printf ("\n  row %zu: %s ", i, gs_status_name (fetch.status));
+      CU_ASSERT_EQUAL (fetch.status, rows[i].status);
+      gs_loop_destroy (fetch.loop);
+      raw_server_destroy (server);
+      g_string_free (fetch.body, TRUE);
+      g_free (url);
+    }
+  g_free (body);
+}
+
 typedef struct
 {
   const char *text;
@@ -878,6 +955,8 @@
 main (void)
 {
   static const check_case_t cases[] = {
+    { "an answer without length ends after the request",
+      an_answer_without_length_ends_after_the_request },
     { "a server that is silent for a second keeps its connection",
       a_server_that_is_silent_for_a_second_keeps_its_connection },
     { "a server that takes no bytes loses its connection",
