Soak: streams that go on at another version are counted

The soak resumed streams while versions, eras of the store and processes change, and did not look at which version they went on. It fails now if more than two of a run go on at another one, as the rule says. From seed 800 on the store names its eras from the start, odd seeds from 0.

--- a/tests/test_process_soak.c
+++ b/tests/test_process_soak.c
@@ -31,8 +31,8 @@
    process.  604 makes replicas brittle while a node is stopped and the store
    is set back.  */
 static const uint64_t seeds[]
-    = { 1,   2,   5,   9,   10,  15,  16,  17,  101,
-        102, 103, 301, 302, 401, 402, 601, 602, 604 };
+    = { 1,   2,   5,   9,   10,  15,  16,  17,  101, 102,
+        103, 301, 302, 401, 402, 601, 602, 604, 801, 802 };
 /* Seeds from this one on draw all kinds of faults; those below draw the kinds
    that there were when they were chosen.  */
 #define SEED_ALL_KINDS_MIN 100
@@ -86,6 +86,12 @@
 #define REQUEST_KINDS_BRITTLE 24
 /* Seeds from this one on keep and pipeline connections.  */
 #define SEED_KEPT_MIN 600
+/* Seeds from this one on have a store that names its eras from the start: odd
+   ones from 0, even ones from 1.  */
+#define SEED_ERAS_MIN 800
+/* Streams that may go on at another software version than the one that began
+   them, in one run.  */
+#define MIXED_STREAMS_MAX 2
 #define PIPELINED_MAX 3
 #define BODY_BYTES_MAX 60000
 #define STREAM_EVENTS 6
@@ -652,6 +658,33 @@
   return violations;
 }
 
+/* @return streams that went on at another version than the one that began
+   them  */
+static unsigned
+count_mixed_streams (soak_t *soak)
+{
+  unsigned resumed = 0;
+  unsigned mixed = 0;
+
+  for (guint i = 0; i < soak->requests->len; i++)
+    {
+      const request_t *request = soak->requests->pdata[i];
+      const char *begun;
+      const char *version;
+
+      if (request->resumes[0] == '\0')
+        continue;
+      begun = gw_arrival_version (&soak->world, request->resumes);
+      version = gw_arrival_version (&soak->world, request->id);
+      resumed += version != NULL;
+      mixed
+          += begun != NULL && version != NULL && strcmp (begun, version) != 0;
+    }
+  printf ("  %u streams resumed, %u of them at another version\n", resumed,
+          mixed);
+  return mixed;
+}
+
 static bool
 all_are_ready (void *context)
 {
@@ -686,6 +719,11 @@
   soak->requests = g_ptr_array_new_with_free_func (request_free);
   pthread_mutex_init (&soak->lock, NULL);
   gw_create (&soak->world, REPLICA_COUNT);
+  if (seed >= SEED_ERAS_MIN)
+    {
+      soak->world.era = 1;
+      soak->world.era_offset = seed % 2;
+    }
   insert_proxies (soak);
   gw_configure (&soak->world, 1, "/a/", WORLD_API_KEY);
   for (unsigned i = 0; i < GATEWAY_COUNT; i++)
@@ -703,6 +741,7 @@
   for (unsigned i = 0; i < CALLER_COUNT; i++)
     pthread_join (threads[i], NULL);
   CU_ASSERT_EQUAL (count_violations (soak), 0);
+  CU_ASSERT (count_mixed_streams (soak) <= MIXED_STREAMS_MAX);
   CU_ASSERT_EQUAL (gw_duty_violations_count (&soak->world), 0);
   if (soak->brittle_times > 0)
     printf ("  %u replicas fell over in %u times, at most %u in one\n",
