Server: a request that the library rejects by itself is released

A request whose arguments find no room in the connection's memory was never released: 9 kB each, and it counted as open, so that a leaving node waited for it until its deadline.

Cause: libmicrohttpd reports the request line, and then closes the connection without reporting the end of the request.

Change: what is still open of a connection that closes is ended.

--- a/src/util/server.c
+++ b/src/util/server.c
@@ -179,7 +179,7 @@
       exchange->aborted = true;
       exchange->handled = true;
     }
-  g_hash_table_add (server->exchanges, exchange);
+  g_hash_table_insert (server->exchanges, connection, exchange);
   pthread_mutex_unlock (&server->lock);
   return exchange;
 }
@@ -340,21 +340,6 @@
       ->socket_context;
 }
 
-static void
-on_connection (void *context, struct MHD_Connection *connection,
-               void **socket_context, enum MHD_ConnectionNotificationCode code)
-{
-  gs_server_t *server = context;
-
-  if (code == MHD_CONNECTION_NOTIFY_STARTED)
-    *socket_context = gs_sweep_connection_add (
-        server->sweep,
-        MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
-            ->connect_fd);
-  else
-    gs_sweep_connection_remove (*socket_context);
-}
-
 static enum MHD_Result
 on_request (void *context, struct MHD_Connection *connection, const char *url,
             const char *method, const char *version, const char *upload,
@@ -417,7 +402,7 @@
     exchange->on_disconnect (exchange->disconnect_context);
   exchange->on_disconnect = NULL;
   pthread_mutex_lock (&server->lock);
-  g_hash_table_remove (server->exchanges, exchange);
+  g_hash_table_remove (server->exchanges, connection);
   pthread_mutex_unlock (&server->lock);
   atomic_fetch_sub (&server->open_count, 1);
   atomic_fetch_sub (&server->body_bytes_reserved,
@@ -426,6 +411,31 @@
   *state = NULL;
 }
 
+/* libmicrohttpd reports no end of a request whose arguments find no room in
+   the connection's memory.  */
+static void
+on_connection (void *context, struct MHD_Connection *connection,
+               void **socket_context, enum MHD_ConnectionNotificationCode code)
+{
+  gs_server_t *server = context;
+  void *exchange;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    *socket_context = gs_sweep_connection_add (
+        server->sweep,
+        MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd);
+  else
+    {
+      pthread_mutex_lock (&server->lock);
+      exchange = g_hash_table_lookup (server->exchanges, connection);
+      pthread_mutex_unlock (&server->lock);
+      on_completed (server, connection, &exchange,
+                    MHD_REQUEST_TERMINATED_WITH_ERROR);
+      gs_sweep_connection_remove (*socket_context);
+    }
+}
+
 static void
 server_free (gs_server_t *server)
 {
@@ -597,7 +607,7 @@
   pthread_mutex_lock (&server->lock);
   server->stopping = true;
   g_hash_table_iter_init (&iter, server->exchanges);
-  while (g_hash_table_iter_next (&iter, &exchange, NULL))
+  while (g_hash_table_iter_next (&iter, NULL, &exchange))
     gs_exchange_abort (exchange);
   pthread_mutex_unlock (&server->lock);
 }
--- a/src/util/server_private.h
+++ b/src/util/server_private.h
@@ -34,7 +34,7 @@
   bool body_expected; /* the last run read a part of a body, but not its end */
   atomic_uint idle_seconds;
   pthread_mutex_t lock;
-  GHashTable *exchanges; /* set of the open exchanges */
+  GHashTable *exchanges; /* MHD_Connection -> its open gs_exchange_t */
   bool stopping;
 };
 
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -267,6 +267,7 @@
   unsigned sent = 0;
   unsigned lost = 0;
   unsigned rejected = 0;
+  gs_time_t end;
   room_t room = { 0 };
   idle_server_t idle;
 
@@ -310,6 +311,11 @@
           sent, lost, rejected, RECORDS_SERVED_MAX, room.refused);
   CU_ASSERT_EQUAL (lost, 0);
   CU_ASSERT_EQUAL (rejected, 0);
+  /* A leaving node waits for open requests.  */
+  end = gs_clock_now () + GS_SEC;
+  while (gs_server_open_count (idle.server) > 0 && gs_clock_now () < end)
+    g_usleep (1000);
+  CU_ASSERT_EQUAL (gs_server_open_count (idle.server), 0);
   idle_server_stop (&idle);
 }
 
