--- a/src/gateway/traffic_origins.c
+++ b/src/gateway/traffic_origins.c
@@ -3,7 +3,9 @@
 #include "garnetstack/log.h"
 
 /* Interval at which the streams that have begun are handed to the control
-   thread; a small part of that between two messages to other nodes.  */
+   thread; a small part of that between two messages to other nodes.  While the
+   store keeps them, they are handed over at once: those that have not reached
+   it are lost when all nodes are killed.  */
 #define SEND_INTERVAL (50 * GS_MSEC)
 
 void
@@ -11,7 +13,7 @@
 {
   GArray *rows;
 
-  if (now < traffic->origins_due
+  if ((now < traffic->origins_due && !traffic->keeps_origins)
       || traffic->origins_sent_to_control
              == stream_origins_last (traffic->origins))
     return;
