Peers: a node of a large fleet that has started gets each stream twice, not from all

Cause: since all streams are told at all times, each aggregator sent all streams that it knew to each process that it met for the first time, and seven of them know the same ones.

Change: an aggregator sends a process what began in its own data centre, as the others do; nodes of a small fleet still send all. Lost with this: streams of a data centre of which the node of origin and both aggregators have ended are not known to nodes of that data centre.

--- a/src/fleet/peers_origins.c
+++ b/src/fleet/peers_origins.c
@@ -42,7 +42,10 @@
 {
   if (peer == NULL)
     return;
-  if (peer->origins_sent < peer->origins_before)
+  /* In a large fleet the other aggregators send what began elsewhere; from all
+     of them it would fill the link of a node that has started.  */
+  if (peer->origins_sent < peer->origins_before
+      && peers->role == PEERS_ROLE_MESH)
     sources = STREAM_ORIGIN_ALL;
   out->last = stream_origins_export (peers->origins, now, peer->origins_sent,
                                      sources, out->rows);
