--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -11,7 +11,7 @@
  * different data centres exchange summaries, each of its own data centre.  So
  * a report is known everywhere after three exchanges, and a node that is not
  * an aggregator makes the same number of calls in a fleet of any size.
- * Which version began a stream is told to all nodes of a small fleet and to
+ * Which version began a stream is sent to all nodes of a small fleet and to
  * all aggregators of a large one, whose other nodes ask for it.  A node
  * whose data centre is not known, such as one of an earlier version, exchanges
  * digests with all.
@@ -242,7 +242,7 @@
 
 /** Ask the aggregators for streams that this node does not know; those that it
     asked for before are forgotten.  Does nothing in a small fleet, where all
-    nodes are told of all streams.
+    nodes receive all streams.
     @param keys of stream_origin_key_t */
 void peers_origins_request (peers_t *peers, gs_time_t now, const GArray *keys);
 
--- a/src/fleet/version_history.h
+++ b/src/fleet/version_history.h
@@ -26,7 +26,7 @@
 /** @param out receives the history, freed with version_history_destroy()
     @param store borrowed
     @param first_start true if the whole system starts for the first time, so
-    that the store can have lost nothing of it */
+    that the store has lost no record of it */
 void version_history_create (version_history_t **out,
                              const gs_object_store_t *store, bool first_start);
 
--- a/tests/test_version_history.c
+++ b/tests/test_version_history.c
@@ -296,7 +296,7 @@
 /* Guards against a record that is trusted after the store has come back for
    the first time, because it counts from 0.  */
 static void
-a_store_that_came_back_once_is_told_from_a_new_one (void)
+a_store_that_came_back_once_is_distinguished_from_a_new_one (void)
 {
   for (size_t i = 0; i < G_N_ELEMENTS (era_cases); i++)
     {
@@ -391,8 +391,8 @@
     a_new_leader_goes_on_from_the_record },
   { "a node that does not write reads what was recorded",
     a_node_that_does_not_write_reads_what_was_recorded },
-  { "a store that came back once is told from a new one",
-    a_store_that_came_back_once_is_told_from_a_new_one },
+  { "a store that came back once is distinguished from a new one",
+    a_store_that_came_back_once_is_distinguished_from_a_new_one },
   { "a running process knows that the record was lost",
     a_running_process_knows_that_the_record_was_lost },
   { "a record of an earlier era has a gap",
