--- a/review/12/case.c
+++ b/review/12/case.c
@@ -22,11 +22,16 @@
 #define REACHING_MAX 3
 #define FIFTH 4
 #define PART "dead:400"
+/* Sound requests that run when a wave of the others comes.  */
+#define BESIDE 6
+#define BESIDE_LEAD_USEC 150000
+#define BESIDE_RUN_USEC 500000
 
 static gateway_world_t world;
 static FILE *record;
 static gs_time_t begun_at;
 static unsigned sent;
+static unsigned lost; /* sound requests */
 
 static void
 note (const char *format, ...)
@@ -86,6 +91,62 @@
     }
 }
 
+/* Runs a sound request for a while.  */
+static bool
+run_sound (void *context, raw_conn_t *conn, arrival_t *arrival)
+{
+  (void)context;
+  g_usleep (BESIDE_RUN_USEC);
+  raw_printf (conn,
+              "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+              "X-Response-Seal: s.%s\r\nContent-Length: 2\r\n\r\nok",
+              arrival->id, arrival->id);
+  return true;
+}
+
+static gpointer
+send_beside (gpointer argument)
+{
+  request_t *request = argument;
+
+  request->answer = gw_request (&world, request->gateway, "POST",
+                                "/a/never/desk", request->id,
+                                "X-Model: m\r\nX-Token-Counts: 600,40\r\n"
+                                "X-Prompt-Prefix: aa01:500,77:100\r\n",
+                                "x");
+  return NULL;
+}
+
+/* Sends a wave while sound requests run.  */
+static void
+send_wave_beside_sound (unsigned number)
+{
+  request_t requests[BESIDE];
+  GThread *threads[BESIDE];
+
+  for (unsigned i = 0; i < BESIDE; i++)
+    {
+      requests[i] = (request_t){ .gateway = i % GATEWAYS };
+      g_snprintf (requests[i].id, sizeof requests[i].id, "beside-%u-%u",
+                  number, i);
+      threads[i] = g_thread_new ("beside", send_beside, &requests[i]);
+    }
+  g_usleep (BESIDE_LEAD_USEC);
+  send_wave ();
+  for (unsigned i = 0; i < BESIDE; i++)
+    {
+      g_thread_join (threads[i]);
+      if (!g_str_has_prefix (requests[i].answer, "HTTP/1.1 200"))
+        {
+          lost++;
+          note ("%s, a sound request: %.12s, reached replicas %u times",
+                requests[i].id, requests[i].answer,
+                gw_arrivals_count (&world, requests[i].id));
+        }
+      g_free (requests[i].answer);
+    }
+}
+
 static void
 send_sound (unsigned number)
 {
@@ -161,6 +222,7 @@
     return 2;
   begun_at = gs_clock_now ();
   gw_create (&world, REPLICAS);
+  world.respond = run_sound;
   world.lease_ms = 3000;
   world.window_s = 5;
   world.settings = "limits.memory_mb=390\nbounds.retry_slack=58\n";
@@ -192,10 +254,12 @@
   later = gs_clock_now ();
   for (unsigned i = 0; i < LATER_WAVES; i++)
     {
-      send_wave ();
+      send_wave_beside_sound (i);
       pass_time (LATER_INTERVAL);
     }
   reaching = gw_arrivals_with (&world, PART, later);
+  note ("%u sound requests of %u were not served meanwhile", lost,
+        BESIDE * LATER_WAVES);
   note ("%u requests with the part reached replicas later than contact_ms"
         " after the fifth crash and after the nodes' start; allowed %u",
         reaching, REACHING_MAX);
