--- a/review/12/case.c
+++ b/review/12/case.c
@@ -1,6 +1,6 @@
 /* A part of prompts crashes replicas.  The nodes keep that in the store, which
    comes back from a copy some seconds old; then all nodes are killed.  */
-#include "gateway_world.h"
+#include "../../tests/gateway_world.h"
 
 #include <signal.h>
 #include <stdarg.h>
